--- /dev/null
+++ b/internal/core/figring/ring.go
@@ -0,0 +1,138 @@
+// Package figring holds the bounded queue that joins the goroutines of an
+// instance. Each ring states what happens when it is full, so that no duty can
+// grow another's memory.
+//
+// # Usage
+//
+//	r := figring.New[Event](1024, figring.Refuse)
+//	if !r.Push(e) {
+//		// full: the producer says so to its own caller
+//	}
+//	for {
+//		e, err := r.Pop(ctx)
+//		if err != nil {
+//			return err
+//		}
+//		handle(e)
+//	}
+//
+// A Ring is safe for many producers and many consumers.
+package figring
+
+import (
+	"context"
+	"sync"
+)
+
+// Policy says what Push does on a full ring.
+type Policy uint8
+
+const (
+	// Refuse makes Push return false and keeps what is queued.
+	Refuse Policy = iota
+	// DropOldest makes Push remove the oldest item to make room. It suits
+	// reports, where a newer one replaces an older one.
+	DropOldest
+)
+
+// Ring is a bounded first-in, first-out queue.
+type Ring[T any] struct {
+	mu      sync.Mutex
+	items   []T
+	head    int
+	count   int
+	policy  Policy
+	dropped uint64
+	ready   chan struct{}
+}
+
+// New returns a ring for at most capacity items. It panics if capacity is below one.
+func New[T any](capacity int, policy Policy) *Ring[T] {
+	if capacity < 1 {
+		panic("figring: capacity below one")
+	}
+	return &Ring[T]{
+		items:  make([]T, capacity),
+		policy: policy,
+		ready:  make(chan struct{}, 1),
+	}
+}
+
+// Push adds v. It returns false if the ring is full and refuses.
+func (r *Ring[T]) Push(v T) bool {
+	r.mu.Lock()
+	if r.count == len(r.items) {
+		r.dropped++
+		if r.policy == Refuse {
+			r.mu.Unlock()
+			return false
+		}
+		r.take()
+	}
+	r.items[(r.head+r.count)%len(r.items)] = v
+	r.count++
+	r.mu.Unlock()
+	r.signal()
+	return true
+}
+
+// Pop waits for an item. It returns the context's error when ctx ends first.
+func (r *Ring[T]) Pop(ctx context.Context) (T, error) {
+	for {
+		v, ok := r.TryPop()
+		if ok {
+			return v, nil
+		}
+		select {
+		case <-ctx.Done():
+			var zero T
+			return zero, ctx.Err()
+		case <-r.ready:
+		}
+	}
+}
+
+// TryPop returns the oldest item, or false if the ring is empty.
+func (r *Ring[T]) TryPop() (T, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.count == 0 {
+		var zero T
+		return zero, false
+	}
+	v := r.take()
+	if r.count > 0 {
+		r.signal()
+	}
+	return v, true
+}
+
+// Len returns the number of queued items.
+func (r *Ring[T]) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count
+}
+
+// Dropped returns how many items a full ring has refused or replaced.
+func (r *Ring[T]) Dropped() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dropped
+}
+
+func (r *Ring[T]) take() T {
+	var zero T
+	v := r.items[r.head]
+	r.items[r.head] = zero
+	r.head = (r.head + 1) % len(r.items)
+	r.count--
+	return v
+}
+
+func (r *Ring[T]) signal() {
+	select {
+	case r.ready <- struct{}{}:
+	default:
+	}
+}
