--- /dev/null
+++ b/internal/limit/figkey/session.go
@@ -0,0 +1,94 @@
+package figkey
+
+import (
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"figtrail.dev/figtrail/internal/config/figtree"
+)
+
+// ErrWithdrawn is the cause with which Apply cancels running requests.
+var ErrWithdrawn = errors.New("key withdrawn")
+
+// Sessions holds the running requests of one instance by key ID. It is safe for
+// concurrent use.
+type Sessions struct {
+	mu      sync.Mutex
+	next    uint64
+	running map[string]map[uint64]func(error)
+	tree    *figtree.Tree
+}
+
+// NewSessions returns a set without requests.
+func NewSessions() *Sessions {
+	return &Sessions{running: map[string]map[uint64]func(error){}}
+}
+
+// Add registers a running request. cancel is called at most once, with
+// ErrWithdrawn: at once if the tree applied last has withdrawn the key, so that
+// a request verified against an older tree doesn't slip through. remove ends the
+// registration and may be called more than once.
+func (s *Sessions) Add(keyID string, cancel func(cause error)) (remove func()) {
+	s.mu.Lock()
+	if s.tree != nil && withdrawn(s.tree, keyID) {
+		s.mu.Unlock()
+		cancel(ErrWithdrawn)
+		return func() {}
+	}
+	s.next++
+	number := s.next
+	if s.running[keyID] == nil {
+		s.running[keyID] = map[uint64]func(error){}
+	}
+	s.running[keyID][number] = cancel
+	s.mu.Unlock()
+	return func() { s.remove(keyID, number) }
+}
+
+// Apply cancels the requests of keys that t has withdrawn or no longer holds,
+// and returns how many these were.
+func (s *Sessions) Apply(t *figtree.Tree) int {
+	var ended []func(error)
+	s.mu.Lock()
+	s.tree = t
+	for id, requests := range s.running {
+		if !withdrawn(t, id) {
+			continue
+		}
+		for _, cancel := range requests {
+			ended = append(ended, cancel)
+		}
+		delete(s.running, id)
+	}
+	s.mu.Unlock()
+	for _, cancel := range ended {
+		cancel(ErrWithdrawn)
+	}
+	return len(ended)
+}
+
+// Len returns the number of running requests.
+func (s *Sessions) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, requests := range s.running {
+		n += len(requests)
+	}
+	return n
+}
+
+func (s *Sessions) remove(keyID string, number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running[keyID], number)
+	if len(s.running[keyID]) == 0 {
+		delete(s.running, keyID)
+	}
+}
+
+func withdrawn(t *figtree.Tree, keyID string) bool {
+	key, ok := t.Keys[keyID]
+	return !ok || key.Withdrawn
+}
