Send to backend servers with one attempt each, and speak to engines

Cause: the library's client repeats calls by method, and nothing told whether a failed call can have run.

--- /dev/null
+++ b/internal/engine/figengine/ask.go
@@ -0,0 +1,100 @@
+package figengine
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"figtrail.dev/figtrail/internal/core/figerror"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/request/figsend"
+)
+
+// idMessage names a request.
+type idMessage struct {
+	ID string `json:"id"`
+}
+
+// transferMessage carries transfer parameters.
+type transferMessage struct {
+	Transfer json.RawMessage `json:"kvTransferParams"`
+}
+
+func (o *openAI) load(ctx context.Context, server figview.Server) (*Load, error) {
+	load := new(Load)
+	if err := o.ask(ctx, server, "load", get("/load"), load); err != nil {
+		return nil, err
+	}
+	return load, nil
+}
+
+func (o *openAI) cancel(ctx context.Context, server figview.Server, id string) error {
+	c := post("/cancel", idMessage{ID: id})
+	c.Idempotent = true
+	return o.ask(ctx, server, "cancel", c, nil)
+}
+
+func (o *openAI) order(ctx context.Context, server figview.Server, order *Order) error {
+	return o.ask(ctx, server, "order", post("/orders", order), nil)
+}
+
+func (o *openAI) events(ctx context.Context, server figview.Server, after uint64) (*Events, error) {
+	events := new(Events)
+	path := "/cache/events?after=" + strconv.FormatUint(after, 10)
+	if err := o.ask(ctx, server, "events", get(path), events); err != nil {
+		return nil, err
+	}
+	return events, nil
+}
+
+func (o *openAI) export(ctx context.Context, server figview.Server, id string) (*PrefillResult, error) {
+	var m transferMessage
+	if err := o.ask(ctx, server, "export", post("/kv/export", idMessage{ID: id}), &m); err != nil {
+		return nil, err
+	}
+	return &PrefillResult{Transfer: m.Transfer}, nil
+}
+
+func (o *openAI) importCache(ctx context.Context, server figview.Server, r *PrefillResult) error {
+	return o.ask(ctx, server, "import", post("/kv/import", transferMessage{Transfer: r.Transfer}), nil)
+}
+
+// get returns a call that may be repeated.
+func get(path string) *figsend.Call {
+	return &figsend.Call{Method: fasthttp.MethodGet, Path: path, Idempotent: true}
+}
+
+// post returns a call that is sent once. All messages are plain structs, whose
+// encoding can't fail.
+func post(path string, message any) *figsend.Call {
+	body, _ := json.Marshal(message)
+	return &figsend.Call{
+		Method: fasthttp.MethodPost,
+		Path:   path,
+		Header: []figsend.Header{{Name: fasthttp.HeaderContentType, Value: "application/json"}},
+		Body:   body,
+	}
+}
+
+// ask sends c and decodes a JSON answer into reply, which may be nil.
+func (o *openAI) ask(ctx context.Context, server figview.Server, step string, c *figsend.Call, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	c.Server = server
+	answer, err := o.sender.Do(ctx, c)
+	if err != nil {
+		return err
+	}
+	if err := statusFailure(c, step, answer); err != nil {
+		return err
+	}
+	if reply == nil {
+		return nil
+	}
+	if err := json.Unmarshal(answer.Body, reply); err != nil {
+		return &figsend.Failure{Err: figerror.Wrap(err, step, server.Name)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/request/figsend/acquire.go
@@ -0,0 +1,99 @@
+package figsend
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// held is a connection that carries one call.
+type held struct {
+	conn *connection
+	// release gives it back to the library's pool or closes it.
+	release func(reuse bool)
+	// closeIdle closes its idle neighbours.
+	closeIdle func()
+}
+
+// acquire returns a connection for c: a new one, or for keep one that the
+// library's pool has and that looks usable.
+func (s *Sender) acquire(ctx context.Context, c *Call, keep bool) (held, *Failure) {
+	if keep {
+		return s.acquireKept(ctx, c)
+	}
+	n, err := s.connect(ctx, c.Server.Address, s.opts.DialLimit)
+	if err != nil {
+		return held{}, dialFailure(ctx, c, err)
+	}
+	conn := n.(*connection)
+	return held{conn: conn, release: func(bool) { _ = conn.Close() }, closeIdle: func() {}}, nil
+}
+
+func (s *Sender) acquireKept(ctx context.Context, c *Call) (held, *Failure) {
+	h := s.host(c.Server.Address)
+	for {
+		cc, err := h.AcquireConn(s.opts.DialLimit, false)
+		if err != nil {
+			return held{}, dialFailure(ctx, c, err)
+		}
+		conn := cc.Conn().(*connection)
+		if !s.usable(conn) {
+			h.CloseConn(cc)
+			continue
+		}
+		if conn.reused {
+			s.Reuses.Add(1)
+		}
+		release := func(reuse bool) {
+			if !reuse {
+				h.CloseConn(cc)
+				return
+			}
+			conn.reused = true
+			conn.idleSince = s.opts.Clock.Now()
+			h.ReleaseConn(cc)
+		}
+		return held{conn: conn, release: release, closeIdle: h.CloseIdleConnections}, nil
+	}
+}
+
+// usable looks at a kept connection before it carries another call. Bytes that
+// wait on it are an answer that came late, to a request that is over.
+func (s *Sender) usable(c *connection) bool {
+	if !c.reused {
+		return true
+	}
+	now := s.opts.Clock.Now()
+	if now.Sub(c.madeAt) > s.opts.AgeLimit || now.Sub(c.idleSince) > s.opts.IdleLimit {
+		return false
+	}
+	switch peek(c.Conn) {
+	case peekData:
+		s.Late.Add(1)
+		return false
+	case peekClosed:
+		return false
+	default:
+		return true
+	}
+}
+
+func dialFailure(ctx context.Context, c *Call, err error) *Failure {
+	kind := KindConnect
+	switch {
+	case ctx.Err() != nil:
+		kind = contextKind(ctx)
+	case errors.Is(err, fasthttp.ErrNoFreeConns):
+		kind = KindBusy
+	}
+	return fail(c, "connect", kind, NotRun, err)
+}
+
+// contextKind returns why ctx ended.
+func contextKind(ctx context.Context) Kind {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return KindDeadline
+	}
+	return KindCancelled
+}
--- /dev/null
+++ b/internal/request/figsend/connection.go
@@ -0,0 +1,83 @@
+package figsend
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// keepAliveIdle is how long a connection may be quiet before the kernel probes it.
+	keepAliveIdle = time.Second
+	// keepAliveInterval is the time between two probes.
+	keepAliveInterval = time.Second
+	// keepAliveCount is how many unanswered probes end a connection.
+	keepAliveCount = 3
+	// unackedLimit is how long sent bytes may stay unacknowledged.
+	unackedLimit = 4 * time.Second
+)
+
+// connection is one TCP connection to a backend server. One goroutine reads
+// from it at a time; Close may be called from any.
+type connection struct {
+	net.Conn
+	// generation is unique among all connections of a sender.
+	generation uint64
+	// madeAt is when it was dialled, idleSince when its last call ended.
+	madeAt, idleSince time.Time
+	// reused says that it has carried an earlier call.
+	reused bool
+	// written counts the bytes that the kernel has taken.
+	written atomic.Int64
+	// now gives the time for read limits.
+	now func() time.Time
+	// until ends every read. Zero means never.
+	until time.Time
+	// pause bounds one read. Zero leaves until alone.
+	pause time.Duration
+}
+
+// Write counts what the kernel takes, so that a failed send can say whether a
+// byte can have left.
+func (c *connection) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// Read waits no longer than the limits allow.
+func (c *connection) Read(p []byte) (int, error) {
+	until := c.until
+	if c.pause > 0 {
+		until = earlier(until, c.now().Add(c.pause))
+	}
+	if err := c.SetReadDeadline(until); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// earlier returns the earlier of two deadlines, of which zero means none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
+
+// dial makes a connection with probes and a limit on unacknowledged bytes, so
+// that a path that has gone silent ends it within seconds.
+func dial(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: limit,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+		Control: limitUnacked,
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
--- /dev/null
+++ b/internal/request/figsend/event.go
@@ -0,0 +1,115 @@
+package figsend
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// endMarker is the data of the event that ends a stream of a model engine.
+const endMarker = "[DONE]"
+
+var errEventTooLarge = errors.New("an event exceeds its limit")
+
+// Event is one server-sent event.
+type Event struct {
+	// Name is the event's type, empty for the ordinary one. It is valid until
+	// the next call of Next.
+	Name []byte
+	// Data holds the data lines, joined by newlines. It is valid until the next
+	// call of Next.
+	Data []byte
+}
+
+// AppendEvent appends e to dst in the form of the wire.
+func AppendEvent(dst []byte, e Event) []byte {
+	if len(e.Name) > 0 {
+		dst = append(dst, "event: "...)
+		dst = append(dst, e.Name...)
+		dst = append(dst, '\n')
+	}
+	for line := range bytes.SplitSeq(e.Data, []byte("\n")) {
+		dst = append(dst, "data: "...)
+		dst = append(dst, line...)
+		dst = append(dst, '\n')
+	}
+	return append(dst, '\n')
+}
+
+// eventReader splits a body into events. Its buffers are used again for each.
+type eventReader struct {
+	lines *bufio.Reader
+	name  []byte
+	data  []byte
+	long  []byte
+}
+
+// next returns the next event that has data. An end between two events is
+// io.EOF, one inside an event io.ErrUnexpectedEOF.
+func (r *eventReader) next() (Event, error) {
+	r.name, r.data = r.name[:0], r.data[:0]
+	begun, hasData := false, false
+	for {
+		line, err := r.line()
+		if err != nil {
+			if errors.Is(err, io.EOF) && (begun || len(line) > 0) {
+				err = io.ErrUnexpectedEOF
+			}
+			return Event{}, err
+		}
+		if len(line) == 0 {
+			if hasData {
+				return Event{Name: r.name, Data: r.data}, nil
+			}
+			r.name, begun = r.name[:0], false
+			continue
+		}
+		begun = begun || line[0] != ':'
+		field, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(field) {
+		case "event":
+			r.name = append(r.name[:0], value...)
+		case "data":
+			if hasData {
+				r.data = append(r.data, '\n')
+			}
+			r.data = append(r.data, value...)
+			hasData = true
+		}
+		if len(r.data) > maxEvent {
+			return Event{}, errEventTooLarge
+		}
+	}
+}
+
+// line returns the next line without its end.
+func (r *eventReader) line() ([]byte, error) {
+	r.long = r.long[:0]
+	for {
+		part, err := r.lines.ReadSlice('\n')
+		if err == nil && len(r.long) == 0 {
+			return trimLine(part), nil
+		}
+		r.long = append(r.long, part...)
+		if len(r.long) > maxEvent {
+			return nil, errEventTooLarge
+		}
+		if err == nil {
+			return trimLine(r.long), nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return r.long, err
+		}
+	}
+}
+
+func trimLine(line []byte) []byte {
+	line = bytes.TrimSuffix(line, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r"))
+}
--- /dev/null
+++ b/internal/request/figsend/exchange.go
@@ -0,0 +1,202 @@
+package figsend
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// interimLimit bounds the 1xx answers before the final one.
+const interimLimit = 5
+
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
+
+	errInterim  = errors.New("too many interim answers")
+	errDeadline = errors.New("the deadline has passed")
+)
+
+// exchange is one call on one connection: what was sent and what comes back.
+type exchange struct {
+	held
+
+	sender   *Sender
+	ctx      context.Context
+	call     *Call
+	deadline time.Time
+	reader   *bufio.Reader
+	response *fasthttp.Response
+	// stop ends the watch on ctx. It returns false if the watch has fired.
+	stop func() bool
+}
+
+// mode says how a call is carried.
+type mode struct {
+	// keep allows a kept connection, and keeps it after the call.
+	keep bool
+	// events asks for a body that is read as it comes.
+	events bool
+}
+
+// begin sends c and returns the exchange to read the answer from. It makes one
+// attempt.
+func (s *Sender) begin(ctx context.Context, c *Call, m mode) (*exchange, *Failure) {
+	if err := check(c); err != nil {
+		return nil, fail(c, "send", KindInvalid, NotRun, err)
+	}
+	q := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(q)
+	if err := fill(q, c, m); err != nil {
+		return nil, fail(c, "send", KindInvalid, NotRun, err)
+	}
+	deadline := c.Deadline
+	if d, ok := ctx.Deadline(); ok {
+		deadline = earlier(deadline, d)
+	}
+	if f := s.expired(ctx, c, deadline); f != nil {
+		return nil, f
+	}
+	h, f := s.acquire(ctx, c, m.keep)
+	if f != nil {
+		return nil, f
+	}
+	x := &exchange{held: h, sender: s, ctx: ctx, call: c, deadline: deadline}
+	x.stop = context.AfterFunc(ctx, func() { _ = h.conn.Close() })
+	if f := x.write(q); f != nil {
+		x.finish(false)
+		return nil, f
+	}
+	x.reader = readers.Get().(*bufio.Reader)
+	x.reader.Reset(h.conn)
+	x.response = fasthttp.AcquireResponse()
+	return x, nil
+}
+
+// expired refuses a call whose context or deadline has ended before anything
+// was sent.
+func (s *Sender) expired(ctx context.Context, c *Call, deadline time.Time) *Failure {
+	if ctx.Err() != nil {
+		return fail(c, "send", contextKind(ctx), NotRun, ctx.Err())
+	}
+	if !deadline.IsZero() && !s.opts.Clock.Now().Before(deadline) {
+		return fail(c, "send", KindDeadline, NotRun, errDeadline)
+	}
+	return nil
+}
+
+// write sends the request. If it fails before the kernel took a byte, the
+// request can't have run.
+func (x *exchange) write(q *fasthttp.Request) *Failure {
+	before := x.conn.written.Load()
+	w := writers.Get().(*bufio.Writer)
+	defer writers.Put(w)
+	defer w.Reset(nil)
+	w.Reset(x.conn)
+	err := x.conn.SetWriteDeadline(earlier(x.deadline, x.sender.opts.Clock.Now().Add(x.sender.opts.AnswerLimit)))
+	if err == nil {
+		err = q.Write(w)
+	}
+	if err == nil {
+		err = w.Flush()
+	}
+	sent := x.conn.written.Load() > before
+	if sent {
+		x.sender.Sends.Add(1)
+	}
+	if err == nil {
+		return nil
+	}
+	f := x.failure("send", err)
+	if !sent {
+		f.Ran = NotRun
+	}
+	return f
+}
+
+// head reads the answer's status line and header.
+func (x *exchange) head() *Failure {
+	opts := &x.sender.opts
+	x.conn.until = x.deadline
+	x.conn.pause = opts.AnswerLimit
+	if x.conn.reused {
+		x.conn.pause = min(opts.AnswerLimit, opts.ReuseLimit)
+	}
+	if _, err := x.reader.Peek(1); err != nil {
+		return x.failure("answer", err)
+	}
+	x.conn.pause = opts.ProgressLimit
+	for range interimLimit {
+		if err := x.response.Header.Read(x.reader); err != nil {
+			return x.failure("answer", err)
+		}
+		if x.response.StatusCode() >= fasthttp.StatusOK {
+			return x.matchHeader()
+		}
+	}
+	return fail(x.call, "answer", KindOther, Unknown, errInterim)
+}
+
+// matchHeader refuses an answer that names another request.
+func (x *exchange) matchHeader() *Failure {
+	echoed := x.response.Header.Peek(requestIDHeader)
+	if len(echoed) == 0 || x.call.ID == "" || string(echoed) == x.call.ID {
+		return nil
+	}
+	return x.sender.CrossedAnswer(x.call, string(echoed))
+}
+
+// failure classifies an error met on the connection.
+func (x *exchange) failure(step string, err error) *Failure {
+	f := fail(x.call, step, x.kind(err), Unknown, err)
+	f.Reused = x.conn.reused
+	switch f.Kind {
+	case KindSilent:
+		x.sender.Silent.Add(1)
+		x.closeIdle()
+	case KindCut:
+		x.sender.Cut.Add(1)
+	}
+	return f
+}
+
+func (x *exchange) kind(err error) Kind {
+	var timeout net.Error
+	switch {
+	case x.ctx.Err() != nil:
+		return contextKind(x.ctx)
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return KindTooLarge
+	case !errors.As(err, &timeout) || !timeout.Timeout():
+		return KindCut
+	case !x.deadline.IsZero() && !x.sender.opts.Clock.Now().Before(x.deadline):
+		return KindDeadline
+	default:
+		return KindSilent
+	}
+}
+
+// finish ends the exchange. A connection is kept only if the context never
+// reached for it and nothing unread is left on it.
+func (x *exchange) finish(reuse bool) {
+	quiet := x.stop()
+	if x.reader != nil {
+		if left := x.reader.Buffered(); reuse && left > 0 {
+			x.sender.Late.Add(1)
+			reuse = false
+		}
+		x.reader.Reset(nil)
+		readers.Put(x.reader)
+		x.reader = nil
+	}
+	if x.response != nil {
+		fasthttp.ReleaseResponse(x.response)
+		x.response = nil
+	}
+	x.release(reuse && quiet)
+}
--- /dev/null
+++ b/internal/request/figsend/header.go
@@ -0,0 +1,182 @@
+package figsend
+
+import (
+	"bytes"
+	"net/url"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// requestIDHeader carries the request id in both directions.
+const requestIDHeader = "X-Request-Id"
+
+// secretPartMin is the shortest last part of a key that is searched for on its
+// own, in bytes. Shorter ones could occur by chance.
+const secretPartMin = 16
+
+// hopByHop holds the fields that end at each connection, in lower case.
+var hopByHop = map[string]bool{
+	"connection":          true,
+	"keep-alive":          true,
+	"proxy-connection":    true,
+	"proxy-authenticate":  true,
+	"proxy-authorization": true,
+	"te":                  true,
+	"trailer":             true,
+	"transfer-encoding":   true,
+	"upgrade":             true,
+	"expect":              true,
+	"content-length":      true,
+	"host":                true,
+}
+
+// credentials holds the fields in which callers send their key, in lower case.
+var credentials = map[string]bool{
+	"authorization": true,
+	"x-api-key":     true,
+}
+
+var (
+	errSecret = errors.New("the request contains the caller's key outside its header")
+	errPath   = errors.New("the path is not a valid request target")
+	errMethod = errors.New("the method is not a valid token")
+	errHeader = errors.New("a header field is not valid")
+)
+
+// secretOf returns the part of a key that must not be sent: what follows the
+// last underscore, if that is long enough, else all of it.
+func secretOf(key string) string {
+	if i := strings.LastIndexByte(key, '_'); i >= 0 && len(key)-i-1 >= secretPartMin {
+		return key[i+1:]
+	}
+	return key
+}
+
+// check refuses a call that can't be sent as it is.
+func check(c *Call) error {
+	if !validMethod(c.Method) {
+		return errMethod
+	}
+	if !validTarget(c.Path) {
+		return errPath
+	}
+	if c.Secret == "" {
+		return nil
+	}
+	secret := secretOf(c.Secret)
+	if strings.Contains(c.Path, secret) || bytes.Contains(c.Body, []byte(secret)) {
+		return errSecret
+	}
+	if plain, err := url.QueryUnescape(c.Path); err == nil && strings.Contains(plain, secret) {
+		return errSecret
+	}
+	return nil
+}
+
+func validMethod(s string) bool {
+	if s == "" {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] < 'A' || s[i] > 'Z' {
+			return false
+		}
+	}
+	return true
+}
+
+func validTarget(s string) bool {
+	if s == "" || s[0] != '/' {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+func validField(h Header) bool {
+	if h.Name == "" {
+		return false
+	}
+	for i := range len(h.Name) {
+		if b := h.Name[i]; b <= ' ' || b >= 0x7f || b == ':' {
+			return false
+		}
+	}
+	return !strings.ContainsAny(h.Value, "\r\n\x00")
+}
+
+// named returns the fields that the Connection fields of header declare as
+// hop-by-hop, in lower case.
+func named(header []Header) map[string]bool {
+	var names map[string]bool
+	for _, h := range header {
+		if !strings.EqualFold(h.Name, "connection") {
+			continue
+		}
+		for name := range strings.SplitSeq(h.Value, ",") {
+			if names == nil {
+				names = map[string]bool{}
+			}
+			names[strings.ToLower(strings.TrimSpace(name))] = true
+		}
+	}
+	return names
+}
+
+// fill writes the call into a request of the library.
+func fill(q *fasthttp.Request, c *Call, m mode) error {
+	h := &q.Header
+	h.SetNoDefaultContentType(true)
+	h.SetMethod(c.Method)
+	h.SetRequestURI(c.Path)
+	h.SetHost(c.Server.Address)
+	secret := secretOf(c.Secret)
+	declared := named(c.Header)
+	for _, f := range c.Header {
+		name := strings.ToLower(f.Name)
+		if hopByHop[name] || credentials[name] || declared[name] || name == "x-request-id" {
+			continue
+		}
+		if secret != "" && (strings.Contains(f.Value, secret) || strings.Contains(f.Name, secret)) {
+			continue
+		}
+		if !validField(f) {
+			return errHeader
+		}
+		h.Add(f.Name, f.Value)
+	}
+	if c.ID != "" {
+		h.Set(requestIDHeader, c.ID)
+	}
+	if m.events {
+		h.Set(fasthttp.HeaderAcceptEncoding, "identity")
+	}
+	if !m.keep {
+		h.SetConnectionClose()
+	}
+	q.SetBodyRaw(c.Body)
+	return nil
+}
+
+// endToEnd returns the fields of an answer without the hop-by-hop ones.
+func endToEnd(h *fasthttp.ResponseHeader) []Header {
+	fields := make([]Header, 0, h.Len())
+	for name, value := range h.All() {
+		fields = append(fields, Header{Name: string(name), Value: string(value)})
+	}
+	declared := named(fields)
+	kept := fields[:0]
+	for _, f := range fields {
+		name := strings.ToLower(f.Name)
+		if !hopByHop[name] && !declared[name] {
+			kept = append(kept, f)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/request/figsend/sender.go
@@ -0,0 +1,189 @@
+package figsend
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"figtrail.dev/figtrail/internal/core/figtimer"
+)
+
+const (
+	// defaultDialLimit bounds the making of a connection.
+	defaultDialLimit = time.Second
+	// defaultAnswerLimit bounds the wait for the first byte of an answer.
+	defaultAnswerLimit = time.Minute
+	// defaultReuseLimit bounds that wait on a kept connection.
+	defaultReuseLimit = 2 * time.Second
+	// defaultIdleLimit is how long an unused connection is kept.
+	defaultIdleLimit = 3 * time.Second
+	// defaultAgeLimit is how long a connection is kept in use.
+	defaultAgeLimit = time.Minute
+	// defaultProgressLimit bounds the wait for the next bytes of a whole answer.
+	defaultProgressLimit = 10 * time.Second
+	// defaultConnections bounds the kept connections to one server.
+	defaultConnections = 64
+	// defaultMaxAnswer bounds the body of an answer, in bytes.
+	defaultMaxAnswer = 16 << 20
+	// hostsKept is the number of servers above which unused ones are dropped.
+	hostsKept = 1024
+)
+
+// Options holds the limits and seams of a Sender. Zero fields get the ordinary ones.
+type Options struct {
+	// Clock gives the time for deadlines and ages.
+	Clock figtimer.Clock
+	// Dial makes a connection to address.
+	Dial func(ctx context.Context, address string, limit time.Duration) (net.Conn, error)
+	// DialLimit bounds the making of a connection.
+	DialLimit time.Duration
+	// AnswerLimit bounds the wait for the first byte of an answer.
+	AnswerLimit time.Duration
+	// ReuseLimit bounds the wait for the first byte on a kept connection, which
+	// may have gone silent.
+	ReuseLimit time.Duration
+	// ProgressLimit bounds the wait for the next bytes of a whole answer that
+	// has begun.
+	ProgressLimit time.Duration
+	// IdleLimit is how long an unused connection is kept.
+	IdleLimit time.Duration
+	// AgeLimit is how long a connection is used at all.
+	AgeLimit time.Duration
+	// Connections bounds the kept connections to one server.
+	Connections int
+	// MaxAnswer bounds the body of an answer in bytes.
+	MaxAnswer int64
+}
+
+func (o Options) withDefaults() Options {
+	if o.Clock.Now == nil {
+		o.Clock = figtimer.System()
+	}
+	if o.Dial == nil {
+		o.Dial = dial
+	}
+	setDefault(&o.DialLimit, defaultDialLimit)
+	setDefault(&o.AnswerLimit, defaultAnswerLimit)
+	setDefault(&o.ReuseLimit, defaultReuseLimit)
+	setDefault(&o.ProgressLimit, defaultProgressLimit)
+	setDefault(&o.IdleLimit, defaultIdleLimit)
+	setDefault(&o.AgeLimit, defaultAgeLimit)
+	setDefault(&o.Connections, defaultConnections)
+	setDefault(&o.MaxAnswer, defaultMaxAnswer)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Counters holds what a Sender has seen. All only grow.
+type Counters struct {
+	// Sends counts the calls of which at least one byte was written.
+	Sends atomic.Uint64
+	// Dials counts new connections, Reuses calls on kept ones.
+	Dials, Reuses atomic.Uint64
+	// Late counts answers that came on a connection when none was due.
+	Late atomic.Uint64
+	// Crossed counts answers that belonged to another request.
+	Crossed atomic.Uint64
+	// Silent counts connections given up because no answer came.
+	Silent atomic.Uint64
+	// Stalled and Cut count streams and answers that stopped or ended too early.
+	Stalled, Cut atomic.Uint64
+}
+
+// Sender sends calls to backend servers. It is safe for concurrent use.
+type Sender struct {
+	Counters
+
+	opts       Options
+	generation atomic.Uint64
+	mu         sync.Mutex
+	hosts      map[string]*fasthttp.HostClient
+}
+
+// New returns a sender without connections.
+func New(opts Options) *Sender {
+	return &Sender{opts: opts.withDefaults(), hosts: map[string]*fasthttp.HostClient{}}
+}
+
+// Close closes the idle connections. Calls in flight go on.
+func (s *Sender) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, h := range s.hosts {
+		h.CloseIdleConnections()
+		delete(s.hosts, address)
+	}
+}
+
+// host returns the library's client for one address.
+func (s *Sender) host(address string) *fasthttp.HostClient {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, ok := s.hosts[address]
+	if ok {
+		return h
+	}
+	if len(s.hosts) >= hostsKept {
+		s.dropUnused()
+	}
+	h = s.newHost(address)
+	s.hosts[address] = h
+	return h
+}
+
+func (s *Sender) newHost(address string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                          address,
+		MaxConns:                      s.opts.Connections,
+		MaxIdleConnDuration:           s.opts.IdleLimit,
+		ConnPoolStrategy:              fasthttp.LIFO,
+		DialTimeout:                   s.dialKept,
+		NoDefaultUserAgentHeader:      true,
+		DisablePathNormalizing:        true,
+		DisableHeaderNamesNormalizing: true,
+		// The library would repeat calls by method. Only the route's declaration
+		// decides that, so it gets one attempt and a function that says no.
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                neverRetry,
+	}
+}
+
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+
+// dropUnused forgets the servers without a connection.
+func (s *Sender) dropUnused() {
+	for address, h := range s.hosts {
+		if h.ConnsCount() == 0 {
+			delete(s.hosts, address)
+		}
+	}
+}
+
+// dialKept is the library's dial function. It knows no context; the limit that
+// it is given ends it.
+func (s *Sender) dialKept(address string, limit time.Duration) (net.Conn, error) {
+	if limit <= 0 || limit > s.opts.DialLimit {
+		limit = s.opts.DialLimit
+	}
+	return s.connect(context.Background(), address, limit)
+}
+
+func (s *Sender) connect(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+	n, err := s.opts.Dial(ctx, address, limit)
+	if err != nil {
+		return nil, err
+	}
+	s.Dials.Add(1)
+	now := s.opts.Clock.Now
+	return &connection{Conn: n, generation: s.generation.Add(1), madeAt: now(), now: now}, nil
+}
--- /dev/null
+++ b/internal/request/figsend/serve_test.go
@@ -0,0 +1,110 @@
+package figsend
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+// listener is a loopback listener whose connections end with the test.
+type listener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+	duty  sync.WaitGroup
+}
+
+// listen calls serve for each connection, in a goroutine of its own.
+func listen(t *testing.T, serve func(net.Conn)) *listener {
+	t.Helper()
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := &listener{Listener: n}
+	l.duty.Go(func() {
+		for {
+			c, err := n.Accept()
+			if err != nil {
+				return
+			}
+			l.mu.Lock()
+			l.conns = append(l.conns, c)
+			l.mu.Unlock()
+			l.duty.Go(func() { serve(c) })
+		}
+	})
+	t.Cleanup(l.end)
+	return l
+}
+
+func (l *listener) end() {
+	_ = l.Close()
+	l.mu.Lock()
+	for _, c := range l.conns {
+		_ = c.Close()
+	}
+	l.mu.Unlock()
+	l.duty.Wait()
+}
+
+func (l *listener) server() figview.Server {
+	return figview.Server{Name: "worker", Address: l.Addr().String()}
+}
+
+// rawServer answers each request on a connection with what answer returns, and
+// closes the connection when that is empty. It counts the requests it has read.
+type rawServer struct {
+	*listener
+	runs atomic.Int64
+}
+
+func newRawServer(t *testing.T, answer func(run int64, q *http.Request) string) *rawServer {
+	t.Helper()
+	s := &rawServer{}
+	s.listener = listen(t, func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		r := bufio.NewReader(c)
+		for {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err = io.Copy(io.Discard, q.Body); err != nil {
+				return
+			}
+			text := answer(s.runs.Add(1), q)
+			if _, err = io.WriteString(c, text); err != nil || text == "" {
+				return
+			}
+		}
+	})
+	return s
+}
+
+// ok is a whole answer with the body "yes".
+const ok = okHead + "yes"
+
+// okHead is its header.
+const okHead = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"
+
+func newSender(t *testing.T, opts Options) *Sender {
+	t.Helper()
+	s := New(opts)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func callTo(server figview.Server, method string, idempotent bool) *Call {
+	c := &Call{ID: "r1", Server: server, Method: method, Path: "/x", Idempotent: idempotent}
+	if method != http.MethodGet && method != http.MethodHead {
+		c.Body = []byte(`{"n":1}`)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/request/figsend/stream.go
@@ -0,0 +1,202 @@
+package figsend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tidwall/gjson"
+)
+
+var (
+	errNoMarker = errors.New("the stream ended without its end marker")
+	errClosed   = errors.New("the stream is closed")
+)
+
+// Stream is a body that is read event by event. One goroutine calls Next;
+// Close may be called from any.
+type Stream struct {
+	// Status is the HTTP status code.
+	Status int
+	// Header holds the end-to-end header fields.
+	Header []Header
+	// Answer is set if the body is not a stream of events: it is then read
+	// whole, and Next returns io.EOF at once.
+	Answer *Answer
+	// Connection is the generation of the connection that carries it.
+	Connection uint64
+
+	exchange *exchange
+	events   eventReader
+	once     sync.Once
+	closed   chan struct{}
+	ended    error
+	// framed says that the body has a length or chunks, which prove its end.
+	framed bool
+}
+
+// Stream sends c once, on a connection of its own, and returns when the
+// answer's header has come. A body of any other type than text/event-stream is
+// read whole. All errors are of type *Failure. The stream must be closed.
+func (s *Sender) Stream(ctx context.Context, c *Call) (*Stream, error) {
+	x, f := s.begin(ctx, c, mode{events: true})
+	if f != nil {
+		return nil, f
+	}
+	if f := x.head(); f != nil {
+		x.finish(false)
+		return nil, f
+	}
+	r := x.response
+	if !bytes.HasPrefix(r.Header.ContentType(), []byte("text/event-stream")) {
+		return x.plain()
+	}
+	t := &Stream{
+		Status:     r.StatusCode(),
+		Header:     endToEnd(&r.Header),
+		Connection: x.conn.generation,
+		exchange:   x,
+		closed:     make(chan struct{}),
+		framed:     r.Header.ContentLength() > lengthUnknown,
+	}
+	r.StreamBody = true
+	if err := r.ReadBody(x.reader, 0); err != nil {
+		f := x.failure("stream", err)
+		x.finish(false)
+		return nil, f
+	}
+	t.events.lines = bufio.NewReader(r.BodyStream())
+	return t, nil
+}
+
+// plain reads an answer that is not a stream.
+func (x *exchange) plain() (*Stream, error) {
+	answer, f := x.body()
+	x.finish(false)
+	if f != nil {
+		return nil, f
+	}
+	answer, err := accept(x.call, answer)
+	if err != nil {
+		return nil, err
+	}
+	t := &Stream{
+		Status: answer.Status, Header: answer.Header, Answer: answer,
+		Connection: answer.Connection, closed: make(chan struct{}), ended: io.EOF,
+	}
+	return t, nil
+}
+
+// Next returns the next event. It returns io.EOF only if the end of the stream
+// is proved: by the end marker, or, for a call without MatchEvents, by the
+// body's length or last chunk. Any other error is a *Failure, and the stream
+// stays failed. An event that doesn't come within stall fails the stream; lines
+// that carry no event don't extend the time. The event's bytes are valid until
+// the next call.
+func (t *Stream) Next(ctx context.Context, stall time.Duration) (Event, error) {
+	if t.ended != nil {
+		return Event{}, t.ended
+	}
+	if ctx != t.exchange.ctx {
+		stop := context.AfterFunc(ctx, t.Close)
+		defer stop()
+	}
+	x := t.exchange
+	x.conn.pause = 0
+	x.conn.until = earlier(x.deadline, x.sender.opts.Clock.Now().Add(stall))
+	e, err := t.events.next()
+	if err == nil {
+		err = t.match(e)
+	}
+	if err != nil {
+		t.ended = t.end(ctx, err)
+		t.Close()
+		return Event{}, t.ended
+	}
+	return e, nil
+}
+
+// match tells the end marker and events of other requests from the stream's own.
+func (t *Stream) match(e Event) error {
+	if string(e.Data) == endMarker {
+		return io.EOF
+	}
+	c := t.exchange.call
+	if !c.MatchEvents || c.ID == "" {
+		return nil
+	}
+	id := gjson.GetBytes(e.Data, "id")
+	if Matches(id.Str, c.ID) {
+		return nil
+	}
+	if !id.Exists() && gjson.GetBytes(e.Data, "error").Exists() {
+		return nil
+	}
+	return t.exchange.sender.CrossedAnswer(c, id.Str)
+}
+
+// end decides what the end of the events means.
+func (t *Stream) end(ctx context.Context, err error) error {
+	x := t.exchange
+	var f *Failure
+	switch {
+	case errors.As(err, &f):
+		return f
+	case ctx.Err() != nil:
+		return fail(x.call, "stream", contextKind(ctx), Unknown, ctx.Err())
+	case t.isClosed():
+		return fail(x.call, "stream", KindCancelled, Unknown, errClosed)
+	case errors.Is(err, io.EOF):
+		return t.proved()
+	}
+	f = x.failure("stream", err)
+	if f.Kind == KindSilent {
+		f.Kind = KindStalled
+		x.sender.Stalled.Add(1)
+	}
+	if errors.Is(err, errEventTooLarge) {
+		f.Kind = KindTooLarge
+	}
+	return f
+}
+
+// proved returns io.EOF if the stream's end is known to be its end.
+func (t *Stream) proved() error {
+	x := t.exchange
+	if string(t.events.data) == endMarker {
+		return io.EOF
+	}
+	if t.framed && !x.call.MatchEvents {
+		return io.EOF
+	}
+	x.sender.Cut.Add(1)
+	return fail(x.call, "stream", KindCut, Unknown, errNoMarker)
+}
+
+func (t *Stream) isClosed() bool {
+	select {
+	case <-t.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// Close closes the connection, which cancels the request if it still runs. It
+// may be called at any time and more than once.
+func (t *Stream) Close() {
+	t.once.Do(func() {
+		close(t.closed)
+		if t.exchange == nil {
+			return
+		}
+		t.exchange.stop()
+		// The reader and the response may be in use by Next, so they are left to
+		// the garbage collector instead of their pools.
+		t.exchange.release(false)
+	})
+}
