Build the tree of declarations from documents, incrementally

Instances need lookups that cost the same at five and at 47,000 accounts. The tree keeps accounts and keys in sharded copy-on-write maps behind methods; the builder resolves only what a changed document touches. Limits of a directory are cut to what its parents grant, and reported with path, line and reason.

--- /dev/null
+++ b/internal/config/figtree/builder.go
@@ -0,0 +1,243 @@
+package figtree
+
+import (
+	"bytes"
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Builder keeps parsed documents and builds trees of them, at a cost that
+// follows what has changed. It is not safe for concurrent use.
+type Builder struct {
+	docs        map[string]*Document
+	limitNodes  map[string][]limitNode
+	limits      map[string]*limits
+	limitFaults map[string][]Fault
+
+	accounts      map[string][]*AccountSpec
+	accountsIn    map[string]map[string]struct{}
+	keys          map[string][]*KeySpec
+	accountFaults map[string][]Fault
+	keyFaults     map[string][]Fault
+	structFaults  []Fault
+
+	dirtyAccounts map[string]struct{}
+	dirtyKeys     map[string]struct{}
+	dirtyStruct   bool
+
+	tree *Tree
+}
+
+// NewBuilder returns a builder whose tree is empty.
+func NewBuilder() *Builder {
+	return &Builder{
+		docs:          map[string]*Document{},
+		limitNodes:    map[string][]limitNode{},
+		limits:        map[string]*limits{},
+		limitFaults:   map[string][]Fault{},
+		accounts:      map[string][]*AccountSpec{},
+		accountsIn:    map[string]map[string]struct{}{},
+		keys:          map[string][]*KeySpec{},
+		accountFaults: map[string][]Fault{},
+		keyFaults:     map[string][]Fault{},
+		dirtyAccounts: map[string]struct{}{},
+		dirtyKeys:     map[string]struct{}{},
+		tree:          &Tree{},
+	}
+}
+
+// Put adds d or replaces the document with its path. Build brings it into force.
+func (b *Builder) Put(d *Document) {
+	b.Remove(d.Path)
+	b.docs[d.Path] = d
+	for _, n := range limitNodes(d) {
+		b.limitNodes[n.at] = append(b.limitNodes[n.at], n)
+	}
+	for _, a := range d.Accounts {
+		b.addAccount(a)
+	}
+	b.touch(d)
+}
+
+// Remove takes out the document with a path, if there is one.
+func (b *Builder) Remove(docPath string) {
+	d, ok := b.docs[docPath]
+	if !ok {
+		return
+	}
+	delete(b.docs, docPath)
+	ours := func(n limitNode) bool { return n.doc == d }
+	for _, n := range limitNodes(d) {
+		b.limitNodes[n.at] = slices.DeleteFunc(b.limitNodes[n.at], ours)
+	}
+	for _, a := range d.Accounts {
+		b.removeAccount(a)
+	}
+	b.touch(d)
+}
+
+func (b *Builder) addAccount(a *AccountSpec) {
+	b.accounts[a.id] = append(b.accounts[a.id], a)
+	in := b.accountsIn[a.doc.Dir]
+	if in == nil {
+		in = map[string]struct{}{}
+		b.accountsIn[a.doc.Dir] = in
+	}
+	in[a.id] = struct{}{}
+	for _, k := range a.Keys {
+		b.keys[k.ID.Value] = append(b.keys[k.ID.Value], k)
+	}
+}
+
+func (b *Builder) removeAccount(a *AccountSpec) {
+	b.accounts[a.id] = without(b.accounts[a.id], a)
+	if len(b.accounts[a.id]) == 0 {
+		delete(b.accounts, a.id)
+		delete(b.accountsIn[a.doc.Dir], a.id)
+	}
+	for _, k := range a.Keys {
+		id := k.ID.Value
+		b.keys[id] = without(b.keys[id], k)
+		if len(b.keys[id]) == 0 {
+			delete(b.keys, id)
+		}
+	}
+}
+
+func without[T comparable](all []T, one T) []T {
+	return slices.DeleteFunc(all, func(x T) bool { return x == one })
+}
+
+// touch marks what a change of d can change.
+func (b *Builder) touch(d *Document) {
+	for _, a := range d.Accounts {
+		b.dirtyAccounts[a.id] = struct{}{}
+		b.touchKeys(a)
+	}
+	if len(d.Pools)+len(d.Routes)+len(d.DataCentres) > 0 {
+		b.dirtyStruct = true
+	}
+	for _, n := range limitNodes(d) {
+		b.touchBelow(n.at)
+	}
+}
+
+func (b *Builder) touchKeys(a *AccountSpec) {
+	for _, k := range a.Keys {
+		b.dirtyKeys[k.ID.Value] = struct{}{}
+	}
+}
+
+// touchBelow marks all for which limits of a directory hold.
+func (b *Builder) touchBelow(at string) {
+	b.dirtyStruct = true
+	for dir := range b.limits {
+		if below(dir, at) {
+			delete(b.limits, dir)
+			delete(b.limitFaults, dir)
+		}
+	}
+	for dir, ids := range b.accountsIn {
+		if below(dir, at) {
+			maps.Copy(b.dirtyAccounts, ids)
+		}
+	}
+}
+
+func below(dir, at string) bool {
+	return at == "" || dir == at || strings.HasPrefix(dir, at+"/")
+}
+
+// Build returns the tree of the documents held. It returns the same tree if
+// nothing in force has changed.
+func (b *Builder) Build() *Tree {
+	if !b.dirtyStruct && len(b.dirtyAccounts) == 0 && len(b.dirtyKeys) == 0 {
+		return b.tree
+	}
+	for dir := range b.limitNodes {
+		b.limitsFor(dir)
+	}
+	t := *b.tree
+	t.Version++
+	if b.dirtyStruct {
+		b.buildStructure(&t)
+	}
+	accounts := edit(t.accounts)
+	for id := range b.dirtyAccounts {
+		b.buildAccount(accounts, id, t.pools)
+	}
+	t.accounts = accounts.done
+	keys := edit(t.keys)
+	for id := range b.dirtyKeys {
+		b.buildKey(keys, id)
+	}
+	t.keys = keys.done
+	clear(b.dirtyAccounts)
+	clear(b.dirtyKeys)
+	b.dirtyStruct = false
+	b.tree = &t
+	return b.tree
+}
+
+func (b *Builder) buildAccount(e *shardEdit[*Account], id string, pools map[string]*Pool) {
+	delete(b.accountFaults, id)
+	specs := b.accounts[id]
+	if len(specs) == 0 {
+		e.remove(id)
+		return
+	}
+	s := winner(specs, compareSpecs)
+	r := resolver{doc: s.doc.Path}
+	a := r.account(s, b.limitsFor(s.doc.Dir), pools)
+	for _, other := range specs {
+		if other != s {
+			r.faults = append(r.faults, Fault{
+				Path: other.doc.Path, Line: int(other.Name.Line),
+				Reason: "account " + id + " is declared in " + s.doc.Path + " too, which holds",
+			})
+		}
+	}
+	if len(r.faults) > 0 {
+		b.accountFaults[id] = r.faults
+	}
+	if old, ok := e.done.get(id); !ok || !sameAccount(old, a) {
+		e.set(id, a)
+	}
+}
+
+// buildKey brings one key into force. If several accounts declare it, the one
+// with the lower ID holds it.
+func (b *Builder) buildKey(e *shardEdit[*Key], id string) {
+	delete(b.keyFaults, id)
+	specs := b.keys[id]
+	if len(specs) == 0 {
+		e.remove(id)
+		return
+	}
+	k := winner(specs, func(x, y *KeySpec) int {
+		return cmp.Or(strings.Compare(x.account.id, y.account.id), strings.Compare(x.account.doc.Path, y.account.doc.Path))
+	})
+	for _, other := range specs {
+		if other != k {
+			b.keyFaults[id] = append(b.keyFaults[id], Fault{
+				Path: other.account.doc.Path, Line: int(other.ID.Line),
+				Reason: "key " + id + " is declared by account " + k.account.id + " too, which holds",
+			})
+		}
+	}
+	made := &Key{ID: id, Account: k.account.id, Salt: k.salt, Hash: k.hash, Withdrawn: k.Withdrawn.Value}
+	if old, ok := e.done.get(id); !ok || !sameKey(old, made) {
+		e.set(id, made)
+	}
+}
+
+func compareSpecs(x, y *AccountSpec) int { return strings.Compare(x.doc.Path, y.doc.Path) }
+
+func sameKey(a, b *Key) bool {
+	return a.Account == b.Account && a.Withdrawn == b.Withdrawn &&
+		bytes.Equal(a.Salt, b.Salt) && bytes.Equal(a.Hash, b.Hash)
+}
+
+func winner[T any](all []T, compare func(a, b T) int) T { return slices.MinFunc(all, compare) }
--- /dev/null
+++ b/internal/config/figtree/parse_test.go
@@ -0,0 +1,94 @@
+package figtree
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const goodKey = `{id: k1, salt: 0011223344556677, hash: "` +
+	`aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"}`
+
+func TestParseFaults(t *testing.T) {
+	for _, c := range []struct {
+		name, path, text string
+		line             int
+		reason           string
+	}{
+		{"syntax", "a", "accounts: [", 1, ""},
+		{"unknown section", "a", "acounts: []\n", 1, "unknown field"},
+		{"unknown field", "a", "accounts:\n  - name: x\n    rate: 3\n", 3, "unknown field"},
+		{"wrong type", "a", "accounts:\n  - name: x\n    burst: many\n", 3, ""},
+		{"negative", "a", "accounts:\n  - name: x\n    burst: -1\n", 3, "burst is too low"},
+		{"no name", "a", "accounts:\n  - burst: 1\n", 0, "account has no name"},
+		{"twice", "a", "accounts:\n  - name: x\n  - name: x\n", 3, "declared twice"},
+		{"slash", "a", "pools:\n  - name: x/y\n", 2, "slash"},
+		{"data centre below root", "team/a", "dataCentres:\n  - name: x\n", 2, "root directory only"},
+		{"prefix", "a", "routes:\n  - prefix: x\n    pool: p\n", 2, "slash"},
+		{"no pool", "a", "routes:\n  - prefix: /x\n", 2, "no pool"},
+		{"salt", "a", "accounts:\n  - name: x\n    keys:\n      - id: k\n        salt: 00\n        hash: 00\n", 5, "salt"},
+		{"hash", "a", "accounts:\n  - name: x\n    keys:\n      - id: k\n        salt: 0011223344556677\n        hash: zz\n", 6, "hash"},
+		{"duration", "a", "pools:\n  - name: x\n    stallLimit: -1s\n", 3, "stallLimit"},
+		{"subtree", "a", "subtrees:\n  ../b:\n    burst: 1\n", 0, "not a path"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d, faults := Parse(c.path, []byte(c.text))
+			require.Nil(t, d)
+			require.NotEmpty(t, faults)
+			require.Equal(t, c.path, faults[0].Path)
+			require.Equal(t, c.line, faults[0].Line)
+			require.Contains(t, faults[0].Reason, c.reason)
+			require.False(t, strings.Contains(faults[0].Reason, "\n"))
+		})
+	}
+}
+
+func TestParseEmpty(t *testing.T) {
+	d, faults := Parse("a/b", nil)
+	require.Empty(t, faults)
+	require.Equal(t, "a", d.Dir)
+}
+
+func build(t *testing.T, docs map[string]string) (*Tree, []Fault) {
+	t.Helper()
+	b := NewBuilder()
+	for path, text := range docs {
+		d, faults := Parse(path, []byte(text))
+		require.Empty(t, faults)
+		b.Put(d)
+	}
+	return b.Build(), b.Faults()
+}
+
+func TestBuild(t *testing.T) {
+	tree, faults := build(t, map[string]string{
+		"places": "dataCentres: [{name: north, region: r}, {name: south, region: r, out: true}]\n",
+		"pools":  "pools: [{name: language, models: [m], firstToken: 1s}, {name: ledger}]\n",
+		"routes": "routes: [{prefix: /ledger, pool: ledger}, {prefix: /ledger/refunds, pool: ledger, methods: [POST]}]\n",
+		"huber/accounts": "accounts:\n  - {name: treasury, tokensPerSecond: 10, burst: 20, pools: [language, ledger],\n" +
+			"     keys: [" + goodKey + "]}\n",
+	})
+	require.Empty(t, faults)
+	a, ok := tree.Account("huber/treasury")
+	require.True(t, ok)
+	require.Equal(t, int64(20), a.Burst)
+	require.Equal(t, int64(1), a.Weight)
+	k, ok := tree.Key("k1")
+	require.True(t, ok)
+	require.Equal(t, a.ID, k.Account)
+	p, ok := tree.PoolForModel(a, "m")
+	require.True(t, ok)
+	require.Equal(t, "language", p.ID)
+	require.Equal(t, []string{"m"}, tree.Models(a))
+	r, ok := tree.Route("/ledger/refunds/7")
+	require.True(t, ok)
+	require.Equal(t, []string{"POST"}, r.Methods)
+	r, ok = tree.Route("/ledger/refundsish")
+	require.True(t, ok)
+	require.Empty(t, r.Methods)
+	_, ok = tree.Route("/ledgers")
+	require.False(t, ok)
+	require.True(t, tree.DataCentreOut("south"))
+	require.False(t, tree.DataCentreOut("north"))
+}
--- /dev/null
+++ b/internal/config/figtree/resolve.go
@@ -0,0 +1,196 @@
+package figtree
+
+import (
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Defaults of what a declaration leaves out.
+const (
+	defaultPieceTokens   = 2000
+	defaultPromptLimit   = 32_000
+	defaultOutputLimit   = 4_000
+	defaultFirstToken    = 1400 * time.Millisecond
+	defaultBetweenTokens = 34 * time.Millisecond
+	defaultResultLife    = 800 * time.Millisecond
+	defaultStallLimit    = 5 * time.Second
+	defaultTimeout       = 60 * time.Second
+	defaultQueueRequests = 256
+	defaultCallCost      = 1
+	defaultClass         = "standard"
+)
+
+// resolver works out the values in force of one declaration.
+type resolver struct {
+	doc    string
+	faults []Fault
+	// note, if set, is told each value in force with its origin.
+	note func(field, value string, o origin)
+}
+
+func (r *resolver) fault(line int32, reason string) {
+	r.faults = append(r.faults, Fault{Path: r.doc, Line: int(line), Reason: reason})
+}
+
+func (r *resolver) report(field, value string, o origin) {
+	if r.note != nil {
+		r.note(field, value, o)
+	}
+}
+
+// number returns the declared value within the limit, the limit if nothing is
+// declared, or the default if there is neither.
+func (r *resolver) number(field string, f Field[int64], limit bound, standard int64) int64 {
+	value, o := standard, origin{}
+	switch {
+	case f.Declared() && limit.set && f.Value > limit.value:
+		r.faults = append(r.faults, widened(r.doc, f.Line, field, f.Value, &limit))
+		value, o = limit.value, limit.origin
+	case f.Declared():
+		value, o = f.Value, origin{r.doc, f.Line}
+	case limit.set:
+		value, o = limit.value, limit.origin
+	}
+	r.report(field, strconv.FormatInt(value, 10), o)
+	return value
+}
+
+// capped is number for a field whose limit is a most and not a default.
+func (r *resolver) capped(field string, f Field[int64], limit bound, standard int64) int64 {
+	if !f.Declared() && limit.set && standard <= limit.value {
+		limit = bound{}
+	}
+	return r.number(field, f, limit, standard)
+}
+
+func plain[T any](r *resolver, field string, f Field[T], standard T, format func(T) string) T {
+	value, o := standard, origin{}
+	if f.Declared() {
+		value, o = f.Value, origin{r.doc, f.Line}
+	}
+	r.report(field, format(value), o)
+	return value
+}
+
+func (r *resolver) duration(field string, f Field[time.Duration], standard time.Duration) time.Duration {
+	return plain(r, field, f, standard, time.Duration.String)
+}
+
+func (r *resolver) account(s *AccountSpec, l *limits, pools map[string]*Pool) *Account {
+	a := &Account{ID: s.id}
+	a.Class = plain(r, "class", s.Class, defaultClass, verbatim)
+	a.TokensPerSecond = r.number("tokensPerSecond", s.TokensPerSecond, l.tokensPerSecond, 0)
+	a.Burst = r.number("burst", s.Burst, l.burst, a.TokensPerSecond)
+	a.Weight = r.number("weight", s.Weight, bound{}, 1)
+	a.Priority = int(r.capped("priority", s.Priority, l.priority, 0))
+	a.PromptLimit = r.number("promptLimit", s.PromptLimit, l.promptLimit, 0)
+	a.OutputLimit = r.number("outputLimit", s.OutputLimit, l.outputLimit, 0)
+	a.Pools = r.accountPools(s, l, pools)
+	if a.TokensPerSecond == 0 && !s.TokensPerSecond.Declared() {
+		r.fault(s.Name.Line, "account "+s.Name.Value+" has no tokensPerSecond, and no limit gives one")
+	}
+	return a
+}
+
+// accountPools returns the granted pools among the declared ones, or the
+// innermost grant if none is declared.
+func (r *resolver) accountPools(s *AccountSpec, l *limits, pools map[string]*Pool) []string {
+	wanted, o := s.Pools.Value, origin{r.doc, s.Pools.Line}
+	inherited := !s.Pools.Declared() && len(l.pools) > 0
+	if inherited {
+		last := l.pools[len(l.pools)-1]
+		wanted, o = last.list, last.origin
+	}
+	var granted []string
+	for _, id := range wanted {
+		if !l.poolGranted(id) {
+			r.deny(inherited, o, "pool "+id+" is not granted to this directory")
+			continue
+		}
+		if _, ok := pools[id]; !ok {
+			r.deny(inherited, o, "there is no pool "+id)
+			continue
+		}
+		granted = append(granted, id)
+	}
+	if len(granted) == 0 {
+		r.fault(s.Name.Line, "account "+s.Name.Value+" may use no pool")
+	}
+	r.report("pools", list(granted), o)
+	return granted
+}
+
+// deny reports a fault of a declared name; an inherited one is another
+// document's.
+func (r *resolver) deny(inherited bool, o origin, reason string) {
+	if !inherited {
+		r.fault(o.line, reason)
+	}
+}
+
+func (r *resolver) pool(s *PoolSpec, dir string, l *limits) *Pool {
+	p := &Pool{ID: idIn(dir, s.Name.Value)}
+	p.Models = plain(r, "models", s.Models, nil, list)
+	p.PieceTokens = r.number("pieceTokens", s.PieceTokens, bound{}, defaultPieceTokens)
+	p.PromptLimit = r.number("promptLimit", s.PromptLimit, l.promptLimit, defaultPromptLimit)
+	p.OutputLimit = r.number("outputLimit", s.OutputLimit, l.outputLimit, defaultOutputLimit)
+	p.FirstToken = r.duration("firstToken", s.FirstToken, defaultFirstToken)
+	p.BetweenTokens = r.duration("betweenTokens", s.BetweenTokens, defaultBetweenTokens)
+	p.ResultLife = r.duration("resultLife", s.ResultLife, defaultResultLife)
+	p.StallLimit = r.duration("stallLimit", s.StallLimit, defaultStallLimit)
+	p.Timeout = r.duration("timeout", s.Timeout, defaultTimeout)
+	p.QueueRequests = int(r.number("queueRequests", s.QueueRequests, bound{}, defaultQueueRequests))
+	p.ChecksFence = plain(r, "checksFence", s.ChecksFence, false, strconv.FormatBool)
+	p.CallCost = r.number("callCost", s.CallCost, bound{}, defaultCallCost)
+	return p
+}
+
+// route returns the route in force, or false if it may not come into force.
+func (r *resolver) route(s RouteSpec, dir string, l *limits, pools map[string]*Pool) (Route, bool) {
+	before := len(r.faults)
+	if !l.prefixGranted(dir, s.Prefix.Value) {
+		r.fault(s.Prefix.Line, "route prefix "+s.Prefix.Value+" is not granted to this directory")
+	}
+	if !l.poolGranted(s.Pool.Value) {
+		r.fault(s.Pool.Line, "pool "+s.Pool.Value+" is not granted to this directory")
+	}
+	if _, ok := pools[s.Pool.Value]; !ok {
+		r.fault(s.Pool.Line, "there is no pool "+s.Pool.Value)
+	}
+	t := Route{Prefix: s.Prefix.Value}
+	t.Pool = plain(r, "pool", s.Pool, "", verbatim)
+	t.Methods = plain(r, "methods", s.Methods, nil, list)
+	t.Idempotent = plain(r, "idempotent", s.Idempotent, false, strconv.FormatBool)
+	t.Open = plain(r, "open", s.Open, false, strconv.FormatBool)
+	return t, len(r.faults) == before
+}
+
+func (r *resolver) dataCentre(s DataCentreSpec) DataCentre {
+	d := DataCentre{Name: s.Name.Value}
+	d.Region = plain(r, "region", s.Region, "", verbatim)
+	d.Out = plain(r, "out", s.Out, false, strconv.FormatBool)
+	return d
+}
+
+func verbatim(s string) string { return s }
+
+func list(names []string) string {
+	text := "["
+	for i, n := range names {
+		if i > 0 {
+			text += ", "
+		}
+		text += n
+	}
+	return text + "]"
+}
+
+// sameAccount says whether two accounts in force are equal.
+func sameAccount(a, b *Account) bool {
+	x, y := *a, *b
+	x.Pools, y.Pools = nil, nil
+	return slices.Equal(a.Pools, b.Pools) && x.ID == y.ID && x.Class == y.Class &&
+		x.TokensPerSecond == y.TokensPerSecond && x.Burst == y.Burst && x.Weight == y.Weight &&
+		x.Priority == y.Priority && x.PromptLimit == y.PromptLimit && x.OutputLimit == y.OutputLimit
+}
--- /dev/null
+++ b/internal/config/figtree/shard.go
@@ -0,0 +1,90 @@
+package figtree
+
+import (
+	"maps"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// shardCount bounds what one change copies: the table of shards and one shard.
+const shardCount = 512
+
+// shardMap is a map that shares what a change leaves alone with its predecessor.
+type shardMap[V any] struct {
+	shards *[shardCount]map[string]V
+	count  int
+}
+
+func shardOf(key string) uint64 { return xxhash.Sum64String(key) % shardCount }
+
+func (m shardMap[V]) get(key string) (V, bool) {
+	if m.shards == nil {
+		var zero V
+		return zero, false
+	}
+	v, ok := m.shards[shardOf(key)][key]
+	return v, ok
+}
+
+func (m shardMap[V]) all(yield func(string, V) bool) {
+	if m.shards == nil {
+		return
+	}
+	for _, s := range m.shards {
+		for k, v := range s {
+			if !yield(k, v) {
+				return
+			}
+		}
+	}
+}
+
+// shardEdit collects changes to a shardMap; each shard is copied once.
+type shardEdit[V any] struct {
+	base   shardMap[V]
+	copied map[uint64]bool
+	done   shardMap[V]
+}
+
+func edit[V any](m shardMap[V]) *shardEdit[V] {
+	e := &shardEdit[V]{base: m, copied: map[uint64]bool{}}
+	e.done = m
+	return e
+}
+
+func (e *shardEdit[V]) shard(key string) map[string]V {
+	i := shardOf(key)
+	if e.copied[i] {
+		return e.done.shards[i]
+	}
+	if len(e.copied) == 0 {
+		table := new([shardCount]map[string]V)
+		if e.base.shards != nil {
+			*table = *e.base.shards
+		}
+		e.done.shards = table
+	}
+	e.copied[i] = true
+	s := maps.Clone(e.done.shards[i])
+	if s == nil {
+		s = map[string]V{}
+	}
+	e.done.shards[i] = s
+	return s
+}
+
+func (e *shardEdit[V]) set(key string, v V) {
+	s := e.shard(key)
+	if _, ok := s[key]; !ok {
+		e.done.count++
+	}
+	s[key] = v
+}
+
+func (e *shardEdit[V]) remove(key string) {
+	if _, ok := e.done.get(key); !ok {
+		return
+	}
+	delete(e.shard(key), key)
+	e.done.count--
+}
--- /dev/null
+++ b/internal/config/figtree/tree.go
@@ -0,0 +1,137 @@
+package figtree
+
+import (
+	"iter"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Contents holds the parts of a tree for New.
+type Contents struct {
+	// Accounts holds the client accounts.
+	Accounts []*Account
+	// Keys holds the keys of all client accounts.
+	Keys []*Key
+	// Pools holds the pools.
+	Pools []*Pool
+	// Routes holds the plain routes in any order.
+	Routes []Route
+	// DataCentres holds the data centres in declared order.
+	DataCentres []DataCentre
+}
+
+// New returns a tree of ready values, without any check. Tests use it.
+func New(version uint64, c Contents) *Tree {
+	accounts, keys := edit(shardMap[*Account]{}), edit(shardMap[*Key]{})
+	for _, a := range c.Accounts {
+		accounts.set(a.ID, a)
+	}
+	for _, k := range c.Keys {
+		keys.set(k.ID, k)
+	}
+	pools := map[string]*Pool{}
+	for _, p := range c.Pools {
+		pools[p.ID] = p
+	}
+	return &Tree{
+		Version:     version,
+		Routes:      sortRoutes(slices.Clone(c.Routes)),
+		DataCentres: c.DataCentres,
+		accounts:    accounts.done,
+		keys:        keys.done,
+		pools:       pools,
+	}
+}
+
+// Account returns the client account with an ID.
+func (t *Tree) Account(id string) (*Account, bool) { return t.accounts.get(id) }
+
+// Accounts yields all client accounts, in no particular order.
+func (t *Tree) Accounts() iter.Seq2[string, *Account] { return t.accounts.all }
+
+// AccountCount returns the number of client accounts.
+func (t *Tree) AccountCount() int { return t.accounts.count }
+
+// Key returns the key with an ID, also if it has been withdrawn.
+func (t *Tree) Key(id string) (*Key, bool) { return t.keys.get(id) }
+
+// KeyCount returns the number of keys.
+func (t *Tree) KeyCount() int { return t.keys.count }
+
+// Pool returns the pool with an ID.
+func (t *Tree) Pool(id string) (*Pool, bool) {
+	p, ok := t.pools[id]
+	return p, ok
+}
+
+// Pools returns all pools, sorted by ID.
+func (t *Tree) Pools() []*Pool {
+	var all []*Pool
+	for _, id := range slices.Sorted(maps.Keys(t.pools)) {
+		all = append(all, t.pools[id])
+	}
+	return all
+}
+
+// Route returns the route with the longest prefix of path, by whole segments.
+func (t *Tree) Route(path string) (*Route, bool) {
+	for i := range t.Routes {
+		if hasSegments(path, t.Routes[i].Prefix) {
+			return &t.Routes[i], true
+		}
+	}
+	return nil, false
+}
+
+// PoolForModel returns the first pool in the account's order that serves a model.
+func (t *Tree) PoolForModel(a *Account, model string) (*Pool, bool) {
+	for _, id := range a.Pools {
+		if p, ok := t.pools[id]; ok && slices.Contains(p.Models, model) {
+			return p, true
+		}
+	}
+	return nil, false
+}
+
+// Models returns the names of the models that the account may use, sorted.
+func (t *Tree) Models(a *Account) []string {
+	var names []string
+	for _, id := range a.Pools {
+		if p, ok := t.pools[id]; ok {
+			names = append(names, p.Models...)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// DataCentreOut says whether operators keep new work away from a data centre.
+// An undeclared data centre is not out.
+func (t *Tree) DataCentreOut(name string) bool {
+	for _, d := range t.DataCentres {
+		if d.Name == name {
+			return d.Out
+		}
+	}
+	return false
+}
+
+// hasSegments says whether prefix covers path by whole segments.
+func hasSegments(path, prefix string) bool {
+	prefix = strings.TrimSuffix(prefix, "/")
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || path[len(prefix)] == '/'
+}
+
+func sortRoutes(routes []Route) []Route {
+	slices.SortStableFunc(routes, func(a, b Route) int {
+		if d := len(b.Prefix) - len(a.Prefix); d != 0 {
+			return d
+		}
+		return strings.Compare(a.Prefix, b.Prefix)
+	})
+	return routes
+}
--- a/internal/config/figtree/types.go
+++ b/internal/config/figtree/types.go
@@ -1,6 +1,23 @@
 // Package figtree turns the published declarations into one value that the rest
 // of an instance reads. Each team owns one subtree of documents; a document is
 // one published value with a version of its own.
+//
+// A document's path is its file path without ".yaml", such as "huber/accounts";
+// the directory part is the subtree that it belongs to. Limits of a directory
+// hold for everything in and below it: a document below can narrow them, and a
+// value beyond them is cut to the limit and reported as a Fault.
+//
+// # Usage
+//
+//	d, faults := figtree.Parse("huber/accounts", text)
+//	b := figtree.NewBuilder()
+//	b.Put(d)
+//	tree := b.Build()
+//	account, ok := tree.Account("huber/treasury")
+//
+// A Builder costs time in proportion to what a document changes, not to the size
+// of the tree. What it builds depends on the documents that it holds and not on
+// the order in which they came. LoadDir and Explain read a directory of files.
 package figtree
 
 import "time"
@@ -9,16 +26,14 @@
 type Tree struct {
 	// Version counts the trees made by this instance.
 	Version uint64
-	// Accounts holds the client accounts by their ID.
-	Accounts map[string]*Account
-	// Keys holds the keys of all client accounts by key ID.
-	Keys map[string]*Key
-	// Pools holds the pools by their ID.
-	Pools map[string]*Pool
 	// Routes holds the plain routes, longest prefix first.
 	Routes []Route
 	// DataCentres holds the declared data centres in declared order.
 	DataCentres []DataCentre
+
+	accounts shardMap[*Account]
+	keys     shardMap[*Key]
+	pools    map[string]*Pool
 }
 
 // Account is one client account.
@@ -37,6 +52,10 @@
 	Priority int
 	// Pools holds the IDs of the pools that it may use.
 	Pools []string
+	// PromptLimit is its longest prompt, in tokens; zero means the pool's.
+	PromptLimit int64
+	// OutputLimit is its longest answer, in tokens; zero means the pool's.
+	OutputLimit int64
 }
 
 // Key is one key of a client account, as a salted hash.
