--- a/internal/config/figtree/limits.go
+++ b/internal/config/figtree/limits.go
@@ -78,7 +78,7 @@
 // with returns the limits narrowed by declarations for directory at, and the
 // faults of those that would widen them.
 func (l limits) with(nodes []limitNode) (limits, []Fault) {
-	var faults []Fault
+	faults := make([]Fault, 0, len(nodes))
 	for _, n := range nodes {
 		faults = append(faults, l.apply(n)...)
 	}
--- a/internal/config/figtree/parse_test.go
+++ b/internal/config/figtree/parse_test.go
@@ -1,7 +1,6 @@
 package figtree
 
 import (
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -39,7 +38,7 @@
 			require.Equal(t, c.path, faults[0].Path)
 			require.Equal(t, c.line, faults[0].Line)
 			require.Contains(t, faults[0].Reason, c.reason)
-			require.False(t, strings.Contains(faults[0].Reason, "\n"))
+			require.NotContains(t, faults[0].Reason, "\n")
 		})
 	}
 }
--- a/internal/config/figtree/tree.go
+++ b/internal/config/figtree/tree.go
@@ -67,7 +67,7 @@
 
 // Pools returns all pools, sorted by ID.
 func (t *Tree) Pools() []*Pool {
-	var all []*Pool
+	all := make([]*Pool, 0, len(t.pools))
 	for _, id := range slices.Sorted(maps.Keys(t.pools)) {
 		all = append(all, t.pools[id])
 	}
--- a/internal/limit/figkey/key_test.go
+++ b/internal/limit/figkey/key_test.go
@@ -11,11 +11,11 @@
 
 // publish returns a tree with the made keys under the account "a".
 func publish(withdrawn bool, keys ...Made) *figtree.Tree {
-	t := &figtree.Tree{Keys: map[string]*figtree.Key{}}
+	var c figtree.Contents
 	for _, m := range keys {
-		t.Keys[m.ID] = &figtree.Key{ID: m.ID, Account: "a", Salt: m.Salt, Hash: m.Hash, Withdrawn: withdrawn}
+		c.Keys = append(c.Keys, &figtree.Key{ID: m.ID, Account: "a", Salt: m.Salt, Hash: m.Hash, Withdrawn: withdrawn})
 	}
-	return t
+	return figtree.New(1, c)
 }
 
 func makeKey(t *testing.T) Made {
--- a/internal/limit/figkey/session.go
+++ b/internal/limit/figkey/session.go
@@ -89,6 +89,6 @@
 }
 
 func withdrawn(t *figtree.Tree, keyID string) bool {
-	key, ok := t.Keys[keyID]
+	key, ok := t.Key(keyID)
 	return !ok || key.Withdrawn
 }
--- a/internal/limit/figkey/verify.go
+++ b/internal/limit/figkey/verify.go
@@ -48,7 +48,7 @@
 	if !ok {
 		return nil, &Refusal{Reason: Malformed}
 	}
-	key, known := t.Keys[id]
+	key, known := t.Key(id)
 	if !known {
 		key = unknownKey
 	}
