--- /dev/null
+++ b/internal/stand/figstand/engine_load.go
@@ -0,0 +1,132 @@
+package figstand
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// reportsKept bounds the remembered reports of one server.
+const reportsKept = 64
+
+// RunningRow is one running request of a load report.
+type RunningRow struct {
+	ID     string `json:"id"`
+	Pieces int    `json:"pieces"`
+	Tokens int    `json:"tokens"`
+}
+
+// LoadReport is the answer to GET /load.
+type LoadReport struct {
+	StartedAt          string       `json:"startedAt"`
+	AgeMillis          int64        `json:"ageMillis"`
+	Running            []RunningRow `json:"running"`
+	Waiting            int          `json:"waiting"`
+	QueueTokens        int          `json:"queueTokens"`
+	PiecesFree         int          `json:"piecesFree"`
+	PiecesTotal        int          `json:"piecesTotal"`
+	TokensPerSecond    float64      `json:"tokensPerSecond"`
+	LinkBytesPerSecond float64      `json:"linkBytesPerSecond"`
+	Models             []string     `json:"models"`
+	Adapters           []string     `json:"adapters"`
+	Fence              uint64       `json:"fence"`
+}
+
+// reports remembers load reports, so that they can be given with a lag.
+type reports struct {
+	mu     sync.Mutex
+	lag    time.Duration
+	make   func() LoadReport
+	past   []timedReport
+	frozen *LoadReport
+}
+
+type timedReport struct {
+	at     time.Time
+	report LoadReport
+}
+
+func newReports(lag time.Duration, f func() LoadReport) *reports {
+	return &reports{lag: lag, make: f}
+}
+
+// get returns the newest report that is at least as old as the lag, or the
+// oldest one that is known.
+func (r *reports) get(now time.Time) LoadReport {
+	current := r.make()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.past = append(r.past, timedReport{at: now, report: current})
+	if len(r.past) > reportsKept {
+		r.past = r.past[1:]
+	}
+	best := r.past[0]
+	for _, t := range r.past {
+		if now.Sub(t.at) >= r.lag {
+			best = t
+		}
+	}
+	best.report.AgeMillis = now.Sub(best.at).Milliseconds()
+	return best.report
+}
+
+func (r *reports) freeze() {
+	current := r.make()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.frozen = &current
+}
+
+// serve answers a read of the load under the server's faults.
+func (r *reports) serve(w http.ResponseWriter, q *http.Request, faults *Faults) {
+	if _, ok := faults.take(Silent); ok {
+		<-q.Context().Done()
+		return
+	}
+	if _, ok := faults.take(StaleReport); ok {
+		r.mu.Lock()
+		report := *r.frozen
+		r.mu.Unlock()
+		writeJSON(w, http.StatusOK, report)
+		return
+	}
+	writeJSON(w, http.StatusOK, r.get(time.Now()))
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
+	e.reports.serve(w, r, &e.Faults)
+}
+
+// report describes the engine as it is now.
+func (e *Engine) report() LoadReport {
+	adapters, fence := e.orders.state()
+	l := LoadReport{
+		StartedAt:          e.StartedAt().Format(time.RFC3339Nano),
+		Running:            []RunningRow{},
+		PiecesFree:         e.opts.Pieces - e.Held(),
+		PiecesTotal:        e.opts.Pieces,
+		LinkBytesPerSecond: e.opts.LinkRate,
+		Models:             append([]string{}, e.opts.Models...),
+		Adapters:           adapters,
+		Fence:              fence,
+	}
+	e.active.Lock()
+	defer e.active.Unlock()
+	l.Waiting, l.QueueTokens = e.waiting, e.queue
+	for id, r := range e.running {
+		l.Running = append(l.Running, RunningRow{ID: id, Pieces: r.pieces, Tokens: r.tokens})
+	}
+	for id, s := range e.results {
+		l.Running = append(l.Running, RunningRow{ID: id, Pieces: s.pieces})
+	}
+	l.TokensPerSecond = e.rate(len(e.running))
+	return l
+}
+
+// rate returns the tokens per second of the engine's role under its present load.
+func (e *Engine) rate(running int) float64 {
+	if e.opts.Role == "prefill" {
+		return e.opts.PrefillRate
+	}
+	return float64(running) / e.slowed(e.opts.TokenInterval).Seconds()
+}
--- /dev/null
+++ b/internal/stand/figstand/fault.go
@@ -0,0 +1,161 @@
+package figstand
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// FaultKind names a way in which an engine or a plain service misbehaves.
+type FaultKind string
+
+const (
+	// Stall stops an answer after its first part; the connection stays open.
+	Stall FaultKind = "stall"
+	// Cut closes the connection in the middle of an answer.
+	Cut FaultKind = "cut"
+	// Late delays an answer by the fault's Delay.
+	Late FaultKind = "late"
+	// Crossed answers with the answer to another request.
+	Crossed FaultKind = "crossed"
+	// Refuse answers 429 without running the request.
+	Refuse FaultKind = "refuse"
+	// Silent reads requests and never answers; load reports included.
+	Silent FaultKind = "silent"
+	// StaleReport freezes the load report and calls it fresh.
+	StaleReport FaultKind = "staleReport"
+	// LoseMemory drops all KV cache and results and cuts the running requests.
+	LoseMemory FaultKind = "loseMemory"
+	// ReadAndClose runs the request and closes the connection without an answer.
+	ReadAndClose FaultKind = "readAndClose"
+	// SlowStart begins a cold start again, without a new start time.
+	SlowStart FaultKind = "slowStart"
+	// IgnoreClose keeps a request running after its caller has gone.
+	IgnoreClose FaultKind = "ignoreClose"
+)
+
+// defaultDelay is how late an answer is when a Late fault names no delay.
+const defaultDelay = 300 * time.Millisecond
+
+// Fault is one misbehaviour with its bounds.
+type Fault struct {
+	// Kind says what happens.
+	Kind FaultKind
+	// For bounds the fault in time; zero means until cleared.
+	For time.Duration
+	// Count bounds the requests that it hits; zero means any number.
+	Count int
+	// Delay is how late an answer is under Late.
+	Delay time.Duration
+}
+
+// Faults holds the active faults of one stand-in. It is safe for concurrent use.
+type Faults struct {
+	mu     sync.Mutex
+	active map[FaultKind]activeFault
+	hits   map[FaultKind]int
+	onSet  func(FaultKind)
+}
+
+type activeFault struct {
+	Fault
+	until time.Time
+}
+
+// Set activates f and replaces an active fault of the same kind.
+func (s *Faults) Set(f Fault) {
+	a := activeFault{Fault: f}
+	if f.For > 0 {
+		a.until = time.Now().Add(f.For)
+	}
+	s.mu.Lock()
+	if s.active == nil {
+		s.active = map[FaultKind]activeFault{}
+	}
+	s.active[f.Kind] = a
+	s.mu.Unlock()
+	if s.onSet != nil {
+		s.onSet(f.Kind)
+	}
+}
+
+// Clear ends the fault of that kind.
+func (s *Faults) Clear(kind FaultKind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.active, kind)
+}
+
+// Hits returns how many requests a fault of that kind has met.
+func (s *Faults) Hits(kind FaultKind) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hits[kind]
+}
+
+// take reports whether the fault hits this request, and counts it.
+func (s *Faults) take(kind FaultKind) (Fault, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, ok := s.active[kind]
+	if !ok {
+		return Fault{}, false
+	}
+	if !a.until.IsZero() && time.Now().After(a.until) {
+		delete(s.active, kind)
+		return Fault{}, false
+	}
+	if s.hits == nil {
+		s.hits = map[FaultKind]int{}
+	}
+	s.hits[kind]++
+	if a.Count > 0 {
+		a.Count--
+		s.active[kind] = a
+		if a.Count == 0 {
+			delete(s.active, kind)
+		}
+	}
+	return a.Fault, true
+}
+
+// faultRequest is the body of POST /fault: a fault to set, or the kind of one to clear.
+type faultRequest struct {
+	Kind  FaultKind `json:"kind"`
+	For   string    `json:"for"`
+	Count int       `json:"count"`
+	Delay string    `json:"delay"`
+	Clear FaultKind `json:"clear"`
+}
+
+func (s *Faults) serve(w http.ResponseWriter, r *http.Request) {
+	var q faultRequest
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		writeError(w, http.StatusBadRequest, "badFault", err.Error())
+		return
+	}
+	if q.Clear != "" {
+		s.Clear(q.Clear)
+	}
+	if q.Kind != "" {
+		f := Fault{Kind: q.Kind, Count: q.Count}
+		var err error
+		if f.For, err = parseDuration(q.For); err == nil {
+			f.Delay, err = parseDuration(q.Delay)
+		}
+		if err != nil {
+			writeError(w, http.StatusBadRequest, "badFault", err.Error())
+			return
+		}
+		s.Set(f)
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func parseDuration(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	return time.ParseDuration(text)
+}
--- /dev/null
+++ b/internal/stand/figstand/plain.go
@@ -0,0 +1,192 @@
+package figstand
+
+import (
+	"cmp"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"figtrail.dev/figtrail/internal/core/figtimer"
+)
+
+// PlainOptions configures a Plain. Zero fields get the defaults in withDefaults.
+type PlainOptions struct {
+	// Name is the server's name; Listen its address, empty for a free port.
+	Name, Listen string
+	// ServiceTime is how long a call takes.
+	ServiceTime time.Duration
+	// Batch is the most calls that run at once; more get 429.
+	Batch int
+	// ReportLag is the age of the state that /load reports.
+	ReportLag time.Duration
+	// ColdStart is the length of the cold start, ColdBatch what it bears at first.
+	ColdStart time.Duration
+	ColdBatch int
+}
+
+func (o PlainOptions) withDefaults() PlainOptions {
+	o.ServiceTime = cmp.Or(o.ServiceTime, time.Millisecond)
+	o.Batch = cmp.Or(o.Batch, 64)
+	o.ReportLag = cmp.Or(o.ReportLag, 100*time.Millisecond)
+	o.ColdBatch = cmp.Or(o.ColdBatch, 1)
+	return o
+}
+
+// Plain stands in for a plain service, such as a token ledger or a booking desk.
+// It remembers each call by its body, or by its request id if it has none, so
+// that a call that ran twice shows.
+type Plain struct {
+	*endpoint
+	*ramp
+	records
+	// Faults holds the active misbehaviour.
+	Faults Faults
+
+	opts    PlainOptions
+	timer   *figtimer.Timer
+	reports *reports
+
+	mu      sync.Mutex
+	running map[string]int
+}
+
+// StartPlain starts a plain service.
+func StartPlain(opts PlainOptions) (*Plain, error) {
+	opts = opts.withDefaults()
+	p := &Plain{
+		ramp:    newRamp(opts.ColdStart, opts.ColdBatch, opts.Batch),
+		opts:    opts,
+		timer:   figtimer.New(figtimer.System()),
+		running: map[string]int{},
+	}
+	p.reports = newReports(opts.ReportLag, p.report)
+	p.Faults.onSet = p.faultSet
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, r *http.Request) {
+		p.reports.serve(w, r, &p.Faults)
+	})
+	mux.HandleFunc("POST /fault", p.Faults.serve)
+	mux.HandleFunc("/", p.serveCall)
+	e, err := listen(opts.Listen, mux)
+	if err != nil {
+		return nil, err
+	}
+	p.endpoint = e
+	return p, nil
+}
+
+func (p *Plain) faultSet(kind FaultKind) {
+	switch kind {
+	case SlowStart:
+		p.Faults.Clear(SlowStart)
+		p.begin(false)
+	case StaleReport:
+		p.reports.freeze()
+	}
+}
+
+// plainAnswer is the body of every answer.
+type plainAnswer struct {
+	Server string `json:"server"`
+	Answer string `json:"answer"`
+}
+
+// PlainAnswer returns the text that answers a call.
+func PlainAnswer(method, target, body string) string {
+	sum := xxhash.Sum64String(method + "\x00" + target + "\x00" + body)
+	return strconv.FormatUint(sum, 16)
+}
+
+// serveCall runs one call under the active faults.
+func (p *Plain) serveCall(w http.ResponseWriter, r *http.Request) {
+	p.see(r)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit))
+	if err != nil {
+		return
+	}
+	if _, ok := p.Faults.take(Refuse); ok {
+		writeError(w, http.StatusTooManyRequests, "busy", "the service refuses")
+		return
+	}
+	if !p.enter() {
+		writeError(w, http.StatusTooManyRequests, "busy", "too many calls run")
+		return
+	}
+	defer p.leave()
+	id := r.Header.Get("X-Request-Id")
+	p.track(id, 1)
+	defer p.track(id, -1)
+	p.note(cmp.Or(string(body), id), func(n *Run) { n.Calls++ })
+	if _, ok := p.Faults.take(Silent); ok {
+		<-r.Context().Done()
+		return
+	}
+	delay := p.slowed(p.opts.ServiceTime)
+	if f, ok := p.Faults.take(Late); ok {
+		delay += cmp.Or(f.Delay, defaultDelay)
+	}
+	if p.timer.Sleep(r.Context(), delay) != nil {
+		return
+	}
+	if _, ok := p.Faults.take(ReadAndClose); ok {
+		dropConnection(w)
+		return
+	}
+	p.answer(w, r, id, string(body))
+}
+
+func (p *Plain) answer(w http.ResponseWriter, r *http.Request, id, body string) {
+	if _, ok := p.Faults.take(Crossed); ok {
+		id, body = "crossed-"+id, "crossed "+body
+	}
+	text := PlainAnswer(r.Method, r.URL.RequestURI(), body)
+	b, err := json.Marshal(plainAnswer{Server: p.opts.Name, Answer: text})
+	if err != nil {
+		abort()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	if id != "" {
+		w.Header().Set("X-Request-Id", id)
+	}
+	_, cut := p.Faults.take(Cut)
+	_, stall := p.Faults.take(Stall)
+	if !cut && !stall {
+		_, _ = w.Write(b)
+		return
+	}
+	_, _ = w.Write(b[:len(b)/2])
+	_ = http.NewResponseController(w).Flush()
+	if stall {
+		<-r.Context().Done()
+	}
+	abort()
+}
+
+func (p *Plain) track(id string, change int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running[id] += change; p.running[id] == 0 {
+		delete(p.running, id)
+	}
+}
+
+func (p *Plain) report() LoadReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := LoadReport{
+		StartedAt: p.StartedAt().Format(time.RFC3339Nano),
+		Running:   []RunningRow{},
+		Models:    []string{},
+		Adapters:  []string{},
+	}
+	for id := range p.running {
+		l.Running = append(l.Running, RunningRow{ID: id})
+	}
+	return l
+}
