Add the load generator with whole-answer checks and a table

Cause: the demo and the measures need a mixed load that can tell a whole answer of one's own from any other, and a refusal inside the rate from a rightful one. Figures: go test -race -count=3 ./internal/stand/figload passes. Conclusion: the demo can report what its callers met.

--- /dev/null
+++ b/internal/stand/figload/call.go
@@ -0,0 +1,121 @@
+package figload
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"figtrail.dev/figtrail/internal/stand/figstand"
+)
+
+// errorLimit bounds the read part of an error's body, in bytes.
+const errorLimit = 64 << 10
+
+// refusal is the error of an answer, in the shape of the callers' interface.
+type refusal struct {
+	Message string `json:"message"`
+	Code    string `json:"code"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+}
+
+// label returns the shortest name of the reason.
+func (f refusal) label() string { return cmp.Or(f.Reason, f.Code, f.Message, "unnamed") }
+
+func readError(raw []byte) refusal {
+	var f refusal
+	_ = json.Unmarshal(raw, &f)
+	return f
+}
+
+// call sends one request to the next instance.
+func (c *caller) call(ctx context.Context, a arrival, method, path, body string) (*http.Response, error) {
+	url := "http://" + c.target(a.number) + path
+	q, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	if c.account.Key != "" {
+		q.Header.Set("Authorization", "Bearer "+c.account.Key)
+	}
+	if body != "" {
+		q.Header.Set("Content-Type", "application/json")
+	}
+	return c.client.Do(q)
+}
+
+// refused counts an answer other than 200 and returns what its caller knows.
+func (c *caller) refused(r *http.Response, inside bool) Outcome {
+	f := readRefusal(r)
+	denied := r.StatusCode == http.StatusUnauthorized || r.StatusCode == http.StatusForbidden
+	label := fmt.Sprintf("%d %s", r.StatusCode, f.label())
+	if f.Outcome != string(NotRun) && !denied {
+		c.result.failed(label)
+		return Unknown
+	}
+	c.result.change(func(r *AccountReport) {
+		r.Refused[label]++
+		if inside && !denied {
+			r.RefusedInside++
+		}
+	})
+	return NotRun
+}
+
+func readRefusal(r *http.Response) refusal {
+	b, _ := io.ReadAll(io.LimitReader(r.Body, errorLimit))
+	var body struct {
+		Error json.RawMessage `json:"error"`
+	}
+	_ = json.Unmarshal(b, &body)
+	return readError(body.Error)
+}
+
+func (c *caller) sendRead(ctx context.Context, a arrival) {
+	target := fmt.Sprintf("%s?guest=%d", c.account.ReadPath, a.number)
+	c.sendPlain(ctx, a, http.MethodGet, target, "")
+}
+
+func (c *caller) sendRefund(ctx context.Context, a arrival) {
+	body := fmt.Sprintf("%s-%d-%d", c.account.Name, c.seed, a.number)
+	outcome := c.sendPlain(ctx, a, http.MethodPost, c.account.RefundPath, body)
+	c.result.change(func(r *AccountReport) {
+		r.Refunds = append(r.Refunds, Refund{Body: body, Outcome: outcome})
+	})
+}
+
+// sendPlain sends a plain call and returns its outcome as the caller knows it.
+func (c *caller) sendPlain(ctx context.Context, a arrival, method, target, body string) Outcome {
+	inside, settle := c.admit(c.account.CallCost)
+	r, err := c.call(ctx, a, method, target, body)
+	if err != nil {
+		c.result.failed("connection")
+		return Unknown
+	}
+	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		outcome := c.refused(r, inside)
+		if outcome == NotRun {
+			settle(0)
+		}
+		return outcome
+	}
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		c.result.failed("cut")
+		return Unknown
+	}
+	var answer struct {
+		Answer string `json:"answer"`
+	}
+	if json.Unmarshal(b, &answer) != nil || answer.Answer != figstand.PlainAnswer(method, target, body) {
+		c.result.change(func(r *AccountReport) { r.Wrong++ })
+		return Unknown
+	}
+	c.result.change(func(r *AccountReport) { r.PlainAnswered++ })
+	return Answered
+}
--- /dev/null
+++ b/internal/stand/figload/run.go
@@ -0,0 +1,149 @@
+package figload
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"figtrail.dev/figtrail/internal/core/figtimer"
+)
+
+// Run sends the load and returns the report when the last request has ended.
+// When ctx ends, it starts no more requests and ends the open ones.
+func Run(ctx context.Context, opts Options) (*Report, error) {
+	opts = opts.withDefaults()
+	if len(opts.Targets) == 0 {
+		return nil, errors.New("load: no targets")
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: opts.Open, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	l := &load{
+		Options: opts,
+		timer:   figtimer.New(opts.Clock),
+		client:  &http.Client{Transport: transport},
+		slots:   make(chan struct{}, opts.Open),
+	}
+	report := &Report{Seed: opts.Seed, Duration: opts.Duration}
+	sending, stop := context.WithTimeout(ctx, opts.Duration)
+	defer stop()
+	var arrivals sync.WaitGroup
+	for i, a := range opts.Accounts {
+		c := newCaller(l, a, opts.Seed+uint64(i))
+		report.Accounts = append(report.Accounts, c.result)
+		for _, k := range c.kinds() {
+			arrivals.Go(func() { c.arrive(ctx, sending, k) })
+		}
+	}
+	arrivals.Wait()
+	l.requests.Wait()
+	return report, nil
+}
+
+// load is what the callers of one run share.
+type load struct {
+	Options
+	timer    *figtimer.Timer
+	client   *http.Client
+	slots    chan struct{}
+	started  atomic.Int64
+	requests sync.WaitGroup
+}
+
+// target returns the next instance's caller address, as a balancer would.
+func (l *load) target(n int64) string {
+	return l.Targets[int(n)%len(l.Targets)]
+}
+
+// caller sends the load of one client account.
+type caller struct {
+	*load
+	account Account
+	bucket  *bucket
+	result  *AccountReport
+	seed    uint64
+	prefix  string
+}
+
+func newCaller(l *load, a Account, seed uint64) *caller {
+	return &caller{
+		load:    l,
+		account: a,
+		bucket:  newBucket(a, l.Clock.Now()),
+		result:  newAccountReport(a.Name),
+		seed:    seed,
+		prefix:  filler(rand.New(rand.NewPCG(seed, 0)), a.PrefixTokens),
+	}
+}
+
+// kind is one sort of request that arrives at a rate of its own.
+type kind struct {
+	stream    uint64
+	perSecond float64
+	send      func(context.Context, arrival)
+}
+
+// arrival is one request with its number in the run and its own random source.
+type arrival struct {
+	number int64
+	random *rand.Rand
+}
+
+func (c *caller) kinds() []kind {
+	all := []kind{
+		{1, c.account.StreamsPerSecond, c.sendStream},
+		{2, c.account.ReadsPerSecond, c.sendRead},
+		{3, c.account.RefundsPerSecond, c.sendRefund},
+	}
+	used := all[:0]
+	for _, k := range all {
+		if k.perSecond > 0 {
+			used = append(used, k)
+		}
+	}
+	return used
+}
+
+// arrive starts requests until sending ends; they themselves end with ctx.
+func (c *caller) arrive(ctx, sending context.Context, k kind) {
+	random := rand.New(rand.NewPCG(c.seed, k.stream))
+	for {
+		gap := time.Duration(random.ExpFloat64() / k.perSecond * float64(time.Second))
+		if c.timer.Sleep(sending, gap) != nil {
+			return
+		}
+		number := c.started.Add(1)
+		if number > int64(c.Requests) {
+			return
+		}
+		a := arrival{number: number, random: rand.New(rand.NewPCG(random.Uint64(), k.stream))}
+		c.result.change(func(r *AccountReport) { r.Offered++ })
+		select {
+		case c.slots <- struct{}{}:
+		default:
+			c.result.change(func(r *AccountReport) { r.Skipped++ })
+			continue
+		}
+		c.requests.Go(func() {
+			defer func() { <-c.slots }()
+			bounded, cancel := context.WithTimeout(ctx, c.Timeout)
+			defer cancel()
+			k.send(bounded, a)
+		})
+	}
+}
+
+// admit debits the caller's own bucket. The returned function settles the
+// charge: it takes what was used after all.
+func (c *caller) admit(charge int64) (inside bool, settle func(used int64)) {
+	inside = c.bucket.take(c.Clock.Now(), charge)
+	return inside, func(used int64) {
+		if used < charge {
+			c.bucket.credit(c.Clock.Now(), charge-used)
+		}
+	}
+}
--- /dev/null
+++ b/internal/stand/figload/run_test.go
@@ -0,0 +1,130 @@
+package figload
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/stand/figstand"
+)
+
+func startEngine(t *testing.T) *figstand.Engine {
+	t.Helper()
+	e, err := figstand.StartEngine(figstand.EngineOptions{Name: "d", Batch: 200, TokenInterval: time.Microsecond})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, e.Close()) })
+	return e
+}
+
+// streams is a load of 40 requests that ends by its bound on requests.
+func streams(address string) Options {
+	return Options{
+		Targets:  []string{address},
+		Duration: time.Minute,
+		Requests: 40,
+		Seed:     7,
+		Accounts: []Account{{
+			Name: "huber", Rate: 1, Burst: 1_000_000, StartFull: true, StreamsPerSecond: 2000,
+			PromptTokens: Range{Low: 20, High: 60}, OutputTokens: Range{Low: 4, High: 8}, PrefixTokens: 10,
+		}},
+	}
+}
+
+func TestRunAnswered(t *testing.T) {
+	e := startEngine(t)
+	opts := streams(e.Address())
+	r, err := Run(t.Context(), opts)
+	require.NoError(t, err)
+	a := r.Accounts[0]
+	require.Equal(t, 40, a.Offered)
+	require.Equal(t, 40, a.Answered)
+	require.Positive(t, a.FirstToken.P50)
+	require.Zero(t, a.Wrong)
+	var table bytes.Buffer
+	require.NoError(t, r.Table(&table))
+	require.Contains(t, table.String(), "huber")
+	_, err = json.Marshal(r)
+	require.NoError(t, err)
+}
+
+func TestRunSeesWrongAndCut(t *testing.T) {
+	e := startEngine(t)
+	e.Faults.Set(figstand.Fault{Kind: figstand.Crossed, Count: 3})
+	e.Faults.Set(figstand.Fault{Kind: figstand.Cut, Count: 1})
+	r, err := Run(t.Context(), streams(e.Address()))
+	require.NoError(t, err)
+	a := r.Accounts[0]
+	// A cut answer may be one of the crossed ones.
+	require.Contains(t, []int{2, 3}, a.Wrong)
+	require.Equal(t, 1, sum(a.Failed))
+	require.Equal(t, 40, a.Answered+a.Wrong+sum(a.Failed))
+}
+
+func TestRunLeaves(t *testing.T) {
+	e := startEngine(t)
+	opts := streams(e.Address())
+	opts.Accounts[0].CancelShare = 1
+	r, err := Run(t.Context(), opts)
+	require.NoError(t, err)
+	require.Equal(t, 40, r.Accounts[0].Left)
+}
+
+// refuse answers every request as a router that has no budget would.
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusTooManyRequests)
+	_, _ = w.Write([]byte(`{"error":{"outcome":"notRun","reason":"rate"}}`))
+}
+
+func TestRunCountsWrongfulRefusals(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(refuse))
+	t.Cleanup(s.Close)
+	for _, c := range []struct {
+		full   bool
+		inside int
+	}{{true, 40}, {false, 0}} {
+		opts := streams(s.Listener.Addr().String())
+		opts.Accounts[0].StartFull = c.full
+		r, err := Run(t.Context(), opts)
+		require.NoError(t, err)
+		require.Equal(t, map[string]int{"429 rate": 40}, r.Accounts[0].Refused)
+		require.Equal(t, c.inside, r.Accounts[0].RefusedInside)
+	}
+}
+
+func TestRunRefunds(t *testing.T) {
+	p, err := figstand.StartPlain(figstand.PlainOptions{Name: "ledger"})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, p.Close()) })
+	p.Faults.Set(figstand.Fault{Kind: figstand.ReadAndClose, Count: 2})
+	r, err := Run(t.Context(), Options{
+		Targets:  []string{p.Address()},
+		Duration: time.Minute,
+		Requests: 30,
+		Accounts: []Account{{
+			Name: "desk", RefundsPerSecond: 1000, ReadsPerSecond: 1000,
+			ReadPath: "/balance", RefundPath: "/refund",
+		}},
+	})
+	require.NoError(t, err)
+	a := r.Accounts[0]
+	require.Equal(t, 30, a.PlainAnswered+sum(a.Failed))
+	require.NotEmpty(t, a.Refunds)
+	runs := func(body string) int { return p.Run(body).Calls }
+	require.Empty(t, r.CheckRefunds(runs))
+	require.Len(t, r.CheckRefunds(func(body string) int { return runs(body) + 1 }), len(a.Refunds))
+}
+
+func TestBucket(t *testing.T) {
+	start := time.Unix(0, 0)
+	b := newBucket(Account{Rate: 10, Burst: 20}, start)
+	require.False(t, b.take(start, 1))
+	require.True(t, b.take(start.Add(time.Second), 9))
+	require.False(t, b.take(start.Add(time.Second), 1))
+	b.credit(start.Add(time.Second), 100)
+	require.InDelta(t, 20, b.balance, 0)
+}
--- /dev/null
+++ b/internal/stand/figload/stream.go
@@ -0,0 +1,196 @@
+package figload
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"figtrail.dev/figtrail/internal/stand/figstand"
+)
+
+// fillerTokenBytes is the length of one token of filler text.
+const fillerTokenBytes = 4
+
+// filler returns text of that many tokens.
+func filler(random *rand.Rand, tokens int) string {
+	var b strings.Builder
+	b.Grow(tokens * fillerTokenBytes)
+	for range tokens {
+		fmt.Fprintf(&b, "%03x ", random.IntN(1<<12))
+	}
+	return b.String()
+}
+
+// chatRequest is the body of a streamed chat request.
+type chatRequest struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	Stream    bool          `json:"stream"`
+	MaxTokens int           `json:"max_tokens"`
+	Options   streamOptions `json:"stream_options"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// chunk is the part of a stream's event that a caller reads.
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		Finish *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *struct {
+		Total int64 `json:"total_tokens"`
+	} `json:"usage"`
+	Error json.RawMessage `json:"error"`
+}
+
+// streamed is what a caller saw of one stream.
+type streamed struct {
+	text     strings.Builder
+	tokens   int
+	finished bool
+	done     bool
+	failed   string
+	total    int64
+	start    time.Time
+	first    time.Duration
+	gaps     []time.Duration
+}
+
+func (c *caller) sendStream(ctx context.Context, a arrival) {
+	output := c.account.OutputTokens.pick(a.random)
+	size := max(c.account.PromptTokens.pick(a.random)-c.account.PrefixTokens, 0)
+	prompt := c.prefix + fmt.Sprintf("request %d of %s ", a.number, c.account.Name) + filler(a.random, size)
+	charge := c.Charge(prompt, output)
+	leave := a.random.Float64() < c.account.CancelShare
+	inside, settle := c.admit(charge)
+	body, err := json.Marshal(chatRequest{
+		Model:     c.account.Model,
+		Messages:  []chatMessage{{Role: "user", Content: prompt}},
+		Stream:    true,
+		MaxTokens: output,
+		Options:   streamOptions{IncludeUsage: true},
+	})
+	if err != nil {
+		c.result.failed("encode")
+		return
+	}
+	start := c.Clock.Now()
+	r, err := c.call(ctx, a, http.MethodPost, "/v1/chat/completions", string(body))
+	if err != nil {
+		c.result.failed("connection")
+		return
+	}
+	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		if c.refused(r, inside) == NotRun {
+			settle(0)
+		}
+		return
+	}
+	s := &streamed{start: start}
+	limit := output + 1
+	if leave {
+		limit = output / 2
+	}
+	s.read(r.Body, limit, c.Clock.Now)
+	if leave && s.tokens >= limit {
+		c.result.change(func(r *AccountReport) { r.Left++ })
+		return
+	}
+	settle(s.used(charge))
+	c.settleStream(s, prompt, output)
+}
+
+// used returns the tokens that the answer's usage names, or else the charge.
+func (s *streamed) used(charge int64) int64 {
+	if s.total > 0 {
+		return s.total
+	}
+	return charge
+}
+
+// settleStream judges a stream that has ended.
+func (c *caller) settleStream(s *streamed, prompt string, output int) {
+	whole := s.done && s.finished && s.failed == ""
+	c.result.change(func(r *AccountReport) { r.Tokens += int64(s.tokens) })
+	if !whole {
+		c.result.failed(s.reason())
+		return
+	}
+	if s.text.String() != figstand.AnswerText(prompt, output) {
+		c.result.change(func(r *AccountReport) { r.Wrong++ })
+		return
+	}
+	c.result.answered(s.first, s.gaps, c.FirstToken, c.BetweenTokens)
+}
+
+func (s *streamed) reason() string {
+	if s.failed != "" {
+		return s.failed
+	}
+	return "cut without an error event"
+}
+
+// read takes events until the end marker, an error, or limit tokens.
+func (s *streamed) read(body io.Reader, limit int, now func() time.Time) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, 1<<20)
+	last := s.start
+	for s.tokens < limit && lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			s.done = true
+			return
+		}
+		var c chunk
+		if err := json.Unmarshal([]byte(data), &c); err != nil {
+			s.failed = "malformed event"
+			return
+		}
+		last = s.add(c, last, now())
+	}
+}
+
+// add takes one event and returns the time of the latest token.
+func (s *streamed) add(c chunk, last, now time.Time) time.Time {
+	if c.Error != nil {
+		s.failed = "cut: " + readError(c.Error).label()
+	}
+	if c.Usage != nil {
+		s.total = c.Usage.Total
+	}
+	for _, o := range c.Choices {
+		s.finished = s.finished || o.Finish != nil
+		if o.Delta.Content == "" {
+			continue
+		}
+		s.text.WriteString(o.Delta.Content)
+		if s.tokens == 0 {
+			s.first = now.Sub(s.start)
+		} else {
+			s.gaps = append(s.gaps, now.Sub(last))
+		}
+		s.tokens++
+		last = now
+	}
+	return last
+}
