Reserve backend servers with their owners, and choose among them

Change: figowner holds a pure book for each server (leases, ramp, breaker, fence, reconciliation) and the service around them; figplace chooses among a fixed number of candidates and holds the leases.

--- /dev/null
+++ b/internal/place/figowner/book.go
@@ -0,0 +1,173 @@
+package figowner
+
+import (
+	"time"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+const (
+	// LeaseTime is how long a lease lasts without renewal.
+	LeaseTime = 4 * time.Second
+	// ReleaseGrace is how long a released request may still be reported before
+	// the owner cancels it; it covers the lag of reports.
+	ReleaseGrace = time.Second
+	// SilenceLimit is how long a running request stays when its holder is listed
+	// but silent: the holder may be cut off from the owner and not from the server.
+	SilenceLimit = 30 * time.Second
+	// StrangerGrace is how long a running request without a lease stays; within
+	// it every instance has told a new owner of its leases.
+	StrangerGrace = 10 * time.Second
+	// HandoverTime is how long a new owner holds back, so that an earlier one
+	// has noticed: longer than the freshness bound of the view.
+	HandoverTime = 3 * time.Second
+	// handoverShare divides the reported room that may be granted on each report
+	// when another owner may be granting too.
+	handoverShare = 4
+	// staleReport is the age of the last report from which a server that
+	// reports gets no new work.
+	staleReport = 3 * time.Second
+	// defaultPlainCalls bounds the calls in progress on a plain server that
+	// doesn't report its load.
+	defaultPlainCalls = 64
+	// defaultPieceTokens is the piece size where the pool declares none.
+	defaultPieceTokens = 2048
+)
+
+// Lease is one reservation on a server.
+type Lease struct {
+	// Number names it between owner and holder.
+	Number uint64
+	// ID is the request's ID, From the holder's name.
+	ID, From string
+	// Pieces, Tokens and Output are as asked.
+	Pieces, Tokens, Output int64
+	// Expires is when it ends unless renewed; Heard is the last word of its holder.
+	Expires, Heard time.Time
+
+	starts time.Time
+	done   int64
+	seen   bool
+}
+
+// stray is a request that the server reports and that has no live lease.
+type stray struct {
+	pieces   int64
+	since    time.Time
+	cancelAt time.Time
+}
+
+// Book holds the reservations of one backend server.
+type Book struct {
+	// Server is the server as last listed.
+	Server figview.Server
+	// PieceTokens is the size of a piece of engine memory.
+	PieceTokens int64
+	// Ramp bounds the work after a cold start.
+	Ramp Ramp
+	// Breaker keeps work away while the server fails.
+	Breaker Breaker
+	// Fence forms the fencing numbers.
+	Fence Fence
+	// Speed and Link are the estimates of prefill speed and transfer rate.
+	Speed, Link Estimate
+
+	gained   time.Time
+	reported time.Time
+	report   *Report
+	resident []uint64
+	misses   int
+	quota    int64
+	leases   map[uint64]*Lease
+	byID     map[string]*Lease
+	strays   map[string]*stray
+	released map[string]time.Time
+	pieces   int64
+	tokens   int64
+	linkFree time.Time
+	lastDone time.Time
+}
+
+// NewBook returns the book of a server gained at now.
+func NewBook(s figview.Server, pieceTokens int64, now time.Time) *Book {
+	if pieceTokens <= 0 {
+		pieceTokens = defaultPieceTokens
+	}
+	return &Book{
+		Server:      s,
+		PieceTokens: pieceTokens,
+		gained:      now,
+		leases:      map[uint64]*Lease{},
+		byID:        map[string]*Lease{},
+		strays:      map[string]*stray{},
+		released:    map[string]time.Time{},
+	}
+}
+
+// Len returns the number of live leases.
+func (b *Book) Len() int { return len(b.leases) }
+
+// Pieces returns the engine memory of all live leases and strays.
+func (b *Book) Pieces() int64 {
+	n := b.pieces
+	for _, s := range b.strays {
+		n += s.pieces
+	}
+	return n
+}
+
+// InProgress returns the tokens of work on the server that isn't done.
+func (b *Book) InProgress() int64 {
+	n := b.tokens
+	for _, s := range b.strays {
+		n += s.pieces * b.PieceTokens
+	}
+	if b.Server.Role == figview.Prefill && b.report != nil {
+		n = max(n, b.report.QueueTokens)
+	}
+	return n
+}
+
+// Total returns the server's memory in pieces, and zero if it isn't known.
+func (b *Book) Total() int64 {
+	if b.report == nil {
+		return 0
+	}
+	return b.report.PiecesTotal
+}
+
+// Free returns the pieces that are neither leased nor held by strays.
+func (b *Book) Free() int64 {
+	if b.report == nil {
+		return 0
+	}
+	return max(0, b.report.PiecesTotal-b.Pieces()-b.foreign())
+}
+
+// foreign returns memory that the server reports as taken by nothing it lists.
+func (b *Book) foreign() int64 {
+	held := int64(0)
+	for _, r := range b.report.Running {
+		held += r.Pieces
+	}
+	return max(0, b.report.PiecesTotal-b.report.PiecesFree-held)
+}
+
+// handover says whether an earlier owner may still be granting.
+func (b *Book) handover(now time.Time) bool { return now.Sub(b.gained) < HandoverTime }
+
+func (b *Book) add(l *Lease) {
+	b.leases[l.Number] = l
+	b.byID[l.ID] = l
+	b.pieces += l.Pieces
+	b.tokens += l.Tokens
+	delete(b.strays, l.ID)
+	delete(b.released, l.ID)
+}
+
+func (b *Book) drop(l *Lease) {
+	delete(b.leases, l.Number)
+	delete(b.byID, l.ID)
+	b.pieces -= l.Pieces
+	b.tokens -= l.Tokens
+}
--- /dev/null
+++ b/internal/place/figowner/ramp.go
@@ -0,0 +1,71 @@
+package figowner
+
+import "time"
+
+const (
+	// rampPieces is the work in progress that a server in a cold start gets at
+	// first, in pieces of engine memory. One request is granted whatever its size.
+	rampPieces = 2
+	// lostSpeed is the part of its usual speed below which a server counts as
+	// being in a cold start again.
+	lostSpeed = 0.3
+	// lostReports is how many reports in a row must show the loss.
+	lostReports = 2
+	// speedWeight is the weight of a new sample in the usual speed.
+	speedWeight = 0.1
+	// warmAge is the process age from which a server whose history is unknown
+	// counts as past its cold start.
+	warmAge = time.Minute
+)
+
+// Ramp bounds the tokens in progress on a server after a cold start. The bound
+// grows by the work that the server is seen to do, so it doubles with each round
+// of work and stands still while the server does.
+type Ramp struct {
+	// Limit is the bound, in tokens in progress.
+	Limit int64
+	// Full is the value of Limit at which the ramp has ended.
+	Full int64
+
+	usual float64
+	slow  int
+}
+
+// Cold says whether the ramp is still running.
+func (r *Ramp) Cold() bool { return r.Limit < r.Full }
+
+// Restart begins the ramp anew.
+func (r *Ramp) Restart(start, full int64) {
+	r.Full = full
+	r.Limit = min(start, full)
+	r.slow = 0
+}
+
+// Progress adds work that the server was seen to do.
+func (r *Ramp) Progress(tokens int64) {
+	r.Limit = min(r.Full, r.Limit+max(0, tokens))
+}
+
+// Allows says whether more tokens may be added to those in progress.
+func (r *Ramp) Allows(inProgress, more int64) bool {
+	if !r.Cold() || inProgress == 0 {
+		return true
+	}
+	return inProgress+more <= r.Limit
+}
+
+// LostSpeed takes a sample of the server's speed while it had work, and says
+// whether it has fallen far below the usual for several samples.
+func (r *Ramp) LostSpeed(speed float64) bool {
+	if r.usual > 0 && speed < lostSpeed*r.usual {
+		r.slow++
+		return r.slow >= lostReports
+	}
+	r.slow = 0
+	if r.usual == 0 {
+		r.usual = speed
+		return false
+	}
+	r.usual += speedWeight * (speed - r.usual)
+	return false
+}
--- /dev/null
+++ b/internal/place/figowner/reconcile.go
@@ -0,0 +1,227 @@
+package figowner
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+const (
+	// rampCalls is the work in progress that a plain server gets at first, in calls.
+	rampCalls = 2
+	// prefillFull is how many seconds of its own work end a prefill server's ramp.
+	prefillFull = 2
+	// cancelEvery is the least time between two cancels of one request.
+	cancelEvery = time.Second
+	// missedReports is how many polls in a row may fail before that is evidence.
+	missedReports = 2
+	// handoverAsks is the number of grants on each report, while another owner may
+	// be granting, on servers whose room isn't counted in pieces.
+	handoverAsks = 2
+)
+
+// Observe takes a report that arrived at now.
+func (b *Book) Observe(now time.Time, r *Report) {
+	first := b.report == nil
+	restarted := !first && !r.StartedAt.Equal(b.report.StartedAt)
+	b.misses = 0
+	b.report, b.reported = r, now
+	b.resident = residents(r)
+	b.Fence.Observe(r.Fence)
+	b.Link.Rate(r.LinkBytesPerSecond)
+	switch {
+	case restarted:
+		b.forget()
+		b.restart()
+	case first:
+		b.begin(now)
+	case b.measure(r):
+		b.restart()
+	}
+	b.match(now.Add(-r.Age), now)
+	b.quota = b.handoverQuota()
+}
+
+// Missed takes the news that a poll failed.
+func (b *Book) Missed(now time.Time) {
+	b.misses++
+	if b.misses == missedReports {
+		b.misses = 0
+		b.Fail(now, Unreachable)
+	}
+}
+
+// begin sets the ramp of a server that this owner sees for the first time. What
+// it carries now is proved; the rest is granted as work is seen to be done.
+func (b *Book) begin(now time.Time) {
+	b.restart()
+	if now.Sub(b.report.StartedAt) < warmAge {
+		return
+	}
+	b.Ramp.Progress(2 * b.reportedWork())
+}
+
+// reportedWork returns the tokens of work that the report shows.
+func (b *Book) reportedWork() int64 {
+	if b.Server.Role == figview.Plain {
+		return int64(len(b.report.Running))
+	}
+	n := b.report.QueueTokens
+	for _, x := range b.report.Running {
+		n += x.Pieces * b.PieceTokens
+	}
+	return n
+}
+
+// forget drops what an earlier process of the server held.
+func (b *Book) forget() {
+	clear(b.strays)
+	clear(b.released)
+	b.linkFree = time.Time{}
+}
+
+// restart begins the ramp anew.
+func (b *Book) restart() {
+	total := b.Total()
+	switch b.Server.Role {
+	case figview.Plain:
+		b.Ramp.Restart(rampCalls, max(total, defaultPlainCalls))
+	case figview.Prefill:
+		full := int64(prefillFull * b.Speed.Or(defaultSpeed))
+		b.Ramp.Restart(rampPieces*b.PieceTokens, full)
+	default:
+		b.Ramp.Restart(rampPieces*b.PieceTokens, total*b.PieceTokens)
+	}
+}
+
+// measure takes the speed from a report and says whether it was lost. The speed
+// of a decode server is that of one request.
+func (b *Book) measure(r *Report) bool {
+	if r.TokensPerSecond <= 0 || len(r.Running) == 0 {
+		return false
+	}
+	speed := r.TokensPerSecond
+	if b.Server.Role == figview.Decode {
+		speed /= float64(len(r.Running))
+	}
+	return b.Ramp.LostSpeed(speed)
+}
+
+// match compares what the server reports, as of taken, with the live leases.
+func (b *Book) match(taken, now time.Time) {
+	listed := make(map[string]bool, len(b.report.Running))
+	for _, x := range b.report.Running {
+		listed[x.ID] = true
+		if l, ok := b.byID[x.ID]; ok {
+			l.seen = true
+			b.progress(l, x.Tokens)
+			continue
+		}
+		b.sight(x, taken, now)
+	}
+	for id := range b.strays {
+		if !listed[id] {
+			delete(b.strays, id)
+		}
+	}
+	for id, at := range b.released {
+		if !listed[id] && taken.After(at) {
+			delete(b.released, id)
+		}
+	}
+}
+
+// progress credits the ramp with the part of a lease that was done since.
+func (b *Book) progress(l *Lease, tokens int64) {
+	if l.Output <= 0 {
+		return
+	}
+	done := min(l.Tokens, l.Tokens*tokens/l.Output)
+	if done > l.done {
+		b.Ramp.Progress(done - l.done)
+		l.done = done
+	}
+}
+
+// sight notes a running request that has no live lease.
+func (b *Book) sight(x Running, taken, now time.Time) {
+	at, released := b.released[x.ID]
+	if released && !taken.After(at) {
+		return
+	}
+	s, ok := b.strays[x.ID]
+	if !ok {
+		s = &stray{since: now, cancelAt: now.Add(StrangerGrace)}
+		b.strays[x.ID] = s
+	}
+	s.pieces = x.Pieces
+	if released {
+		s.cancelAt = at.Add(ReleaseGrace)
+		delete(b.released, x.ID)
+	}
+}
+
+// handoverQuota returns what may be granted until the next report while another
+// owner may be granting too.
+func (b *Book) handoverQuota() int64 {
+	if b.Server.Role == figview.Decode {
+		return max(1, b.Free()/handoverShare)
+	}
+	return handoverAsks
+}
+
+// Sweep ends the leases that were not renewed and returns the IDs of requests to
+// cancel on the server. Listed says whether an instance is on the published list.
+// Requests without a lease are cancelled by a fresh owner only: to another one
+// they may be the work of an owner that it doesn't know.
+func (b *Book) Sweep(now time.Time, listed func(name string) bool, fresh bool) []string {
+	for _, l := range b.leases {
+		if now.Before(l.Expires) {
+			continue
+		}
+		silent := l.seen && listed(l.From)
+		if silent && now.Sub(l.Heard) < SilenceLimit {
+			continue
+		}
+		b.drop(l)
+		if l.seen {
+			b.strays[l.ID] = &stray{pieces: l.Pieces, since: now, cancelAt: now}
+		}
+	}
+	var cancels []string
+	for id, s := range b.strays {
+		if fresh && !now.Before(s.cancelAt) {
+			s.cancelAt = now.Add(cancelEvery)
+			cancels = append(cancels, id)
+		}
+	}
+	return cancels
+}
+
+// untilFree estimates when pieces will be free, from the progress of the leases.
+func (b *Book) untilFree(now time.Time, pieces int64) time.Duration {
+	missing := pieces - b.Free()
+	best := retryCeiling
+	for _, l := range b.leases {
+		if l.done == 0 || l.Pieces < missing {
+			continue
+		}
+		took := now.Sub(l.starts)
+		left := time.Duration(float64(took) * float64(l.Tokens-l.done) / float64(l.done))
+		best = min(best, left)
+	}
+	return best
+}
+
+func residents(r *Report) []uint64 {
+	hashes := make([]uint64, 0, len(r.Models)+len(r.Adapters))
+	for _, n := range r.Models {
+		hashes = append(hashes, xxhash.Sum64String(n))
+	}
+	for _, n := range r.Adapters {
+		hashes = append(hashes, xxhash.Sum64String(n))
+	}
+	return hashes
+}
--- /dev/null
+++ b/internal/place/figowner/reserve.go
@@ -0,0 +1,178 @@
+package figowner
+
+import (
+	"time"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+const (
+	// retryFloor and retryCeiling bound the advice on when to ask again.
+	retryFloor   = 20 * time.Millisecond
+	retryCeiling = 2 * time.Second
+	// warmingRetry is the advice while a ramp or breaker holds work back.
+	warmingRetry = 500 * time.Millisecond
+)
+
+// Reserve grants or refuses a. The number is used for a new lease; an ask that
+// repeats the ID of a live lease of the same holder gets that lease again. A
+// fresh owner is one whose view is known to be the latest.
+func (b *Book) Reserve(now time.Time, number uint64, from string, a Ask, fresh bool) Grant {
+	if l, ok := b.byID[a.ID]; ok && l.From == from {
+		l.Heard, l.Expires = now, now.Add(LeaseTime)
+		return b.grant(now, l, a)
+	}
+	if b.Server.Role == figview.Plain {
+		a.Tokens = 1
+	}
+	if !a.Held {
+		if r, wait := b.refuse(now, a, fresh); r != Granted {
+			return Grant{Refusal: r, RetryMillis: millis(min(max(wait, retryFloor), retryCeiling))}
+		}
+	}
+	l := &Lease{
+		Number: number, ID: a.ID, From: from,
+		Pieces: a.Pieces, Tokens: a.Tokens, Output: a.Output,
+		Expires: now.Add(LeaseTime), Heard: now,
+		starts: now.Add(time.Duration(a.AfterMillis) * time.Millisecond),
+	}
+	queue := b.InProgress()
+	b.add(l)
+	b.quota -= max(1, a.Pieces)
+	g := b.grant(now, l, a)
+	if b.Server.Role == figview.Prefill {
+		g.ReadyMillis = millis(b.duration(queue + a.Tokens))
+	}
+	return g
+}
+
+// refuse returns the reason against an ask, and when to ask again.
+func (b *Book) refuse(now time.Time, a Ask, fresh bool) (Refusal, time.Duration) {
+	switch {
+	case b.Server.State == figview.Leaving:
+		return Leaving, retryCeiling
+	case b.Breaker.Open(now):
+		return Broken, b.Breaker.Wait(now)
+	case b.Breaker.Probing(now) && b.Len() > 0:
+		return Broken, warmingRetry
+	case b.report == nil && b.Server.Role == figview.Plain:
+		return b.refusePlain()
+	case b.report == nil || now.Sub(b.reported) > staleReport:
+		return Broken, warmingRetry
+	case b.Ramp.Cold() && (!fresh || b.handover(now)):
+		return Warming, warmingRetry
+	case !b.Ramp.Allows(b.InProgress(), a.Tokens):
+		return Warming, warmingRetry
+	case (!fresh || b.handover(now)) && b.quota < max(1, a.Pieces):
+		return Full, warmingRetry
+	}
+	if b.Server.Role == figview.Prefill {
+		return b.refusePrefill(a)
+	}
+	return b.refuseMemory(now, a)
+}
+
+func (b *Book) refusePlain() (Refusal, time.Duration) {
+	if b.Len() >= defaultPlainCalls {
+		return Full, retryFloor
+	}
+	return Granted, 0
+}
+
+func (b *Book) refusePrefill(a Ask) (Refusal, time.Duration) {
+	wait := b.duration(b.InProgress())
+	most := time.Duration(a.MaxWaitMillis) * time.Millisecond
+	if wait > most {
+		return Full, wait - most
+	}
+	return Granted, 0
+}
+
+func (b *Book) refuseMemory(now time.Time, a Ask) (Refusal, time.Duration) {
+	if b.report.PiecesTotal == 0 {
+		return b.refusePlain()
+	}
+	if a.Pieces > b.Free() {
+		return Full, b.untilFree(now, a.Pieces)
+	}
+	return Granted, 0
+}
+
+// duration returns how long the server needs for tokens of prefill work.
+func (b *Book) duration(tokens int64) time.Duration {
+	return seconds(float64(tokens) / b.Speed.Or(defaultSpeed))
+}
+
+// grant fills in what a live lease tells its holder.
+func (b *Book) grant(now time.Time, l *Lease, a Ask) Grant {
+	g := Grant{Lease: l.Number}
+	if b.Server.Role != figview.Decode || a.Bytes == 0 {
+		return g
+	}
+	took := seconds(float64(a.Bytes) / b.Link.Or(defaultLink))
+	start := later(l.starts, b.linkFree)
+	b.linkFree = start.Add(took)
+	g.DelayMillis = millis(start.Sub(l.starts))
+	return g
+}
+
+// Renew extends a lease of holder from. It returns false if there is none.
+func (b *Book) Renew(now time.Time, number uint64, from string) bool {
+	l, ok := b.leases[number]
+	if !ok || l.From != from {
+		return false
+	}
+	l.Heard, l.Expires = now, now.Add(LeaseTime)
+	return true
+}
+
+// Release ends a lease by number or, if that is zero, by ID. It does nothing if
+// there is none, so that a release may be repeated.
+func (b *Book) Release(now time.Time, from string, r Release) {
+	l := b.leases[r.Lease]
+	if r.Lease == 0 {
+		l = b.byID[r.ID]
+	}
+	if l == nil || l.From != from {
+		return
+	}
+	b.drop(l)
+	b.released[l.ID] = now
+	if r.Tokens <= 0 {
+		return
+	}
+	b.Breaker.Worked(now)
+	b.Ramp.Progress(max(0, l.Tokens-l.done))
+	if b.Server.Role == figview.Prefill {
+		b.measurePrefill(now, r)
+	}
+}
+
+// measurePrefill corrects the speed by a finished prefill. Work that queued
+// behind another is counted from the end of that one.
+func (b *Book) measurePrefill(now time.Time, r Release) {
+	done := now.Add(-time.Duration(r.AgoMillis) * time.Millisecond)
+	start := done.Add(-time.Duration(r.TookMillis) * time.Millisecond)
+	busy := done.Sub(later(start, b.lastDone))
+	b.lastDone = later(done, b.lastDone)
+	b.Speed.Add(r.Tokens, busy)
+}
+
+// Fail takes evidence against the server. A breaker that opens restarts the ramp.
+func (b *Book) Fail(now time.Time, e Evidence) {
+	if b.Breaker.Failed(now, e) {
+		b.restart()
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// millis rounds up, so that a wait is never cut to nothing.
+func millis(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
--- /dev/null
+++ b/internal/place/figplace/errors.go
@@ -0,0 +1,24 @@
+package figplace
+
+import (
+	"fmt"
+	"time"
+)
+
+// NoRoom says that no server has room for the request now. Nothing was started.
+type NoRoom struct {
+	// RetryAfter is when room is likely.
+	RetryAfter time.Duration
+}
+
+// Error returns the message with the advised wait.
+func (e *NoRoom) Error() string { return fmt.Sprintf("no room, retry after %v", e.RetryAfter) }
+
+// NoServer says that no listed server takes work of the pool.
+type NoServer struct {
+	// Pool is the ID of the pool.
+	Pool string
+}
+
+// Error returns the message with the pool.
+func (e *NoServer) Error() string { return "no server takes work of pool " + e.Pool }
--- /dev/null
+++ b/internal/place/figplace/fleet_test.go
@@ -0,0 +1,185 @@
+package figplace
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/config/figtree"
+	"figtrail.dev/figtrail/internal/core/figtimer"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/place/figowner"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet is a number of instances with owners and placers in one process, under a
+// clock of the test.
+type fleet struct {
+	now     time.Time
+	view    *figview.View
+	servers *figview.Servers
+	tree    *figtree.Tree
+	owners  map[string]*figowner.Owner
+	placers map[string]*Placer
+	down    map[string]bool
+	sent    []*figowner.Request
+	replies []*figowner.Reply
+}
+
+func newFleet(members, servers int) *fleet {
+	f := &fleet{now: start, owners: map[string]*figowner.Owner{}, placers: map[string]*Placer{}, down: map[string]bool{}}
+	centres := []string{"a", "b", "c"}
+	f.tree = &figtree.Tree{
+		Pools: map[string]*figtree.Pool{"chat": {
+			ID: "chat", PieceTokens: 2048, FirstToken: 2 * time.Second, ResultLife: 800 * time.Millisecond,
+		}},
+		DataCentres: []figtree.DataCentre{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "c", Region: "r"}},
+	}
+	list := make([]figview.Member, 0, members)
+	for i := range members {
+		list = append(list, figview.Member{Name: fmt.Sprintf("entry%03d", i), DataCentre: centres[i%3]})
+	}
+	f.view = figview.NewView(1, list)
+	f.servers = &figview.Servers{Version: 1}
+	for i := range servers {
+		role := figview.Decode
+		if i%5 < 2 {
+			role = figview.Prefill
+		}
+		f.servers.All = append(f.servers.All, figview.Server{
+			Name: fmt.Sprintf("server%04d", i), DataCentre: centres[i/5%3], Pool: "chat", Role: role,
+		})
+	}
+	for i, m := range list {
+		f.owners[m.Name] = f.newOwner(m.Name)
+		f.placers[m.Name] = f.newPlacer(m, uint64(i))
+	}
+	return f
+}
+
+func (f *fleet) clock() figtimer.Clock {
+	return figtimer.Clock{Now: func() time.Time { return f.now }}
+}
+
+func (f *fleet) newOwner(name string) *figowner.Owner {
+	return figowner.New(figowner.Options{
+		Self: name, Incarnation: 7, Clock: f.clock(),
+		View:          func() *figview.View { return f.view },
+		Servers:       func() *figview.Servers { return f.servers },
+		Pool:          func(id string) (*figtree.Pool, bool) { p, ok := f.tree.Pools[id]; return p, ok },
+		DataCentreOut: f.out,
+		Fresh:         func() bool { return true },
+	})
+}
+
+func (f *fleet) out(name string) bool {
+	for _, d := range f.tree.DataCentres {
+		if d.Name == name {
+			return d.Out
+		}
+	}
+	return false
+}
+
+func (f *fleet) newPlacer(m figview.Member, seed uint64) *Placer {
+	return New(Options{
+		Self: m.Name, DataCentre: m.DataCentre, Clock: f.clock(),
+		Random:  rand.New(rand.NewPCG(seed, 1)).Uint64,
+		View:    func() *figview.View { return f.view },
+		Servers: func() *figview.Servers { return f.servers },
+		Tree:    func() *figtree.Tree { return f.tree },
+		Ask:     f.ask,
+	})
+}
+
+func (f *fleet) ask(ctx context.Context, m figview.Member, q *figowner.Request) (*figowner.Reply, error) {
+	if f.down[m.Name] {
+		return nil, errors.New("no answer")
+	}
+	r, err := f.owners[m.Name].Answer(ctx, q)
+	f.sent, f.replies = append(f.sent, q), append(f.replies, r)
+	return r, err
+}
+
+// report gives every owner a report of an idle server with 40 pieces.
+func (f *fleet) report(running map[string][]figowner.Running) {
+	for _, s := range f.servers.All {
+		m, _ := figowner.Of(f.view, s)
+		held := int64(0)
+		for _, x := range running[s.Name] {
+			held += x.Pieces
+		}
+		f.owners[m.Name].Observe(s.Name, &figowner.Report{
+			StartedAt: start.Add(-time.Hour), PiecesTotal: 40, PiecesFree: 40 - held,
+			Running: running[s.Name],
+		}, nil)
+	}
+}
+
+// warm brings all owners past the handover with ramps that have ended.
+func (f *fleet) warm() {
+	f.report(nil)
+	for range 8 {
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.report(nil)
+	}
+	f.sent, f.replies = nil, nil
+}
+
+func (f *fleet) held() int {
+	n := 0
+	for _, o := range f.owners {
+		for _, s := range o.Status() {
+			n += s.Leases
+		}
+	}
+	return n
+}
+
+func request(id string) Request {
+	return Request{ID: id, Pool: "chat", PromptTokens: 1500, OutputTokens: 300}
+}
+
+func TestPlaceReservesBothRolesAndReleasesOnce(t *testing.T) {
+	f := newFleet(3, 10)
+	f.warm()
+	p := f.placers["entry000"]
+	x, err := p.Place(t.Context(), request("r1"))
+	require.NoError(t, err)
+	require.Equal(t, figview.Prefill, x.Prefill.Role)
+	require.Equal(t, figview.Decode, x.Decode.Role)
+	require.Equal(t, 2, f.held())
+	require.True(t, x.Holds())
+
+	x.PrefillDone(1500, 200*time.Millisecond)
+	p.Flush(t.Context())
+	require.Equal(t, 1, f.held())
+
+	x.Progress(300)
+	x.Release()
+	x.Release()
+	p.Flush(t.Context())
+	require.Zero(t, f.held())
+	require.False(t, x.Holds())
+}
+
+func TestPlaceWithoutServers(t *testing.T) {
+	f := newFleet(3, 10)
+	var none *NoServer
+	_, err := f.placers["entry000"].Place(t.Context(), Request{ID: "r1", Pool: "other"})
+	require.ErrorAs(t, err, &none)
+
+	// Before any report of the servers there is no room, but there are servers.
+	var full *NoRoom
+	_, err = f.placers["entry000"].Place(t.Context(), request("r2"))
+	require.ErrorAs(t, err, &full)
+	require.Positive(t, full.RetryAfter)
+	f.placers["entry000"].Flush(t.Context())
+	require.Zero(t, f.held())
+}
--- /dev/null
+++ b/internal/place/figplace/placement.go
@@ -0,0 +1,114 @@
+package figplace
+
+import (
+	"sync"
+	"time"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/place/figowner"
+)
+
+// Placement is the room that a request has. Its methods are safe for concurrent
+// use; all of them do nothing after Release.
+type Placement struct {
+	// Prefill is the prefill server; its name is empty in pools without one.
+	Prefill figview.Server
+	// Decode is the decode server, or the plain one.
+	Decode figview.Server
+	// StartPrefillAt is when to send the prefill, so that its result is fetched
+	// within its life.
+	StartPrefillAt time.Time
+
+	placer  *Placer
+	request Request
+
+	mu       sync.Mutex
+	prefill  *lease
+	decode   *lease
+	done     int64
+	released bool
+}
+
+// take keeps a granted lease.
+func (x *Placement) take(l *lease, role figview.Role, now time.Time, g figowner.Grant) {
+	if role == figview.Prefill {
+		x.Prefill, x.prefill = l.server, l
+		return
+	}
+	x.Decode, x.decode = l.server, l
+	x.StartPrefillAt = now.Add(time.Duration(g.DelayMillis) * time.Millisecond)
+}
+
+// PrefillDone says that the prefill has succeeded: tokens is the number of prompt
+// tokens computed, took the time from sending it to its answer. The place in the
+// prefill server's queue is given up.
+func (x *Placement) PrefillDone(tokens int64, took time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.released || x.prefill == nil {
+		return
+	}
+	x.placer.end(x.prefill, max(1, tokens), took)
+	x.placer.cached(x.request.Prefix, x.Prefill.Name)
+	x.prefill = nil
+}
+
+// TransferDone says that the KV cache has moved to the decode server.
+func (x *Placement) TransferDone(bytes int64, took time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.released || x.decode == nil {
+		return
+	}
+	x.placer.moved(x.decode, x.request, bytes, took)
+}
+
+// Progress says how many tokens the decode server has generated in all. For a
+// plain call any positive number says that it succeeded.
+func (x *Placement) Progress(tokens int64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.done = max(x.done, tokens)
+}
+
+// Fail reports evidence against a server of this placement. Evidence that is the
+// caller's fault counts for nothing.
+func (x *Placement) Fail(server string, evidence Evidence) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.released {
+		return
+	}
+	for _, l := range []*lease{x.prefill, x.decode} {
+		if l != nil && l.server.Name == server {
+			x.placer.failed(l, evidence)
+			return
+		}
+	}
+	x.placer.failedElsewhere(x.request.Pool, server, evidence)
+}
+
+// Holds says whether the room on the decode server is still reserved, by this
+// instance's clock. Check it right before the request is sent there: a process that
+// was paused may hold a lease that has expired.
+func (x *Placement) Holds() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return !x.released && x.decode != nil && x.placer.current(x.decode)
+}
+
+// Release gives all room back. Later calls do nothing.
+func (x *Placement) Release() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.released {
+		return
+	}
+	x.released = true
+	if x.prefill != nil {
+		x.placer.end(x.prefill, 0, 0)
+	}
+	if x.decode != nil {
+		x.placer.end(x.decode, x.done, 0)
+	}
+}
--- /dev/null
+++ b/internal/place/figplace/placer.go
@@ -0,0 +1,146 @@
+package figplace
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"figtrail.dev/figtrail/internal/config/figtree"
+)
+
+const (
+	// retryShare is the number of retries that one first try pays for.
+	retryShare = 0.1
+	// retryStock bounds the retries that are saved up.
+	retryStock = 10
+	// defaultKVBytes is the KV cache of one token, in bytes, before any transfer
+	// of the pool was measured.
+	defaultKVBytes = 128 << 10
+	// kvWeight is the weight of a new sample of it.
+	kvWeight = 0.1
+)
+
+// Counters counts what a Placer did.
+type Counters struct {
+	// Placed counts placements, NoRoom and NoServer refusals, Retries the tries
+	// that avoided a server, Asks the messages to owners, AskErrors those that failed.
+	Placed, NoRoom, NoServer, Retries, Asks, AskErrors atomic.Uint64
+}
+
+// Placer chooses servers for requests and holds their leases. It is safe for
+// concurrent use.
+type Placer struct {
+	Counters
+
+	opts Options
+
+	mu       sync.Mutex
+	cat      *catalogue
+	tree     *figtree.Tree
+	out      map[string]bool
+	regions  map[string]string
+	table    *table
+	prefixes *prefixes
+	held     map[string]map[*lease]struct{}
+	outbox   map[string]*outbox
+	kvBytes  map[string]float64
+	retries  float64
+}
+
+// New returns a Placer that knows nothing of the servers' load yet.
+func New(opts Options) *Placer {
+	return &Placer{
+		opts:     opts,
+		table:    newTable(),
+		prefixes: newPrefixes(),
+		held:     map[string]map[*lease]struct{}{},
+		outbox:   map[string]*outbox{},
+		kvBytes:  map[string]float64{},
+		retries:  retryStock,
+	}
+}
+
+// sync makes the catalogue follow the published lists and the declarations. It
+// returns nil while no list is known. The caller holds mu.
+func (p *Placer) sync() *catalogue {
+	v, s := p.opts.View(), p.opts.Servers()
+	if v == nil || s == nil {
+		return nil
+	}
+	if p.cat == nil || p.cat.view != v || p.cat.servers != s {
+		p.cat = newCatalogue(v, s)
+		p.table.prune(v, s)
+	}
+	if t := p.opts.Tree(); t != nil && t != p.tree {
+		p.declare(t)
+	}
+	return p.cat
+}
+
+func (p *Placer) declare(t *figtree.Tree) {
+	p.tree = t
+	p.out = map[string]bool{}
+	p.regions = map[string]string{}
+	for _, d := range t.DataCentres {
+		p.out[d.Name] = d.Out
+		p.regions[d.Name] = d.Region
+	}
+}
+
+func (p *Placer) dataCentreOut(name string) bool { return p.out[name] }
+
+func (p *Placer) region(dataCentre string) string { return p.regions[dataCentre] }
+
+// pool returns a declared pool, and an empty one if there is none.
+func (p *Placer) pool(id string) figtree.Pool {
+	if p.tree != nil {
+		if x, ok := p.tree.Pools[id]; ok {
+			return *x
+		}
+	}
+	return figtree.Pool{}
+}
+
+// takeRetry pays for a try and says whether a retry is allowed.
+func (p *Placer) takeRetry(retry bool) bool {
+	if !retry {
+		p.retries = min(retryStock, p.retries+retryShare)
+		return true
+	}
+	if p.retries < 1 {
+		return false
+	}
+	p.retries--
+	return true
+}
+
+// transferred corrects the size of the pool's KV cache by a finished transfer.
+func (p *Placer) transferred(pool string, bytes, tokens int64) {
+	if bytes <= 0 || tokens <= 0 {
+		return
+	}
+	sample := float64(bytes) / float64(tokens)
+	old, ok := p.kvBytes[pool]
+	if !ok {
+		p.kvBytes[pool] = sample
+		return
+	}
+	p.kvBytes[pool] = old + kvWeight*(sample-old)
+}
+
+// kvSize estimates the KV cache of a prompt, in bytes.
+func (p *Placer) kvSize(pool string, tokens int64) int64 {
+	b, ok := p.kvBytes[pool]
+	if !ok {
+		b = defaultKVBytes
+	}
+	return int64(b * float64(tokens))
+}
+
+// waited returns how long a request has waited since it arrived.
+func (r *Request) waited(now time.Time) time.Duration {
+	if r.Arrived.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(r.Arrived))
+}
--- /dev/null
+++ b/internal/place/figplace/send.go
@@ -0,0 +1,62 @@
+package figplace
+
+import (
+	"context"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/place/figowner"
+)
+
+// message is what goes to one owner, with the releases as they were queued.
+type message struct {
+	figowner.Request
+	releases []pendingRelease
+}
+
+// compose starts a message to an owner with all that waits for it.
+func (p *Placer) compose(owner, pool string) *message {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.empty(owner, pool)
+}
+
+// empty moves the outbox of an owner into a message. The caller holds mu.
+func (p *Placer) empty(owner, pool string) *message {
+	m := &message{Request: figowner.Request{From: p.opts.Self, Pool: pool}}
+	b, ok := p.outbox[owner]
+	if !ok {
+		return m
+	}
+	now := p.opts.Clock.Now()
+	m.Epoch = b.epoch
+	m.Failures, b.failures = b.failures, nil
+	m.Transfers, b.transfers = b.transfers, nil
+	for _, r := range b.releases {
+		m.Release = append(m.Release, r.message(b.epoch, now))
+	}
+	m.releases, b.releases = b.releases, nil
+	return m
+}
+
+// send asks an owner and learns from the reply. What a lost message released is
+// put back, since releasing again does no harm.
+func (p *Placer) send(ctx context.Context, owner figview.Member, m *message) (*figowner.Reply, error) {
+	p.Asks.Add(1)
+	reply, err := p.opts.Ask(ctx, owner, &m.Request)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opts.Clock.Now()
+	b := p.box(owner.Name)
+	if err != nil {
+		p.AskErrors.Add(1)
+		p.table.silent(now, owner.Name)
+		for _, r := range m.releases {
+			b.release(r)
+		}
+		return nil, err
+	}
+	delete(p.table.owners, owner.Name)
+	p.table.learn(now, reply.Loads)
+	b.epoch = reply.Epoch
+	return reply, nil
+}
