--- a/internal/place/figplace/fleet_test.go
+++ b/internal/place/figplace/fleet_test.go
@@ -35,12 +35,12 @@
 func newFleet(members, servers int) *fleet {
 	f := &fleet{now: start, owners: map[string]*figowner.Owner{}, placers: map[string]*Placer{}, down: map[string]bool{}}
 	centres := []string{"a", "b", "c"}
-	f.tree = &figtree.Tree{
-		Pools: map[string]*figtree.Pool{"chat": {
+	f.tree = figtree.New(1, figtree.Contents{
+		Pools: []*figtree.Pool{{
 			ID: "chat", PieceTokens: 2048, FirstToken: 2 * time.Second, ResultLife: 800 * time.Millisecond,
 		}},
 		DataCentres: []figtree.DataCentre{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "c", Region: "r"}},
-	}
+	})
 	list := make([]figview.Member, 0, members)
 	for i := range members {
 		list = append(list, figview.Member{Name: fmt.Sprintf("entry%03d", i), DataCentre: centres[i%3]})
@@ -72,21 +72,12 @@
 		Self: name, Incarnation: 7, Clock: f.clock(),
 		View:          func() *figview.View { return f.view },
 		Servers:       func() *figview.Servers { return f.servers },
-		Pool:          func(id string) (*figtree.Pool, bool) { p, ok := f.tree.Pools[id]; return p, ok },
-		DataCentreOut: f.out,
+		Pool:          func(id string) (*figtree.Pool, bool) { return f.tree.Pool(id) },
+		DataCentreOut: func(name string) bool { return f.tree.DataCentreOut(name) },
 		Fresh:         func() bool { return true },
 	})
 }
 
-func (f *fleet) out(name string) bool {
-	for _, d := range f.tree.DataCentres {
-		if d.Name == name {
-			return d.Out
-		}
-	}
-	return false
-}
-
 func (f *fleet) newPlacer(m figview.Member, seed uint64) *Placer {
 	return New(Options{
 		Self: m.Name, DataCentre: m.DataCentre, Clock: f.clock(),
--- a/internal/place/figplace/placer.go
+++ b/internal/place/figplace/placer.go
@@ -94,7 +94,7 @@
 // pool returns a declared pool, and an empty one if there is none.
 func (p *Placer) pool(id string) figtree.Pool {
 	if p.tree != nil {
-		if x, ok := p.tree.Pools[id]; ok {
+		if x, ok := p.tree.Pool(id); ok {
 			return *x
 		}
 	}
