Give each request one state machine and one outcome

Cause: every exit path must end a request once, release what it holds once and tell the truth about having run. Change: figlife works the outcome out of what was sent, and alone hands out the first byte.

--- /dev/null
+++ b/internal/request/figlife/life_test.go
@@ -0,0 +1,177 @@
+package figlife
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/core/figerror"
+	"figtrail.dev/figtrail/internal/request/figsend"
+)
+
+func newLife(idempotent bool) *Life {
+	l, _ := New(context.Background(), Options{ID: "r", Idempotent: idempotent})
+	return l
+}
+
+func TestOutcomes(t *testing.T) {
+	notRun := &figsend.Failure{Ran: figsend.NotRun}
+	refused := &figsend.Failure{Ran: figsend.NotRun, Kind: figsend.KindRefused}
+	tests := []struct {
+		name   string
+		before func(*Life)
+		reason Reason
+		want   Outcome
+	}{
+		{"no send", func(*Life) {}, OverBudget, NotRun},
+		{"unsent", func(l *Life) { send(l).Fail(notRun) }, NoServer, NotRun},
+		{"refused", func(l *Life) { send(l).Fail(refused) }, ServerFailed, NotRun},
+		{"pending", func(l *Life) { send(l) }, Deadline, OutcomeUnknown},
+		{"lost", func(l *Life) { send(l).Fail(errors.New("lost")) }, ServerFailed, OutcomeUnknown},
+		{"ran and not relayed", func(l *Life) { send(l).OK() }, Internal, OutcomeUnknown},
+		{"done without an answer", func(l *Life) { send(l).OK() }, Done, OutcomeUnknown},
+		{"relayed", func(l *Life) { send(l).OK(); l.FirstByte() }, Done, Answered},
+		{"begun", func(l *Life) { send(l).OK(); l.FirstByte() }, KeyWithdrawn, Cut},
+		{"begun, caller left", func(l *Life) { send(l).OK(); l.FirstByte() }, CallerGone, Cancelled},
+		{"waiting, caller left", func(*Life) {}, CallerGone, Cancelled},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := newLife(true)
+			tt.before(l)
+			require.True(t, l.End(CauseOf(tt.reason, nil)))
+			require.False(t, l.End(CauseOf(Done, nil)))
+			r, ended := l.Result()
+			require.True(t, ended)
+			require.Equal(t, tt.want, r.Outcome)
+			require.Equal(t, tt.reason, r.Reason)
+		})
+	}
+}
+
+func send(l *Life) *Send {
+	s, err := l.Send()
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+func TestNonIdempotentIsSentOnce(t *testing.T) {
+	l := newLife(false)
+	send(l).Fail(&figsend.Failure{Ran: figsend.NotRun, Kind: figsend.KindConnect})
+	send(l).Fail(&figsend.Failure{Ran: figsend.NotRun, Kind: figsend.KindRefused})
+	_, err := l.Send()
+	require.ErrorIs(t, err, ErrRepeat)
+
+	l = newLife(false)
+	send(l)
+	_, err = l.Send()
+	require.ErrorIs(t, err, ErrRepeat)
+}
+
+func TestSendAfterFirstByte(t *testing.T) {
+	l := newLife(true)
+	_, err := l.Resume()
+	require.ErrorIs(t, err, ErrBegun)
+	send(l).OK()
+	require.True(t, l.FirstByte())
+	_, err = l.Send()
+	require.ErrorIs(t, err, ErrBegun)
+	_, err = l.Resume()
+	require.NoError(t, err)
+	l.End(CauseOf(StreamCut, nil))
+	_, err = l.Resume()
+	require.ErrorIs(t, err, ErrEnded)
+}
+
+func TestReleasesRunInReverse(t *testing.T) {
+	l := newLife(true)
+	var order []string
+	for _, name := range []string{"a", "b", "c"} {
+		l.Hold(name, func() { order = append(order, name) })
+	}
+	l.Hold("faulty", func() { panic("release") })
+	require.True(t, l.Release("b"))
+	require.False(t, l.Release("b"))
+	l.End(CauseOf(Done, nil))
+	require.False(t, l.Hold("late", func() { order = append(order, "late") }))
+	require.Equal(t, []string{"b", "c", "a", "late"}, order)
+}
+
+func TestPanicEndsRequest(t *testing.T) {
+	l := newLife(false)
+	released := 0
+	l.Hold("memory", func() { released++ })
+	func() {
+		defer l.Recover()
+		send(l)
+		panic("handler")
+	}()
+	r, ended := l.Result()
+	require.True(t, ended)
+	require.Equal(t, Internal, r.Reason)
+	require.Equal(t, OutcomeUnknown, r.Outcome)
+	require.Equal(t, 1, released)
+	_, reply := l.Reply()
+	require.True(t, reply)
+}
+
+func TestRacingExits(t *testing.T) {
+	for range 200 {
+		l, ctx := New(context.Background(), Options{})
+		var answers, ends, released atomic.Int64
+		var all sync.WaitGroup
+		for i := range 8 {
+			all.Go(func() {
+				l.Hold("x", func() { released.Add(1) })
+				if l.FirstByte() {
+					answers.Add(1)
+				}
+				if l.End(CauseOf(Reason(i), nil)) {
+					ends.Add(1)
+				}
+				<-l.Done()
+				if _, ok := l.Reply(); ok {
+					answers.Add(1)
+				}
+			})
+		}
+		all.Wait()
+		require.Error(t, ctx.Err())
+		require.EqualValues(t, 1, answers.Load())
+		require.EqualValues(t, 1, ends.Load())
+		require.EqualValues(t, 8, released.Load())
+	}
+}
+
+func TestErrorBody(t *testing.T) {
+	l := newLife(true)
+	l.Advance(Queued)
+	l.End(Cause{Reason: QueueFull, RetryAfter: 1500e6})
+	r, ok := l.Reply()
+	require.True(t, ok)
+	require.JSONEq(t, `{"error":{"message":"Too many requests are waiting.","type":"server_error",
+		"code":"queueFull","param":null,"outcome":"notRun","reason":"queueFull","requestId":"r","step":"queued"}}`, string(r.JSON()))
+	require.Equal(t, "2", r.RetryAfterSeconds())
+	require.Equal(t, 503, r.Status())
+	r.Err = figerror.New("decode", "worker", "lost")
+	require.Equal(t, "decode", r.Step())
+	require.NotContains(t, string(r.JSON()), "worker")
+}
+
+func TestReasonsAreComplete(t *testing.T) {
+	names := map[string]bool{}
+	for _, r := range Reasons() {
+		require.NotEmpty(t, r.String())
+		require.False(t, names[r.String()], r)
+		names[r.String()] = true
+		require.GreaterOrEqual(t, r.Status(), 200)
+		require.True(t, strings.HasSuffix(r.Message(), "."))
+	}
+}
--- /dev/null
+++ b/internal/request/figlife/reason.go
@@ -0,0 +1,104 @@
+package figlife
+
+import "net/http"
+
+// statusCallerGone is the status logged for a caller that left. No caller sees it.
+const statusCallerGone = 499
+
+// Reason says why a request ended.
+type Reason uint8
+
+const (
+	// Internal is a fault of figtrail's own, such as a panic.
+	Internal Reason = iota
+	// Done means that the whole answer was relayed.
+	Done
+	// OverBudget means that the account's rate doesn't allow the request now.
+	OverBudget
+	// OverBurst means that the request costs more than the account's burst.
+	OverBurst
+	// QueueFull means that too many requests wait.
+	QueueFull
+	// Deadline means that the request's time is over.
+	Deadline
+	// NoServer means that no backend server can take the request.
+	NoServer
+	// Draining means that the instance is shutting down.
+	Draining
+	// BadRequest means that the request can't be served as it is.
+	BadRequest
+	// Unauthorized means that no valid key came with the request.
+	Unauthorized
+	// Forbidden means that the key's account may not use the route.
+	Forbidden
+	// NotFound means that no route matches.
+	NotFound
+	// TooLarge means that the request or its answer exceeds a limit.
+	TooLarge
+	// ServerFailed means that a backend server failed or refused the request.
+	ServerFailed
+	// StreamCut means that a backend server's stream ended before its end.
+	StreamCut
+	// KeyWithdrawn means that the key was withdrawn while the request ran.
+	KeyWithdrawn
+	// SlowCaller means that the caller read too slowly.
+	SlowCaller
+	// CallerGone means that the caller left.
+	CallerGone
+	// reasons is the number of reasons.
+	reasons
+)
+
+// reasonInfo is what callers see of a reason.
+type reasonInfo struct {
+	name    string
+	status  int
+	class   string
+	message string
+}
+
+const (
+	classRequest = "invalid_request_error"
+	classAuth    = "authentication_error"
+	classRate    = "rate_limit_error"
+	classServer  = "server_error"
+)
+
+var reasonTable = [reasons]reasonInfo{
+	Internal:     {"internal", http.StatusInternalServerError, classServer, "The router failed."},
+	Done:         {"done", http.StatusOK, "", "The request was answered."},
+	OverBudget:   {"overBudget", http.StatusTooManyRequests, classRate, "The account's token rate is used up."},
+	OverBurst:    {"overBurst", http.StatusRequestEntityTooLarge, classRequest, "The request needs more tokens than the account's burst."},
+	QueueFull:    {"queueFull", http.StatusServiceUnavailable, classServer, "Too many requests are waiting."},
+	Deadline:     {"deadline", http.StatusGatewayTimeout, classServer, "The request's time limit passed."},
+	NoServer:     {"noServer", http.StatusServiceUnavailable, classServer, "No backend server can take the request."},
+	Draining:     {"draining", http.StatusServiceUnavailable, classServer, "The instance is shutting down."},
+	BadRequest:   {"badRequest", http.StatusBadRequest, classRequest, "The request is not valid."},
+	Unauthorized: {"unauthorized", http.StatusUnauthorized, classAuth, "The key is missing or not valid."},
+	Forbidden:    {"forbidden", http.StatusForbidden, classAuth, "The key does not allow this request."},
+	NotFound:     {"notFound", http.StatusNotFound, classRequest, "There is no such route."},
+	TooLarge:     {"tooLarge", http.StatusRequestEntityTooLarge, classRequest, "The request or its answer is too large."},
+	ServerFailed: {"serverFailed", http.StatusBadGateway, classServer, "The backend server failed."},
+	StreamCut:    {"streamCut", http.StatusBadGateway, classServer, "The backend server's answer was cut."},
+	KeyWithdrawn: {"keyWithdrawn", http.StatusUnauthorized, classAuth, "The key was withdrawn."},
+	SlowCaller:   {"slowCaller", http.StatusRequestTimeout, classRequest, "The caller read the answer too slowly."},
+	CallerGone:   {"callerGone", statusCallerGone, classRequest, "The caller closed the connection."},
+}
+
+// String returns the name used in answers, logs and metrics.
+func (r Reason) String() string { return reasonTable[r].name }
+
+// Status returns the HTTP status code for callers.
+func (r Reason) Status() int { return reasonTable[r].status }
+
+// Message returns a sentence for callers.
+func (r Reason) Message() string { return reasonTable[r].message }
+
+// Reasons returns all reasons, for metrics.
+func Reasons() []Reason {
+	all := make([]Reason, 0, reasons)
+	for r := range reasons {
+		all = append(all, r)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/request/figlife/state.go
@@ -0,0 +1,202 @@
+package figlife
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"figtrail.dev/figtrail/internal/request/figsend"
+)
+
+// Phase is how far a request has come.
+type Phase uint8
+
+const (
+	// Received is the phase of a request that was read and not yet admitted.
+	Received Phase = iota
+	// Admitted means that its tokens are reserved.
+	Admitted
+	// Queued means that it waits for a place.
+	Queued
+	// Placed means that a backend server is reserved for it.
+	Placed
+	// Prefilling means that its prompt is being computed.
+	Prefilling
+	// Transferring means that its KV cache is on the way.
+	Transferring
+	// Decoding means that its answer is being made, by any kind of server.
+	Decoding
+	// Ended means that it has its outcome.
+	Ended
+	phases
+)
+
+var phaseNames = [phases]string{
+	"received", "admitted", "queued", "placed", "prefilling", "transferring", "decoding", "ended",
+}
+
+// String returns the name used in logs and metrics.
+func (p Phase) String() string { return phaseNames[p] }
+
+// Outcome is what became of a request. The set is closed.
+type Outcome uint8
+
+const (
+	// None is the outcome of a request that has not ended.
+	None Outcome = iota
+	// Answered means that the whole answer was relayed.
+	Answered
+	// NotRun means that the request was not run by any server.
+	NotRun
+	// OutcomeUnknown means that the request may have run.
+	OutcomeUnknown
+	// Cancelled means that the caller left before the end.
+	Cancelled
+	// Cut means that the answer began and can't be completed.
+	Cut
+	outcomes
+)
+
+var outcomeNames = [outcomes]string{"none", "answered", "notRun", "outcomeUnknown", "cancelled", "cut"}
+
+// String returns the name used in answers, logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+var (
+	// ErrEnded is returned for a send of a request that has ended.
+	ErrEnded = errors.New("the request has ended")
+	// ErrRepeat is returned for a second send of a request that may not be repeated.
+	ErrRepeat = errors.New("the request may not be sent again")
+	// ErrBegun is returned for a send after the answer has begun.
+	ErrBegun = errors.New("the answer has begun")
+)
+
+// sendState is what is known of one send.
+type sendState uint8
+
+const (
+	// sendPending is a send without a result yet.
+	sendPending sendState = iota
+	// sendUnsent is a send of which no byte reached the server.
+	sendUnsent
+	// sendRefused is a send that the server refused to run.
+	sendRefused
+	// sendUnknown is a send that failed and may have run.
+	sendUnknown
+	// sendRan is a send that was answered.
+	sendRan
+)
+
+// state is the part of a request's life that decides. It holds no lock.
+type state struct {
+	idempotent bool
+	phase      Phase
+	// claimed says that the first byte of the answer has its writer.
+	claimed bool
+	// begun says that this writer relays a server's answer.
+	begun bool
+	sends []sendState
+}
+
+// advance moves to phase. It returns false for an ended request and for a phase
+// that doesn't follow. A request may go back to waiting for a place.
+func (s *state) advance(to Phase) bool {
+	if s.phase == Ended || to >= Ended {
+		return false
+	}
+	back := (to == Queued || to == Placed) && s.phase >= Placed
+	if to <= s.phase && !back {
+		return false
+	}
+	s.phase = to
+	return true
+}
+
+// send records that a send begins, and returns its number.
+func (s *state) send(resume bool) (int, error) {
+	switch {
+	case s.phase == Ended:
+		return 0, ErrEnded
+	case s.claimed != resume:
+		return 0, ErrBegun
+	case !s.idempotent && !s.repeatable():
+		return 0, ErrRepeat
+	}
+	s.sends = append(s.sends, sendPending)
+	return len(s.sends) - 1, nil
+}
+
+// repeatable says that no byte of an earlier send can have reached a server.
+func (s *state) repeatable() bool {
+	for _, e := range s.sends {
+		if e != sendUnsent {
+			return false
+		}
+	}
+	return true
+}
+
+// unrun says that no send can have run.
+func (s *state) unrun() bool {
+	for _, e := range s.sends {
+		if e != sendUnsent && e != sendRefused {
+			return false
+		}
+	}
+	return true
+}
+
+// settle records the result of a send. Only the first one counts.
+func (s *state) settle(number int, to sendState) {
+	if s.sends[number] == sendPending {
+		s.sends[number] = to
+	}
+}
+
+// firstByte claims the first byte for a server's answer.
+func (s *state) firstByte() bool {
+	if s.phase == Ended || s.claimed {
+		return false
+	}
+	s.claimed, s.begun = true, true
+	return true
+}
+
+// reply claims the first byte for an error.
+func (s *state) reply() bool {
+	if s.phase != Ended || s.claimed {
+		return false
+	}
+	s.claimed = true
+	return true
+}
+
+// end gives the request its outcome. It returns None if it has one already.
+func (s *state) end(r Reason) Outcome {
+	if s.phase == Ended {
+		return None
+	}
+	s.phase = Ended
+	switch {
+	case r == Done && s.begun:
+		return Answered
+	case r == CallerGone:
+		return Cancelled
+	case s.begun:
+		return Cut
+	case s.unrun():
+		return NotRun
+	default:
+		return OutcomeUnknown
+	}
+}
+
+// sendResult translates the error of a send.
+func sendResult(err error) sendState {
+	switch {
+	case figsend.RanOf(err) != figsend.NotRun:
+		return sendUnknown
+	case figsend.KindOf(err) == figsend.KindRefused:
+		return sendRefused
+	default:
+		return sendUnsent
+	}
+}
