Keep budgets in slots with one holder each and leases for the others

Rate and burst must hold over all instances without shared writes. Each account has three slots; the list of instances gives each one holder, which refills it and lends from it. Slots that change hands are pulled from the former holder or start empty once that one can't grant any more. The number of slots and their data centres follow from the list alone: declared limits and data centres may differ between instances at one version of the list, and would split a budget in two ways at once.

--- /dev/null
+++ b/internal/limit/figbudget/budget.go
@@ -0,0 +1,180 @@
+// Package figbudget keeps each client account inside its rate and burst, in
+// tokens, over all instances together and without shared writes.
+//
+// An account's budget has a fixed number of slots. The list of instances gives
+// each slot one holder, which alone refills it; other instances lease tokens
+// from it, in blocks if the account is busy there. Tokens exist in one place:
+// whoever moves them subtracts first, and what a lost message carried is lost.
+// A holder's clock for a lease starts when it answers and the lessee's when it
+// asks, so that the holder never takes back what may still be spent.
+//
+// A slot that changes hands is handed over by its former holder, or starts empty
+// once that one can't grant any more. For every interval, what all instances
+// charge less what is refunded stays within rate times length plus burst.
+//
+// # Usage
+//
+//	b := figbudget.New(figbudget.Options{Self: name, Incarnation: started, …})
+//	figpeer.Handle(handlers, "budget", b.Answer)
+//	go b.Run(ctx, timer)
+//
+// Each request reserves its prompt and output limit before it runs, and settles
+// what it used when it ends, however it ends:
+//
+//	r, err := b.Reserve(ctx, account, prompt+outputLimit)
+//	if err != nil {
+//		var refusal *figbudget.Refusal // says why, and when to try again
+//		…
+//	}
+//	defer func() { r.Settle(used) }()
+package figbudget
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"figtrail.dev/figtrail/internal/core/figtimer"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+const (
+	// tickTime is the time between two ticks of Run.
+	tickTime = 100 * time.Millisecond
+	// askTimeout bounds one message to a peer and its answer.
+	askTimeout = 250 * time.Millisecond
+)
+
+// Options holds what a Budget depends on. All fields are needed.
+type Options struct {
+	// Self is this instance's name on the published list.
+	Self string
+	// Incarnation grows with each start of this instance.
+	Incarnation uint64
+	// Clock is the source of time; it must carry a monotonic reading.
+	Clock figtimer.Clock
+	// View returns the list of instances in force, or nil before the first one.
+	View func() *figview.View
+	// Fresh says whether the view is known to be the latest, within two seconds.
+	Fresh func() bool
+	// AllAcked says whether every other listed member has told us that its view
+	// is of this version or newer, and since when.
+	AllAcked func(version uint64) (since time.Time, ok bool)
+	// Limits returns what an account may spend, and false for an unknown account.
+	Limits func(account string) (Limits, bool)
+	// Ask carries one message to a peer.
+	Ask func(ctx context.Context, m figview.Member, q *Request) (*Reply, error)
+}
+
+// Budget is the budget service of one instance. It is safe for concurrent use.
+type Budget struct {
+	opts   Options
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	ledger *ledger
+	peers  map[string]*peer
+}
+
+// New returns a service that holds nothing yet.
+func New(opts Options) *Budget {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Budget{
+		opts:   opts,
+		ctx:    ctx,
+		cancel: cancel,
+		ledger: newLedger(opts.Self, opts.Incarnation, opts.Limits),
+		peers:  map[string]*peer{},
+	}
+}
+
+// Run ticks until ctx ends. It then ends the messages under way.
+func (b *Budget) Run(ctx context.Context, t *figtimer.Timer) error {
+	defer b.cancel()
+	for now := range t.Subscribe(ctx, tickTime) {
+		b.Tick(now)
+	}
+	return nil
+}
+
+// Tick does what is due at now: it takes in a new list of instances, hands
+// unspent leases back and pulls slots that were gained.
+func (b *Budget) Tick(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sync(now)
+	b.ledger.poll(now, b.acked)
+	for name, reports := range b.ledger.tick(now) {
+		b.queue(name, func(p *peer) { p.reports = append(p.reports, reports...) })
+	}
+	for name, pulls := range b.ledger.wanted(now) {
+		b.queue(name, func(p *peer) { p.pulls = append(p.pulls, pulls...) })
+	}
+	for _, p := range b.peers {
+		b.flush(p)
+	}
+	b.forgetPeers()
+}
+
+// Answer takes in a message from a peer.
+func (b *Budget) Answer(_ context.Context, q *Request) (*Reply, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.opts.Clock.Now()
+	fresh := b.sync(now)
+	return b.ledger.answer(q, b.opts.Incarnation, now, fresh), nil
+}
+
+// Reserve charges tokens to the account or returns a *Refusal. A reservation is
+// settled once its request has ended.
+func (b *Budget) Reserve(ctx context.Context, account string, tokens int64) (*Reservation, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a, refusal := b.ledger.begin(account, tokens)
+	if refusal != nil {
+		return nil, refusal
+	}
+	for {
+		now := b.opts.Clock.Now()
+		fresh := b.sync(now)
+		pieces, q, refusal := b.ledger.step(a, now, fresh)
+		if refusal != nil {
+			return nil, refusal
+		}
+		if q == nil {
+			return &Reservation{budget: b, account: account, pieces: *pieces}, nil
+		}
+		if !b.exchange(ctx, a, q) {
+			return nil, refuse(account, Ended, 0, a.limits)
+		}
+	}
+}
+
+// exchange carries an ask and waits for its answer without the lock. It returns
+// false if ctx ended first; the lease then serves the next request.
+func (b *Budget) exchange(ctx context.Context, a *attempt, q *ask) bool {
+	c := &call{attempt: a, ask: q, done: make(chan struct{})}
+	b.queue(q.peer.Name, func(p *peer) { p.calls = append(p.calls, c) })
+	b.mu.Unlock()
+	defer b.mu.Lock()
+	select {
+	case <-c.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// sync takes in the view in force and says whether it is fresh. Freshness is
+// read first: a view that comes in between is newer than the one vouched for.
+func (b *Budget) sync(now time.Time) bool {
+	fresh := b.opts.Fresh()
+	b.ledger.sync(b.opts.View(), now, fresh)
+	return fresh
+}
+
+func (b *Budget) acked(version uint64) bool {
+	_, ok := b.opts.AllAcked(version)
+	return ok
+}
--- /dev/null
+++ b/internal/limit/figbudget/budget_test.go
@@ -0,0 +1,205 @@
+package figbudget
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/core/figerror"
+	"figtrail.dev/figtrail/internal/core/figtimer"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+// fleet is a set of Budgets that reach each other by plain calls.
+type fleet struct {
+	mu      sync.Mutex
+	now     time.Time
+	view    *figview.View
+	budgets map[string]*Budget
+	limits  map[string]Limits
+	down    map[string]bool
+	calls   int
+}
+
+func newFleet(size int, limits map[string]Limits) *fleet {
+	f := &fleet{
+		now:     time.Now(),
+		budgets: map[string]*Budget{},
+		limits:  limits,
+		down:    map[string]bool{},
+	}
+	members := make([]figview.Member, 0, size)
+	for i := range size {
+		name := fmt.Sprintf("i%d", i)
+		members = append(members, figview.Member{
+			Name: name, Address: name, DataCentre: fmt.Sprintf("d%d", i%3),
+		})
+		f.budgets[name] = f.start(name)
+	}
+	f.view = figview.NewView(1, members)
+	return f
+}
+
+func (f *fleet) start(name string) *Budget {
+	return New(Options{
+		Self:        name,
+		Incarnation: 1,
+		Clock:       figtimer.Clock{Now: f.time},
+		View:        func() *figview.View { return f.view },
+		Fresh:       func() bool { return true },
+		AllAcked:    func(uint64) (time.Time, bool) { return time.Time{}, true },
+		Limits: func(account string) (Limits, bool) {
+			l, ok := f.limits[account]
+			return l, ok
+		},
+		Ask: f.ask,
+	})
+}
+
+func (f *fleet) time() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+func (f *fleet) ask(ctx context.Context, m figview.Member, q *Request) (*Reply, error) {
+	f.mu.Lock()
+	f.calls++
+	down := f.down[m.Name]
+	f.mu.Unlock()
+	if down {
+		return nil, figerror.New("budget", m.Name, "unreachable")
+	}
+	return f.budgets[m.Name].Answer(ctx, q)
+}
+
+// advance moves the clock in ticks.
+func (f *fleet) advance(d time.Duration) {
+	for end := f.time().Add(d); f.time().Before(end); {
+		f.mu.Lock()
+		f.now = f.now.Add(tickTime)
+		f.mu.Unlock()
+		for _, b := range f.budgets {
+			b.Tick(f.time())
+		}
+	}
+}
+
+func TestReserveSpendsTheWholeBurstFromOneInstance(t *testing.T) {
+	f := newFleet(9, map[string]Limits{"a": {TokensPerSecond: 100, Burst: 1000}})
+	ctx := t.Context()
+	b := f.budgets["i0"]
+
+	_, err := b.Reserve(ctx, "a", 1)
+	_ = requireRefusal(t, err, Unavailable)
+
+	f.advance(20 * time.Second)
+	_, err = b.Reserve(ctx, "a", 1001)
+	_ = requireRefusal(t, err, AboveBurst)
+	_, err = b.Reserve(ctx, "nobody", 1)
+	_ = requireRefusal(t, err, UnknownAccount)
+
+	r, err := b.Reserve(ctx, "a", 1000)
+	require.NoError(t, err)
+	require.EqualValues(t, 1000, r.Tokens())
+	for _, other := range f.budgets {
+		_, err = other.Reserve(ctx, "a", 1)
+		refusal := requireRefusal(t, err, OverBudget)
+		require.Positive(t, refusal.RetryAfter)
+	}
+}
+
+func TestSettleGivesBackOnce(t *testing.T) {
+	f := newFleet(9, map[string]Limits{"a": {TokensPerSecond: 3, Burst: 900}})
+	f.advance(400 * time.Second)
+	b := f.budgets["i1"]
+	r, err := b.Reserve(t.Context(), "a", 900)
+	require.NoError(t, err)
+	f.advance(2 * time.Second)
+	r.Settle(500)
+	r.Settle(0)
+	require.Eventually(t, func() bool {
+		f.advance(tickTime)
+		return f.credited() == 400
+	}, 5*time.Second, time.Millisecond)
+	f.advance(time.Second)
+	require.EqualValues(t, 400, f.credited())
+}
+
+func (f *fleet) credited() int64 {
+	sum := int64(0)
+	for _, b := range f.budgets {
+		sum += b.Status().Credited
+	}
+	return sum
+}
+
+func TestReserveGoesRoundADeadHolder(t *testing.T) {
+	f := newFleet(9, map[string]Limits{"a": {TokensPerSecond: 300, Burst: 900}})
+	f.advance(20 * time.Second)
+	holder, ok := newPlacement(f.view).holder(slotID{"a", 0})
+	require.True(t, ok)
+	f.down[holder.Name] = true
+	for name, b := range f.budgets {
+		if name == holder.Name {
+			continue
+		}
+		r, err := b.Reserve(t.Context(), "a", 60)
+		require.NoError(t, err)
+		r.Settle(60)
+	}
+}
+
+func TestReserveEndsWithItsContext(t *testing.T) {
+	f := newFleet(9, map[string]Limits{"a": {TokensPerSecond: 300, Burst: 900}})
+	f.advance(20 * time.Second)
+	ctx, cancel := context.WithCancel(t.Context())
+	var asker *Budget
+	for name, b := range f.budgets {
+		if !holdsAny(f.view, name, "a") {
+			asker = b
+		}
+	}
+	asker.opts.Ask = func(ctx context.Context, _ figview.Member, _ *Request) (*Reply, error) {
+		cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	_, err := asker.Reserve(ctx, "a", 60)
+	_ = requireRefusal(t, err, Ended)
+}
+
+func holdsAny(v *figview.View, name, account string) bool {
+	p := newPlacement(v)
+	for i := range Slots {
+		if p.holds(name, slotID{account, i}) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestIdleAccountsLeaveNoState(t *testing.T) {
+	f := newFleet(3, map[string]Limits{"a": {TokensPerSecond: 300, Burst: 900}})
+	f.advance(20 * time.Second)
+	r, err := f.budgets["i0"].Reserve(t.Context(), "a", 60)
+	require.NoError(t, err)
+	r.Settle(30)
+	f.advance(20 * time.Second)
+	for _, b := range f.budgets {
+		require.Empty(t, b.ledger.slots)
+		require.Empty(t, b.ledger.purses)
+	}
+}
+
+func requireRefusal(t *testing.T, err error, want Reason) *Refusal {
+	t.Helper()
+	var r *Refusal
+	require.ErrorAs(t, err, &r)
+	require.Equal(t, want, r.Reason)
+	return r
+}
--- /dev/null
+++ b/internal/limit/figbudget/ledger.go
@@ -0,0 +1,179 @@
+package figbudget
+
+import (
+	"time"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+// suspectTime is how long a peer that didn't answer is asked last.
+const suspectTime = time.Second
+
+// Counters counts what one instance did since its start.
+type Counters struct {
+	// Reserved is the sum of admitted tokens.
+	Reserved int64
+	// Credited is the sum of refunds that slots held here have taken in.
+	Credited int64
+	// RefundsLost is the sum of refunds that found no room or no slot.
+	RefundsLost int64
+	// Leases counts leases granted to others.
+	Leases int64
+	// Given counts slots handed over, Pulled slots taken over.
+	Given, Pulled int64
+}
+
+// ledger is the whole budget state of one instance: the slots that it holds and
+// what it leases from others. It does no input or output and takes the time as
+// an argument.
+type ledger struct {
+	holder
+	incarnation uint64
+	dataCentre  string
+	purses      map[string]*purse
+	suspects    map[string]time.Time
+	tally       Counters
+}
+
+func newLedger(self string, incarnation uint64, limits func(string) (Limits, bool)) *ledger {
+	g := &ledger{
+		incarnation: incarnation,
+		purses:      map[string]*purse{},
+		suspects:    map[string]time.Time{},
+	}
+	g.holder = holder{
+		history:  history{self: self},
+		limits:   limits,
+		slots:    map[slotID]*slot{},
+		windows:  map[string]*window{},
+		counters: &g.tally,
+	}
+	return g
+}
+
+// sync puts v in force if it is newer than the view in force. fresh says
+// whether the view that the instance has was seen to be fresh just now.
+func (g *ledger) sync(v *figview.View, now time.Time, fresh bool) {
+	if v == nil {
+		return
+	}
+	if g.adopt(v, now) {
+		if m, ok := v.Find(g.self); ok {
+			g.dataCentre = m.DataCentre
+		}
+		g.changeView(now)
+	}
+	if fresh {
+		g.freshAt = now
+	}
+}
+
+// begin starts an attempt, or refuses it at once.
+func (g *ledger) begin(account string, tokens int64) (*attempt, *Refusal) {
+	l, known := g.limits(account)
+	if !known {
+		return nil, refuse(account, UnknownAccount, 0, l)
+	}
+	if tokens > l.Burst {
+		return nil, refuse(account, AboveBurst, 0, l)
+	}
+	return &attempt{account: account, tokens: max(0, tokens), limits: l}, nil
+}
+
+// ready says whether a slot held here can be spent from.
+func (g *ledger) ready(id slotID, now time.Time, fresh bool) bool {
+	s := g.held(id, now)
+	return fresh && s != nil && s.state == active
+}
+
+func (g *ledger) purse(account string, now time.Time) *purse {
+	p := g.purses[account]
+	if p == nil {
+		p = &purse{demand: meter{at: now}}
+		g.purses[account] = p
+	}
+	p.used = now
+	return p
+}
+
+// settle returns the refunds of a reservation by the name of the instance that
+// they go to. Those for slots held here are credited at once.
+func (g *ledger) settle(account string, pieces [Slots]int64, used int64, now time.Time) map[string][]Refund {
+	e := g.current()
+	if e == nil {
+		return nil
+	}
+	told := map[string][]Refund{}
+	for _, r := range split(account, pieces, used) {
+		m, ok := e.holder(slotID{account, r.Slot})
+		switch {
+		case !ok:
+			g.tally.RefundsLost += max(0, r.Tokens)
+		case m.Name == g.self:
+			g.refund(r, now)
+		default:
+			told[m.Name] = append(told[m.Name], r)
+		}
+	}
+	return told
+}
+
+// split divides what a reservation did not use among its pieces in proportion,
+// so that no slot overflows before the others. What was used above the
+// reservation goes to the largest piece, as a negative amount.
+func split(account string, pieces [Slots]int64, used int64) []Refund {
+	total, largest := int64(0), 0
+	for i, n := range pieces {
+		total += n
+		if n > pieces[largest] {
+			largest = i
+		}
+	}
+	back := total - max(0, used)
+	if back < 0 {
+		return []Refund{{Account: account, Slot: largest, Tokens: back}}
+	}
+	var refunds []Refund
+	for i, n := range pieces {
+		if n == 0 || back == 0 {
+			continue
+		}
+		share := int64(float64(back) * float64(n) / float64(total))
+		if total == n {
+			share = back
+		}
+		if share > 0 {
+			refunds = append(refunds, Refund{Account: account, Slot: i, Tokens: share})
+		}
+		back -= share
+		total -= n
+	}
+	return refunds
+}
+
+// tick forgets what has ended and returns the reports that are due, by holder.
+func (g *ledger) tick(now time.Time) map[string][]Report {
+	g.forget(now)
+	for name, until := range g.suspects {
+		if !now.Before(until) {
+			delete(g.suspects, name)
+		}
+	}
+	due := map[string][]Report{}
+	for account, p := range g.purses {
+		for holder, reports := range p.reports(account, now, g.tight(account)) {
+			due[holder] = append(due[holder], reports...)
+		}
+		if len(p.leases) == 0 && now.Sub(p.used) > purseKept {
+			delete(g.purses, account)
+		}
+	}
+	return due
+}
+
+// tight says whether an account's burst is so small that leases already spent
+// would hold up its refill until they end.
+func (g *ledger) tight(account string) bool {
+	l, _ := g.limits(account)
+	return l.Burst < 2*int64(float64(l.TokensPerSecond)*leaseHeld.Seconds())
+}
--- /dev/null
+++ b/internal/limit/figbudget/place.go
@@ -0,0 +1,76 @@
+package figbudget
+
+import (
+	"slices"
+	"strconv"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+// placement gives each slot its holder under one view. It depends on nothing
+// else, so that all instances with the same view agree.
+type placement struct {
+	view    *figview.View
+	centres []string
+}
+
+func newPlacement(v *figview.View) *placement {
+	p := &placement{view: v}
+	for _, m := range v.Members {
+		if m.State == figview.Live && !slices.Contains(p.centres, m.DataCentre) {
+			p.centres = append(p.centres, m.DataCentre)
+		}
+	}
+	slices.Sort(p.centres)
+	return p
+}
+
+// without returns the placement that would hold if name weren't on the list.
+func (p *placement) without(name string) *placement {
+	members := slices.DeleteFunc(slices.Clone(p.view.Members), func(m figview.Member) bool {
+		return m.Name == name
+	})
+	return newPlacement(&figview.View{Version: p.view.Version, Members: members})
+}
+
+// holder returns the instance that holds the slot, and false if no member is live.
+func (p *placement) holder(id slotID) (figview.Member, bool) {
+	if len(p.centres) == 0 {
+		return figview.Member{}, false
+	}
+	key := figview.Key("slot", id.account, strconv.Itoa(id.index))
+	return p.view.OwnerIn(key, p.centre(id))
+}
+
+// holds says whether the instance called name holds the slot.
+func (p *placement) holds(name string, id slotID) bool {
+	m, ok := p.holder(id)
+	return ok && m.Name == name
+}
+
+// centre returns the data centre of the slot. The slots of an account lie in
+// different data centres as far as there are enough, and a data centre that
+// goes moves few slots besides its own.
+func (p *placement) centre(id slotID) string {
+	var taken [Slots]string
+	for i := range id.index + 1 {
+		key := figview.Key("slotCentre", id.account, strconv.Itoa(i))
+		taken[i] = p.choose(key, taken[:i])
+	}
+	return taken[id.index]
+}
+
+// choose returns the data centre with the highest weight that isn't taken, or
+// the highest of all if every one is.
+func (p *placement) choose(key uint64, taken []string) string {
+	best, top := "", uint64(0)
+	for _, c := range p.centres {
+		if len(taken) < len(p.centres) && slices.Contains(taken, c) {
+			continue
+		}
+		if w := figview.Weight(key, c); best == "" || w > top {
+			best, top = c, w
+		}
+	}
+	return best
+}
