--- /dev/null
+++ b/internal/limit/figqueue/queue.go
@@ -0,0 +1,201 @@
+// Package figqueue holds the requests of one pool that wait for room on its
+// backend servers, and shares the pool among client accounts by tokens. The
+// account that has had the least for its weight goes next (start-time fair
+// queueing), so that an account's backlog delays its own requests and no others.
+// Higher priorities go first; waiting raises a request's priority step by step.
+//
+// # Usage
+//
+//	q := figqueue.New(figqueue.Options{Clock: clock, Requests: 400, AccountRequests: 100, …})
+//	go q.Run(ctx, timer)
+//
+//	err := q.Do(ctx, figqueue.Item{Account: a.ID, Weight: a.Weight, Tokens: n, Place: place})
+//	var refusal *figqueue.Refusal // why the request won't be placed, and when to come back
+//
+// Place is called when the request's turn comes, several at once for different
+// requests. A request without room stays first in its turn until Wake or the
+// next tick. Whoever frees room calls Wake.
+package figqueue
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"figtrail.dev/figtrail/internal/core/figtimer"
+)
+
+// tickTime is the time between two ticks of Run.
+const tickTime = 20 * time.Millisecond
+
+// Verdict is what Place says of a request.
+type Verdict uint8
+
+const (
+	// Placed means that the request has its room.
+	Placed Verdict = iota
+	// NoRoom means that it has to wait.
+	NoRoom
+	// Rejected means that it can't be placed at all.
+	Rejected
+)
+
+// Options bounds a Queue. All bounds are needed.
+type Options struct {
+	// Clock is the source of time.
+	Clock figtimer.Clock
+	// Requests bounds the waiting requests of all accounts.
+	Requests int
+	// Bytes bounds the memory of the waiting requests of all accounts.
+	Bytes int64
+	// AccountRequests bounds the waiting requests of one account.
+	AccountRequests int
+	// AccountBytes bounds the memory of the waiting requests of one account.
+	AccountBytes int64
+	// Placing bounds the calls of Place at one time.
+	Placing int
+}
+
+// Item is a request that asks for its turn.
+type Item struct {
+	// Account is the client account that it runs for.
+	Account string
+	// Weight is the account's part of the pool; less than one counts as one.
+	Weight int64
+	// Priority orders requests; higher goes first.
+	Priority int
+	// Tokens is the request's cost in the sharing.
+	Tokens int64
+	// Bytes is the memory that it takes while it waits.
+	Bytes int64
+	// Deadline is the time at which it must have been placed; zero means none.
+	Deadline time.Time
+	// Place tries to place it. It returns soon after its context has ended.
+	Place func(ctx context.Context) Verdict
+}
+
+// Queue is the waiting room of one pool. It is safe for concurrent use.
+type Queue struct {
+	opts Options
+
+	mu      sync.Mutex
+	core    *core
+	placing int
+	// wakes counts calls of Wake; blocked is set while the first in turn has no room.
+	wakes   uint64
+	blocked bool
+}
+
+// New returns an empty queue.
+func New(opts Options) *Queue {
+	return &Queue{opts: opts, core: newCore(opts)}
+}
+
+// Do waits until the item is placed and returns nil, or returns a *Refusal. If
+// ctx ends while Place runs, Do returns when Place has, and returns nil if it
+// said Placed: the caller then gives the room back.
+func (q *Queue) Do(ctx context.Context, item Item) error {
+	e, err := q.enter(ctx, item)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-e.done:
+	case <-ctx.Done():
+		q.leave(e)
+		<-e.done
+	}
+	return e.result()
+}
+
+// Wake says that there may be room again.
+func (q *Queue) Wake() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.wakes++
+	q.blocked = false
+	q.dispatch()
+}
+
+// Run refuses requests whose deadline has passed and tries again for those
+// without room, until ctx ends.
+func (q *Queue) Run(ctx context.Context, t *figtimer.Timer) error {
+	for now := range t.Subscribe(ctx, tickTime) {
+		q.Tick(now)
+	}
+	return nil
+}
+
+// Tick does what Run does at each tick.
+func (q *Queue) Tick(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.core.expire(now)
+	q.blocked = false
+	q.dispatch()
+}
+
+// Status returns the state at this moment.
+func (q *Queue) Status() Status {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.core.status()
+	s.Placing = q.placing
+	return s
+}
+
+func (q *Queue) enter(ctx context.Context, item Item) (*entry, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if ctx.Err() != nil {
+		return nil, &Refusal{Account: item.Account, Reason: Ended}
+	}
+	e, refusal := q.core.push(ctx, item, q.opts.Clock.Now())
+	if refusal != nil {
+		return nil, refusal
+	}
+	q.dispatch()
+	return e, nil
+}
+
+// leave takes e out if it waits. An entry that is being placed is left to finish.
+func (q *Queue) leave(e *entry) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e.left = true
+	if e.flow != nil {
+		q.core.remove(e, Ended)
+	}
+}
+
+// dispatch starts Place for the next items as far as there is room for calls.
+func (q *Queue) dispatch() {
+	for !q.blocked && q.placing < q.opts.Placing {
+		e := q.core.pop(q.opts.Clock.Now())
+		if e == nil {
+			return
+		}
+		q.placing++
+		go q.place(e, q.wakes)
+	}
+}
+
+// place calls Place for e. wakes tells whether there was a Wake meanwhile.
+func (q *Queue) place(e *entry, wakes uint64) {
+	verdict := e.item.Place(e.ctx)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.placing--
+	switch {
+	case verdict == Placed:
+		q.core.placed(e, q.opts.Clock.Now())
+	case verdict == Rejected:
+		q.core.drop(e, Unplaceable)
+	case e.left:
+		q.core.drop(e, Ended)
+	default:
+		q.core.unpop(e)
+		q.blocked = wakes == q.wakes
+	}
+	q.dispatch()
+}
