Let the stand-ins rewind the platform and stall transfers

Cause: scripts need an old state of the platform, a stalled KV transfer, and runs found by the caller's prompt.

--- a/internal/stand/figstand/engine.go
+++ b/internal/stand/figstand/engine.go
@@ -190,6 +190,7 @@
 		return
 	}
 	c.text = c.prompt()
+	e.note(c.id, func(n *Run) { n.Text = c.text[:min(len(c.text), textKept)] })
 	if !e.enter() {
 		writeError(w, http.StatusTooManyRequests, "busy", "the batch is full")
 		return
--- a/internal/stand/figstand/engine_transfer.go
+++ b/internal/stand/figstand/engine_transfer.go
@@ -57,6 +57,9 @@
 	}
 	size := float64(s.tokens) * float64(e.opts.TokenBytes)
 	d := time.Duration(size / e.opts.LinkRate * float64(share) * float64(time.Second))
+	if _, ok := e.Faults.take(StallTransfer); ok {
+		<-r.Context().Done()
+	}
 	err := e.timer.Sleep(r.Context(), d)
 	e.endPull(q.ID, s)
 	if err == nil {
--- a/internal/stand/figstand/fault.go
+++ b/internal/stand/figstand/fault.go
@@ -31,6 +31,8 @@
 	ReadAndClose FaultKind = "readAndClose"
 	// SlowStart begins a cold start again, without a new start time.
 	SlowStart FaultKind = "slowStart"
+	// StallTransfer lets a transfer of KV cache begin and never end.
+	StallTransfer FaultKind = "stallTransfer"
 	// IgnoreClose keeps a request running after its caller has gone.
 	IgnoreClose FaultKind = "ignoreClose"
 )
--- a/internal/stand/figstand/platform.go
+++ b/internal/stand/figstand/platform.go
@@ -155,6 +155,14 @@
 	return revision
 }
 
+// Snapshot is the published state at one moment.
+type Snapshot struct {
+	state *platformState
+}
+
+// Snapshot returns the present state, which a Reader can be rewound to.
+func (p *Platform) Snapshot() *Snapshot { return &Snapshot{state: p.snapshot()} }
+
 // snapshot returns a copy of the state.
 func (p *Platform) snapshot() *platformState {
 	p.mu.Lock()
--- a/internal/stand/figstand/reader.go
+++ b/internal/stand/figstand/reader.go
@@ -74,6 +74,9 @@
 	r.turn(func() { r.frozen = frozen })
 }
 
+// Rewind makes the reader serve an earlier state as if it was the latest.
+func (r *Reader) Rewind(s *Snapshot) { r.turn(func() { r.frozen = s.state }) }
+
 func (r *Reader) turn(f func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/stand/figstand/record.go
+++ b/internal/stand/figstand/record.go
@@ -8,6 +8,9 @@
 	"sync"
 )
 
+// textKept bounds the remembered start of a prompt, in bytes.
+const textKept = 64
+
 // recordsKept bounds the remembered requests; the oldest go first.
 const recordsKept = 100_000
 
@@ -15,6 +18,8 @@
 type Run struct {
 	// ID is the request id.
 	ID string
+	// Text is the start of the prompt, by which a caller knows its request.
+	Text string
 	// Prefills and Decodes count the runs of each kind on an engine.
 	Prefills, Decodes int
 	// Calls counts the runs on a plain service.
@@ -86,6 +91,20 @@
 	return all
 }
 
+// Find returns the runs whose prompt starts with text, or whose id equals it.
+func (s *records) Find(text string) []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []Run
+	for _, id := range s.order {
+		r := s.runs[id]
+		if id == text || (r.Text != "" && strings.HasPrefix(r.Text, text)) {
+			found = append(found, *r)
+		}
+	}
+	return found
+}
+
 // Requests returns how many calls with a request came, whether or not they ran.
 func (s *records) Requests() int {
 	s.mu.Lock()
