Keep configuration by few readers and a relay, and membership by beats

480 instances can't all watch a service that gives 2,000 reads a second. Highest version per path wins for good.

--- /dev/null
+++ b/internal/config/figstore/list.go
@@ -0,0 +1,110 @@
+package figstore
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// goneKept bounds how many rows that have left a list are remembered, so that
+// another instance can be told of them.
+const goneKept = 1024
+
+// row is one row of a published list.
+type row[T any] struct {
+	value T
+	gone  bool
+	// revision is when this instance learned of the row's last change. The change
+	// itself is not later.
+	revision uint64
+}
+
+// list is one published list. Its revision only grows.
+type list[T any] struct {
+	revision uint64
+	rows     map[string]row[T]
+	// forgotten is the highest revision of a gone row that is no longer kept.
+	forgotten uint64
+}
+
+// change is a row as it travels.
+type change[T any] struct {
+	name  string
+	value T
+	gone  bool
+}
+
+// apply takes in the changes that lead up to revision. With all set, changes are
+// the whole list. It returns false if the list already is as new.
+func (l *list[T]) apply(revision uint64, all bool, changes []change[T]) bool {
+	if revision <= l.revision {
+		return false
+	}
+	if l.rows == nil {
+		l.rows = map[string]row[T]{}
+	}
+	if all {
+		l.dropOthers(revision, changes)
+	}
+	for _, c := range changes {
+		l.rows[c.name] = row[T]{c.value, c.gone, revision}
+	}
+	l.revision = revision
+	l.forget()
+	return true
+}
+
+// dropOthers marks rows as gone that a whole list doesn't have.
+func (l *list[T]) dropOthers(revision uint64, changes []change[T]) {
+	listed := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		listed[c.name] = true
+	}
+	for name, r := range l.rows {
+		if !listed[name] && !r.gone {
+			l.rows[name] = row[T]{r.value, true, revision}
+		}
+	}
+}
+
+// forget drops the gone rows that left longest ago.
+func (l *list[T]) forget() {
+	var gone []string
+	for name, r := range l.rows {
+		if r.gone {
+			gone = append(gone, name)
+		}
+	}
+	if len(gone) <= goneKept {
+		return
+	}
+	slices.SortFunc(gone, func(a, b string) int { return cmp.Compare(l.rows[a].revision, l.rows[b].revision) })
+	for _, name := range gone[:len(gone)-goneKept] {
+		l.forgotten = max(l.forgotten, l.rows[name].revision)
+		delete(l.rows, name)
+	}
+}
+
+// after returns the rows that changed after a revision, and whether they are the
+// whole list because the changes are no longer known.
+func (l *list[T]) after(revision uint64) (changes []change[T], all bool) {
+	all = revision < l.forgotten || revision == 0
+	for _, name := range slices.Sorted(maps.Keys(l.rows)) {
+		r := l.rows[name]
+		if (all && !r.gone) || (!all && r.revision > revision) {
+			changes = append(changes, change[T]{name, r.value, r.gone})
+		}
+	}
+	return changes, all
+}
+
+// present returns the rows on the list, sorted by name.
+func (l *list[T]) present() []T {
+	all := make([]T, 0, len(l.rows))
+	for _, name := range slices.Sorted(maps.Keys(l.rows)) {
+		if r := l.rows[name]; !r.gone {
+			all = append(all, r.value)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/config/figstore/message.go
@@ -0,0 +1,148 @@
+package figstore
+
+import (
+	"time"
+
+	"figtrail.dev/figtrail/internal/config/figplatform"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+// Request asks a peer for what it has and the asker lacks.
+type Request struct {
+	// From is the name of the asker.
+	From string `cbor:"1,keyasint"`
+	// Notify says that the asker has something new; the answer is empty.
+	Notify bool `cbor:"2,keyasint,omitempty"`
+	// Highest is the highest version of any value that the asker has.
+	Highest uint64 `cbor:"3,keyasint"`
+	// Digest stands for all values that the asker has.
+	Digest uint64 `cbor:"4,keyasint"`
+	// Buckets holds the digests of the asker's values by bucket; it is sent to find
+	// differences that Highest doesn't show.
+	Buckets []uint64 `cbor:"5,keyasint,omitempty"`
+	// Instances and Servers are the revisions of the asker's lists.
+	Instances uint64 `cbor:"6,keyasint"`
+	Servers   uint64 `cbor:"7,keyasint"`
+}
+
+// Reply is the answer to a Request.
+type Reply struct {
+	// Ready says that the peer serves, so that what it has is complete.
+	Ready bool `cbor:"1,keyasint"`
+	// Highest and Digest are as in Request, for the peer.
+	Highest uint64 `cbor:"2,keyasint"`
+	Digest  uint64 `cbor:"3,keyasint"`
+	// More says that another Request would bring more values.
+	More bool `cbor:"4,keyasint,omitempty"`
+	// Values holds values that the asker lacks.
+	Values []Value `cbor:"5,keyasint,omitempty"`
+	// Instances and Servers hold the changes of the lists, nil if the asker has them.
+	Instances *InstanceChanges `cbor:"6,keyasint,omitempty"`
+	Servers   *ServerChanges   `cbor:"7,keyasint,omitempty"`
+	// AgeMillis is how long ago the service last answered the peer or one whom it
+	// heard of, in milliseconds; negative for never.
+	AgeMillis int64 `cbor:"8,keyasint"`
+	// Source is the name of the instance that the service answered then.
+	Source string `cbor:"9,keyasint,omitempty"`
+}
+
+// Value is a published value as it travels.
+type Value struct {
+	Path    string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	Text    string `cbor:"3,keyasint,omitempty"`
+	Deleted bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// InstanceChanges holds changes of the list of instances up to a revision.
+type InstanceChanges struct {
+	Revision uint64           `cbor:"1,keyasint"`
+	All      bool             `cbor:"2,keyasint,omitempty"`
+	Rows     []InstanceChange `cbor:"3,keyasint"`
+}
+
+// InstanceChange is a changed row of the list of instances.
+type InstanceChange struct {
+	Name       string        `cbor:"1,keyasint"`
+	Address    string        `cbor:"2,keyasint"`
+	DataCentre string        `cbor:"3,keyasint"`
+	State      figview.State `cbor:"4,keyasint,omitempty"`
+	Gone       bool          `cbor:"5,keyasint,omitempty"`
+}
+
+// ServerChanges holds changes of the list of backend servers up to a revision.
+type ServerChanges struct {
+	Revision uint64         `cbor:"1,keyasint"`
+	All      bool           `cbor:"2,keyasint,omitempty"`
+	Rows     []ServerChange `cbor:"3,keyasint"`
+}
+
+// ServerChange is a changed row of the list of backend servers.
+type ServerChange struct {
+	Name       string        `cbor:"1,keyasint"`
+	Address    string        `cbor:"2,keyasint"`
+	DataCentre string        `cbor:"3,keyasint"`
+	Pool       string        `cbor:"4,keyasint"`
+	Role       figview.Role  `cbor:"5,keyasint"`
+	State      figview.State `cbor:"6,keyasint,omitempty"`
+	// StartedMillis counts from the Unix epoch.
+	StartedMillis int64 `cbor:"7,keyasint"`
+	Gone          bool  `cbor:"8,keyasint,omitempty"`
+}
+
+func travelling(values []figplatform.Value) []Value {
+	out := make([]Value, 0, len(values))
+	for _, v := range values {
+		out = append(out, Value{Path: v.Path, Version: v.Version, Text: v.Text, Deleted: v.Deleted})
+	}
+	return out
+}
+
+func instanceChanges(l *list[figview.Member], since uint64) *InstanceChanges {
+	if l.revision <= since {
+		return nil
+	}
+	rows, all := l.after(since)
+	c := &InstanceChanges{Revision: l.revision, All: all}
+	for _, r := range rows {
+		m := r.value
+		c.Rows = append(c.Rows, InstanceChange{m.Name, m.Address, m.DataCentre, m.State, r.gone})
+	}
+	return c
+}
+
+func (c *InstanceChanges) changes() []change[figview.Member] {
+	rows := make([]change[figview.Member], 0, len(c.Rows))
+	for _, r := range c.Rows {
+		m := figview.Member{Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, State: r.State}
+		rows = append(rows, change[figview.Member]{r.Name, m, r.Gone})
+	}
+	return rows
+}
+
+func serverChanges(l *list[figview.Server], since uint64) *ServerChanges {
+	if l.revision <= since {
+		return nil
+	}
+	rows, all := l.after(since)
+	c := &ServerChanges{Revision: l.revision, All: all}
+	for _, r := range rows {
+		v := r.value
+		c.Rows = append(c.Rows, ServerChange{
+			v.Name, v.Address, v.DataCentre, v.Pool, v.Role, v.State, v.StartedAt.UnixMilli(), r.gone,
+		})
+	}
+	return c
+}
+
+func (c *ServerChanges) changes() []change[figview.Server] {
+	rows := make([]change[figview.Server], 0, len(c.Rows))
+	for _, r := range c.Rows {
+		v := figview.Server{
+			Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, Pool: r.Pool,
+			Role: r.Role, State: r.State, StartedAt: time.UnixMilli(r.StartedMillis).UTC(),
+		}
+		rows = append(rows, change[figview.Server]{r.Name, v, r.Gone})
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/config/figstore/read.go
@@ -0,0 +1,204 @@
+package figstore
+
+import (
+	"context"
+	"time"
+
+	"figtrail.dev/figtrail/internal/config/figplatform"
+	"figtrail.dev/figtrail/internal/core/figtimer"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+const (
+	// confirmInterval is how often a reader confirms the list of instances.
+	confirmInterval = 500 * time.Millisecond
+	// watchWait is how long a watch of the service waits for a change.
+	watchWait = 5 * time.Second
+	// idleInterval is how often an instance that isn't a reader looks whether it
+	// has to be one.
+	idleInterval = 500 * time.Millisecond
+	// retryLeast and retryMost bound the wait after a failed read.
+	retryLeast = 500 * time.Millisecond
+	retryMost  = 10 * time.Second
+	// rereadInterval is the least time between two reads from the beginning.
+	rereadInterval = 10 * time.Second
+)
+
+// backoff is the wait after failed reads: exponential, with full jitter.
+type backoff struct {
+	failures int
+	random   func() float64
+}
+
+// next returns how long to wait after one more failure.
+func (b *backoff) next() time.Duration {
+	most := retryLeast << min(b.failures, 10)
+	b.failures++
+	most = min(most, retryMost)
+	return retryLeast/2 + time.Duration(b.random()*float64(most))
+}
+
+func (b *backoff) reset() { b.failures = 0 }
+
+// duty is one thing to read again and again.
+type duty struct {
+	// due says whether this instance reads it now.
+	due func() bool
+	// read reads it once. It returns true if there was something new.
+	read func(ctx context.Context) (bool, error)
+	// watches says that read itself waits for something new.
+	watches bool
+}
+
+// repeat reads while it is due. It waits after each read that brought nothing
+// new and has not waited itself, and for a growing time after failures.
+func (s *Store) repeat(ctx context.Context, t *figtimer.Timer, d duty) {
+	b := backoff{random: s.opts.Random}
+	for ctx.Err() == nil {
+		wait := idleInterval
+		if d.due() {
+			wait = s.once(ctx, d, &b)
+		}
+		if t.Sleep(ctx, wait) != nil {
+			return
+		}
+	}
+}
+
+// once reads once and returns how long to wait then.
+func (s *Store) once(ctx context.Context, d duty, b *backoff) time.Duration {
+	asked := s.opts.Clock.Now()
+	news, err := d.read(ctx)
+	if err != nil {
+		return b.next()
+	}
+	b.reset()
+	waited := s.opts.Clock.Now().Sub(asked) >= confirmInterval
+	if d.watches && (news || waited) {
+		return 0
+	}
+	return confirmInterval
+}
+
+func (s *Store) readInstances(ctx context.Context, t *figtimer.Timer) {
+	due := func() bool { return s.View().Version == 0 || s.reading() }
+	s.repeat(ctx, t, duty{due: due, read: s.readInstancesOnce})
+}
+
+func (s *Store) readServers(ctx context.Context, t *figtimer.Timer) {
+	s.repeat(ctx, t, duty{due: s.reading, read: s.readServersOnce, watches: true})
+}
+
+func (s *Store) readValues(ctx context.Context, t *figtimer.Timer) {
+	s.repeat(ctx, t, duty{due: s.reading, read: s.readValuesOnce, watches: true})
+}
+
+// countRead counts a call and keeps whether the service answered.
+func (s *Store) countRead(asked time.Time, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Reads++
+	s.source.read(asked, err)
+	if err != nil {
+		s.counts.ReadFailures++
+	}
+}
+
+func (s *Store) readInstancesOnce(ctx context.Context) (bool, error) {
+	after := s.View().Version
+	asked := s.opts.Clock.Now()
+	l, err := s.opts.Platform.Instances(ctx, after, 0)
+	s.countRead(asked, err)
+	if err == nil && s.overtaken(listInstances, l.Revision) {
+		after = 0
+		l, err = s.opts.Platform.Instances(ctx, after, 0)
+		s.countRead(asked, err)
+	}
+	if err != nil {
+		return false, err
+	}
+	rows := make([]change[figview.Member], 0, len(l.Rows))
+	for _, r := range l.Rows {
+		rows = append(rows, change[figview.Member]{r.Name, r.Member, r.Gone})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.source.revision(listInstances, l.Revision, s.instances.revision)
+	news := s.instances.apply(l.Revision, after == 0, rows)
+	s.source.confirm(asked, l.Revision, s.instances.revision)
+	s.spread(news)
+	return news, nil
+}
+
+// overtaken says whether a service that had gone back is now ahead of what is in
+// force. What changed in between is then only seen in the whole list.
+func (s *Store) overtaken(w which, revision uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.instances.revision
+	if w == listServers {
+		held = s.serverList.revision
+	}
+	return s.source.behind[w] && revision > held
+}
+
+func (s *Store) readServersOnce(ctx context.Context) (bool, error) {
+	after := s.Servers().Version
+	asked := s.opts.Clock.Now()
+	l, err := s.opts.Platform.Servers(ctx, after, watchWait)
+	s.countRead(asked, err)
+	if err == nil && s.overtaken(listServers, l.Revision) {
+		after = 0
+		l, err = s.opts.Platform.Servers(ctx, after, 0)
+		s.countRead(asked, err)
+	}
+	if err != nil {
+		return false, err
+	}
+	rows := make([]change[figview.Server], 0, len(l.Rows))
+	for _, r := range l.Rows {
+		rows = append(rows, change[figview.Server]{r.Name, r.Server, r.Gone})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.source.revision(listServers, l.Revision, s.serverList.revision)
+	news := s.serverList.apply(l.Revision, after == 0, rows)
+	s.spread(news)
+	return news, nil
+}
+
+// readValuesOnce reads what the service has after this reader's own cursor. A
+// service whose revision has gone back is read from the beginning once in a
+// while, as it may have new values under old revisions.
+func (s *Store) readValuesOnce(ctx context.Context) (bool, error) {
+	s.mu.Lock()
+	after := s.source.valuesCursor
+	s.mu.Unlock()
+	asked := s.opts.Clock.Now()
+	v, err := s.opts.Platform.Values(ctx, after, watchWait)
+	s.countRead(asked, err)
+	if err != nil {
+		return false, err
+	}
+	return s.takeValues(v, asked), nil
+}
+
+// takeValues returns true if there was something new or there is more to read.
+func (s *Store) takeValues(v *figplatform.Values, asked time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	news := s.offer(v.Values)
+	s.spread(news)
+	s.source.values(v.Revision, v.More, asked)
+	s.source.stale[listValues] = !v.More && v.Revision < s.table.highest
+	return news || v.More
+}
+
+// spread brings news into force and has the neighbours told of them. The caller
+// holds the lock.
+func (s *Store) spread(news bool) {
+	if news {
+		s.publish()
+		s.changes.Push(struct{}{})
+	}
+}
--- /dev/null
+++ b/internal/config/figstore/relay.go
@@ -0,0 +1,269 @@
+package figstore
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"figtrail.dev/figtrail/internal/config/figplatform"
+	"figtrail.dev/figtrail/internal/core/figtimer"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+const (
+	// neighbourCount is how many peers an instance notifies and pulls from.
+	neighbourCount = 4
+	// pullInterval is how often one of them is asked in turn.
+	pullInterval = time.Second
+	// bootInterval is how often a new instance asks all of them until it serves.
+	bootInterval = 200 * time.Millisecond
+	// replyBytes bounds the values of one reply, beside its last one.
+	replyBytes = 1 << 20
+	// bucketsInterval is the least time between two comparisons by bucket.
+	bucketsInterval = 2 * time.Second
+	// pullRounds bounds the requests of one pull.
+	pullRounds = 4096
+)
+
+// neighbours returns the peers that this instance asks and notifies. They differ
+// from instance to instance and stand in different data centres where they can.
+func (s *Store) neighbours() []figview.Member {
+	v := s.View()
+	if v.Version == 0 {
+		return s.opts.Seeds
+	}
+	ranked := v.Rank(figview.Key("relay", s.opts.Self), "")
+	ranked = slices.DeleteFunc(ranked, func(m figview.Member) bool { return m.Name == s.opts.Self })
+	return spreadOut(ranked, neighbourCount)
+}
+
+// spreadOut picks up to n members, one of each data centre before a second of any.
+func spreadOut(ranked []figview.Member, n int) []figview.Member {
+	picked := make([]figview.Member, 0, n)
+	for len(picked) < n && len(ranked) > 0 {
+		seen := map[string]bool{}
+		ranked = slices.DeleteFunc(ranked, func(m figview.Member) bool {
+			if len(picked) == n || seen[m.DataCentre] {
+				return false
+			}
+			seen[m.DataCentre] = true
+			picked = append(picked, m)
+			return true
+		})
+	}
+	return picked
+}
+
+// Answer answers a peer's request. A request that shows that the peer has
+// something new queues a pull from it.
+func (s *Store) Answer(_ context.Context, q *Request) (*Reply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if q.Highest > s.table.highest || q.Instances > s.instances.revision || q.Servers > s.serverList.revision {
+		s.queuePull(q.From)
+	}
+	if q.Notify {
+		return &Reply{}, nil
+	}
+	r := &Reply{
+		Ready:     s.Ready(),
+		Highest:   s.table.highest,
+		Digest:    s.table.digest(),
+		Instances: instanceChanges(&s.instances, q.Instances),
+		Servers:   serverChanges(&s.serverList, q.Servers),
+	}
+	r.Source, r.AgeMillis = s.source.age(s.opts.Clock.Now(), s.opts.Self)
+	var values []figplatform.Value
+	switch {
+	case q.Digest == r.Digest:
+	case q.Buckets != nil:
+		values, r.More = s.table.differing(q.Buckets, replyBytes)
+	default:
+		values, r.More = s.table.after(q.Highest, replyBytes)
+	}
+	r.Values = travelling(values)
+	return r, nil
+}
+
+func (s *Store) queuePull(name string) {
+	if m, ok := s.View().Find(name); ok {
+		s.pulls.Push(m)
+	}
+}
+
+// pullInTurn asks one neighbour after the other.
+func (s *Store) pullInTurn(ctx context.Context, t *figtimer.Timer) {
+	for !s.Ready() {
+		s.pullAll(ctx)
+		if t.Sleep(ctx, bootInterval) != nil {
+			return
+		}
+	}
+	turn := 0
+	for range t.Subscribe(ctx, pullInterval) {
+		turn = s.pullNext(ctx, turn)
+	}
+}
+
+// pullNext asks the neighbour whose turn it is, or the one after if that fails.
+func (s *Store) pullNext(ctx context.Context, turn int) int {
+	near := s.neighbours()
+	for range min(2, len(near)) {
+		turn++
+		if s.pull(ctx, near[turn%len(near)]) == nil {
+			break
+		}
+	}
+	return turn
+}
+
+// pullAll asks every neighbour, as a new instance does before it serves.
+func (s *Store) pullAll(ctx context.Context) {
+	near := s.neighbours()
+	for _, m := range near {
+		_ = s.pull(ctx, m)
+	}
+	s.settleBoot(near)
+}
+
+// Nudge tells the store what a peer said it has: the highest version and the
+// digest of its values, and the version of its list of instances. If the store
+// lacks any of it, it asks the peer.
+func (s *Store) Nudge(m figview.Member, highest, digest, view uint64) {
+	s.mu.Lock()
+	behind := highest > s.table.highest || view > s.instances.revision ||
+		(highest == s.table.highest && digest != s.table.digest())
+	s.mu.Unlock()
+	if behind {
+		s.pulls.Push(m)
+	}
+}
+
+// pullNotified asks the peers that said they have something new.
+func (s *Store) pullNotified(ctx context.Context) {
+	for {
+		m, err := s.pulls.Pop(ctx)
+		if err != nil {
+			return
+		}
+		_ = s.pull(ctx, m)
+	}
+}
+
+// pull takes in what m has and this instance lacks.
+func (s *Store) pull(ctx context.Context, m figview.Member) error {
+	buckets := false
+	for range pullRounds {
+		q := s.request(buckets)
+		asked := s.opts.Clock.Now()
+		r, err := s.opts.Ask(ctx, m, q)
+		s.countPull(m, r, err)
+		if err != nil {
+			return err
+		}
+		same := s.take(r, asked)
+		switch {
+		case same:
+			return nil
+		case r.More:
+		case buckets || !s.mayCompare():
+			return nil
+		default:
+			buckets = true
+		}
+	}
+	return nil
+}
+
+func (s *Store) request(buckets bool) *Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := &Request{
+		From:      s.opts.Self,
+		Highest:   s.table.highest,
+		Digest:    s.table.digest(),
+		Instances: s.instances.revision,
+		Servers:   s.serverList.revision,
+	}
+	if buckets {
+		q.Buckets = slices.Clone(s.table.buckets[:])
+	}
+	return q
+}
+
+// mayCompare says whether it is time for a comparison by bucket.
+func (s *Store) mayCompare() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.opts.Clock.Now()
+	if now.Sub(s.lastBuckets) < bucketsInterval && !s.lastBuckets.IsZero() {
+		return false
+	}
+	s.lastBuckets = now
+	return true
+}
+
+// take brings a reply into force. It returns true if both now have the same values.
+func (s *Store) take(r *Reply, asked time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	values := make([]figplatform.Value, 0, len(r.Values))
+	for _, v := range r.Values {
+		values = append(values, figplatform.Value{Path: v.Path, Version: v.Version, Text: v.Text, Deleted: v.Deleted})
+	}
+	changed := s.offer(values)
+	if c := r.Instances; c != nil {
+		changed = s.instances.apply(c.Revision, c.All, c.changes()) || changed
+	}
+	if c := r.Servers; c != nil {
+		changed = s.serverList.apply(c.Revision, c.All, c.changes()) || changed
+	}
+	if r.Source != s.opts.Self {
+		s.source.heard(asked, r)
+	}
+	s.spread(changed)
+	return r.Digest == s.table.digest()
+}
+
+// offer takes in values. The caller holds the lock.
+func (s *Store) offer(values []figplatform.Value) bool {
+	changed := false
+	for _, v := range values {
+		if !s.table.offer(v) {
+			s.counts.Ignored++
+			continue
+		}
+		s.counts.Applied++
+		changed = true
+	}
+	return changed
+}
+
+// notifyChanges tells the neighbours after each change.
+func (s *Store) notifyChanges(ctx context.Context) {
+	for {
+		if _, err := s.changes.Pop(ctx); err != nil {
+			return
+		}
+		var calls sync.WaitGroup
+		for _, m := range s.neighbours() {
+			calls.Go(func() {
+				q := s.request(false)
+				q.Notify = true
+				_, _ = s.opts.Ask(ctx, m, q)
+			})
+		}
+		calls.Wait()
+	}
+}
+
+func (s *Store) countPull(m figview.Member, r *Reply, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Pulls++
+	if err != nil {
+		s.counts.PullFailures++
+	}
+	s.boot.asked(m.Name, r)
+}
--- /dev/null
+++ b/internal/config/figstore/status.go
@@ -0,0 +1,92 @@
+package figstore
+
+import (
+	"time"
+
+	"figtrail.dev/figtrail/internal/config/figtree"
+)
+
+// staleAfter is how long the service may leave everyone without an answer before
+// the status says so.
+const staleAfter = 5 * time.Second
+
+// Status says what is in force and how the service does.
+type Status struct {
+	// Ready is as the method.
+	Ready bool `json:"ready"`
+	// Reader says that this instance reads the service.
+	Reader bool `json:"reader"`
+	// Service is "reachable", "stale" (it answers with older values than are in
+	// force) or "unreachable" (it has not answered anyone heard of for a while).
+	Service string `json:"service"`
+	// SinceAnswer is how long ago the service last answered anyone heard of;
+	// negative for never.
+	SinceAnswer time.Duration `json:"sinceAnswer"`
+	// Highest is the highest version of any value, Digest stands for all of them.
+	Highest uint64 `json:"highest"`
+	Digest  uint64 `json:"digest"`
+	// Instances and Servers are the versions of the lists.
+	Instances uint64 `json:"instances"`
+	Servers   uint64 `json:"servers"`
+	// Documents counts the values known, Accounts and Keys what is in force.
+	Documents int `json:"documents"`
+	Accounts  int `json:"accounts"`
+	Keys      int `json:"keys"`
+	// Refused says why the latest versions of some values are not in force, Faults
+	// what else of the values in force is left out or cut to a limit.
+	Refused []figtree.Fault `json:"refused,omitempty"`
+	Faults  []figtree.Fault `json:"faults,omitempty"`
+	// Counts holds the counters since the start.
+	Counts Counts `json:"counts"`
+}
+
+// Status returns the state for operators.
+func (s *Store) Status() Status {
+	reader := s.reading()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, age := s.source.age(s.opts.Clock.Now(), s.opts.Self)
+	return Status{
+		Ready:       s.Ready(),
+		Reader:      reader,
+		Service:     s.serviceState(age),
+		SinceAnswer: time.Duration(age) * time.Millisecond,
+		Highest:     s.table.highest,
+		Digest:      s.table.digest(),
+		Instances:   s.instances.revision,
+		Servers:     s.serverList.revision,
+		Documents:   len(s.table.entries),
+		Accounts:    s.Tree().AccountCount(),
+		Keys:        s.Tree().KeyCount(),
+		Refused:     s.table.refused(),
+		Faults:      s.table.builder.Faults(),
+		Counts:      s.counts,
+	}
+}
+
+func (s *Store) serviceState(ageMillis int64) string {
+	switch {
+	case ageMillis < 0 || ageMillis > staleAfter.Milliseconds():
+		return "unreachable"
+	case s.source.stale[listValues] || s.source.stale[listInstances] || s.source.stale[listServers]:
+		return "stale"
+	}
+	return "reachable"
+}
+
+// Confirmed returns when the service last said to this instance that the list of
+// instances in force is its latest one: the time before that read was sent. It is
+// zero if it never did.
+func (s *Store) Confirmed() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.source.confirmed
+}
+
+// Digest returns the highest version of any value and a number that stands for
+// all values, for the beats between instances.
+func (s *Store) Digest() (highest, digest uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.highest, s.table.digest()
+}
--- /dev/null
+++ b/internal/config/figstore/store.go
@@ -0,0 +1,174 @@
+// Package figstore keeps the configuration in force in an instance: the tree of
+// declarations and the two published lists. A few instances read the
+// configuration service; the others learn changes from their peers.
+//
+// The highest version of each path wins for good, whoever brings it: a stale
+// replica, a stale peer or a service that restarts with older values can't turn
+// anything back. A value that doesn't parse is refused alone and its last good
+// version stays in force.
+//
+// # Usage
+//
+//	s := figstore.New(figstore.Options{Self: "a", Platform: figplatform.HTTP(address), Ask: ask})
+//	figpeer.Handle(handlers, "config", s.Answer)
+//	go s.Run(ctx, timer)
+//	for range s.Subscribe() {
+//		apply(s.Tree(), s.View(), s.Servers())
+//	}
+//
+// Tree, View and Servers never return nil and cost one atomic load. They are
+// empty until the first values arrive; Ready says when an instance may serve.
+package figstore
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"figtrail.dev/figtrail/internal/config/figplatform"
+	"figtrail.dev/figtrail/internal/config/figtree"
+	"figtrail.dev/figtrail/internal/core/figring"
+	"figtrail.dev/figtrail/internal/core/figtimer"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+// pullsQueued bounds the peers that wait to be asked; a full ring forgets the
+// oldest, which the periodic pull makes up for.
+const pullsQueued = 16
+
+// Options holds the settings and seams of a Store.
+type Options struct {
+	// Self is the name of this instance.
+	Self string
+	// Clock is the source of time; the system's by default.
+	Clock figtimer.Clock
+	// Random returns a number from 0 up to 1; the system's by default.
+	Random func() float64
+	// Platform reads the configuration service.
+	Platform figplatform.Platform
+	// Seeds holds instances to ask while no list of instances is known.
+	Seeds []figview.Member
+	// Ask sends a request to a peer.
+	Ask func(ctx context.Context, m figview.Member, q *Request) (*Reply, error)
+}
+
+// Store keeps the configuration in force. It is safe for concurrent use.
+type Store struct {
+	opts     Options
+	started  time.Time
+	patience time.Duration
+
+	tree    atomic.Pointer[figtree.Tree]
+	view    atomic.Pointer[figview.View]
+	servers atomic.Pointer[figview.Servers]
+	ready   atomic.Bool
+
+	pulls   *figring.Ring[figview.Member]
+	changes *figring.Ring[struct{}]
+
+	mu          sync.Mutex
+	table       *table
+	instances   list[figview.Member]
+	serverList  list[figview.Server]
+	source      source
+	boot        boot
+	subscribers []chan struct{}
+	lastBuckets time.Time
+	counts      Counts
+}
+
+// Counts counts what a store did since its start.
+type Counts struct {
+	// Reads counts calls to the service, ReadFailures those without an answer.
+	Reads, ReadFailures uint64
+	// Pulls counts requests to peers, PullFailures those without an answer.
+	Pulls, PullFailures uint64
+	// Ignored counts values and lists that were older than what was known.
+	Ignored uint64
+	// Applied counts values taken in.
+	Applied uint64
+}
+
+// New returns a store that knows nothing yet.
+func New(o Options) *Store {
+	if o.Clock.Now == nil {
+		o.Clock = figtimer.System()
+	}
+	if o.Random == nil {
+		o.Random = rand.Float64
+	}
+	s := &Store{
+		opts:    o,
+		pulls:   figring.New[figview.Member](pullsQueued, figring.DropOldest),
+		changes: figring.New[struct{}](1, figring.DropOldest),
+		table:   newTable(),
+		started: o.Clock.Now(),
+	}
+	s.patience = lonelyAfter + time.Duration(o.Random()*float64(lonelyAfter))
+	s.tree.Store(s.table.builder.Build())
+	s.view.Store(figview.NewView(0, nil))
+	s.servers.Store(&figview.Servers{})
+	return s
+}
+
+// Tree returns the tree in force.
+func (s *Store) Tree() *figtree.Tree { return s.tree.Load() }
+
+// View returns the list of instances in force.
+func (s *Store) View() *figview.View { return s.view.Load() }
+
+// Servers returns the list of backend servers in force.
+func (s *Store) Servers() *figview.Servers { return s.servers.Load() }
+
+// Ready says that the configuration is complete and that peers were asked. Once
+// true, it stays true.
+func (s *Store) Ready() bool { return s.ready.Load() }
+
+// Subscribe returns a channel that receives when anything in force has changed.
+// A slow subscriber gets one notice for several changes.
+func (s *Store) Subscribe() <-chan struct{} {
+	c := make(chan struct{}, 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subscribers = append(s.subscribers, c)
+	return c
+}
+
+// Run does all duties of the store until ctx ends.
+func (s *Store) Run(ctx context.Context, t *figtimer.Timer) error {
+	var duties sync.WaitGroup
+	duties.Go(func() { s.readInstances(ctx, t) })
+	duties.Go(func() { s.readValues(ctx, t) })
+	duties.Go(func() { s.readServers(ctx, t) })
+	duties.Go(func() { s.pullInTurn(ctx, t) })
+	duties.Go(func() { s.pullNotified(ctx) })
+	duties.Go(func() { s.notifyChanges(ctx) })
+	duties.Wait()
+	return nil
+}
+
+// publish brings what has changed into force and tells subscribers and peers.
+// The caller holds the lock.
+func (s *Store) publish() {
+	tree := s.table.builder.Build()
+	changed := s.tree.Swap(tree) != tree
+	if v := s.instances.revision; v > s.View().Version {
+		s.view.Store(figview.NewView(v, s.instances.present()))
+		changed = true
+	}
+	if v := s.serverList.revision; v > s.Servers().Version {
+		s.servers.Store(&figview.Servers{Version: v, All: s.serverList.present()})
+		changed = true
+	}
+	if !changed {
+		return
+	}
+	for _, c := range s.subscribers {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/figstore/values.go
@@ -0,0 +1,177 @@
+package figstore
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"figtrail.dev/figtrail/internal/config/figplatform"
+	"figtrail.dev/figtrail/internal/config/figtree"
+)
+
+// bucketCount is the number of digests that two instances compare to find the
+// values in which they differ.
+const bucketCount = 128
+
+// entry is what an instance knows of one path. Both parts are functions of the
+// set of values seen, whatever their order.
+type entry struct {
+	// latest is the highest version seen.
+	latest figplatform.Value
+	// good is the highest version seen that parses; it is the one in force.
+	good figplatform.Value
+	// faults say why latest is not in force.
+	faults []figtree.Fault
+	// digest stands for the entry in its bucket.
+	digest uint64
+}
+
+// table holds the published values, the highest version of each path for good.
+type table struct {
+	entries map[string]*entry
+	buckets [bucketCount]uint64
+	// highest is the highest version of any path.
+	highest uint64
+	builder *figtree.Builder
+}
+
+func newTable() *table {
+	return &table{entries: map[string]*entry{}, builder: figtree.NewBuilder()}
+}
+
+// newer orders values of one path by version. Values with equal versions, which
+// only a service that lost its last writes can give, are ordered by content, so
+// that all instances settle on the same one.
+func newer(a, b figplatform.Value) bool {
+	if a.Version != b.Version {
+		return a.Version > b.Version
+	}
+	if a.Deleted != b.Deleted {
+		return a.Deleted
+	}
+	return xxhash.Sum64String(a.Text) > xxhash.Sum64String(b.Text)
+}
+
+// offer takes in one value. It returns true if the entry changed.
+func (t *table) offer(v figplatform.Value) bool {
+	e := t.entries[v.Path]
+	if e == nil {
+		e = &entry{}
+	}
+	advances, improves := newer(v, e.latest), newer(v, e.good)
+	if !advances && !improves {
+		return false
+	}
+	d, faults := parse(v)
+	improves = improves && len(faults) == 0
+	if !advances && !improves {
+		return false
+	}
+	if improves {
+		e.good = v
+		t.bringIntoForce(v, d)
+	}
+	if advances {
+		e.latest, e.faults = v, faults
+	}
+	t.entries[v.Path] = e
+	t.highest = max(t.highest, v.Version)
+	t.rehash(v.Path, e)
+	return true
+}
+
+func parse(v figplatform.Value) (*figtree.Document, []figtree.Fault) {
+	if v.Deleted {
+		return nil, nil
+	}
+	return figtree.Parse(v.Path, []byte(v.Text))
+}
+
+func (t *table) bringIntoForce(v figplatform.Value, d *figtree.Document) {
+	if d == nil {
+		t.builder.Remove(v.Path)
+		return
+	}
+	t.builder.Put(d)
+}
+
+func bucketOf(path string) uint64 { return xxhash.Sum64String(path) % bucketCount }
+
+func (t *table) rehash(path string, e *entry) {
+	b := bucketOf(path)
+	t.buckets[b] ^= e.digest
+	e.digest = hashOf(path, e.latest) ^ 31*hashOf(path, e.good)
+	t.buckets[b] ^= e.digest
+}
+
+func hashOf(path string, v figplatform.Value) uint64 {
+	h := xxhash.New()
+	for _, s := range []string{path, strconv.FormatUint(v.Version, 10), strconv.FormatBool(v.Deleted), v.Text} {
+		_, _ = h.WriteString(s)
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
+
+// digest stands for all values held.
+func (t *table) digest() uint64 {
+	var d uint64
+	for i, b := range t.buckets {
+		d ^= b * uint64(2*i+1)
+	}
+	return d
+}
+
+// after returns the values with a version above since, lowest first, up to limit
+// bytes and at least one, and whether there are more.
+func (t *table) after(since uint64, limit int) ([]figplatform.Value, bool) {
+	if t.highest <= since {
+		return nil, false
+	}
+	return t.pick(limit, func(_ string, e *entry) bool { return e.latest.Version > since })
+}
+
+// differing returns the values of the buckets that differ from another
+// instance's, in the manner of after.
+func (t *table) differing(buckets []uint64, limit int) ([]figplatform.Value, bool) {
+	return t.pick(limit, func(path string, _ *entry) bool {
+		b := bucketOf(path)
+		return b >= uint64(len(buckets)) || t.buckets[b] != buckets[b]
+	})
+}
+
+func (t *table) pick(limit int, wanted func(string, *entry) bool) ([]figplatform.Value, bool) {
+	var picked []*entry
+	for path, e := range t.entries {
+		if wanted(path, e) {
+			picked = append(picked, e)
+		}
+	}
+	slices.SortFunc(picked, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.latest.Version, b.latest.Version), cmp.Compare(a.latest.Path, b.latest.Path))
+	})
+	var values []figplatform.Value
+	for _, e := range picked {
+		if limit <= 0 {
+			return values, true
+		}
+		values = append(values, e.latest)
+		limit -= len(e.latest.Path) + len(e.latest.Text)
+		if e.good.Version != 0 && e.good != e.latest {
+			values = append(values, e.good)
+			limit -= len(e.good.Path) + len(e.good.Text)
+		}
+	}
+	return values, false
+}
+
+// refused returns the faults of the values whose latest version is not in force.
+func (t *table) refused() []figtree.Fault {
+	var faults []figtree.Fault
+	for _, e := range t.entries {
+		faults = append(faults, e.faults...)
+	}
+	return faults
+}
