--- a/internal/config/figstore/converge_test.go
+++ b/internal/config/figstore/converge_test.go
@@ -68,7 +68,7 @@
 		until(t, 10*time.Second, func() bool { return all(nodes, ready) })
 		reader := nodes[0].store.View().Readers()[0].Name
 		n.setCut(reader, "service", true)
-		var times []time.Duration
+		times := make([]time.Duration, 0, 200)
 		for i := range 200 {
 			s.publish("team/accounts", rate(i+1))
 			times = append(times, until(t, 10*time.Second, func() bool {
--- a/internal/config/figstore/fleet_test.go
+++ b/internal/config/figstore/fleet_test.go
@@ -292,7 +292,7 @@
 
 // startFleet lists and starts count instances in three data centres.
 func startFleet(ctx context.Context, n *network, s *service, count int) []*node {
-	var nodes []*node
+	nodes := make([]*node, 0, count)
 	for i := range count {
 		m := figview.Member{Name: memberName(i), Address: "10.0.0.1:7000", DataCentre: fmt.Sprint("dc", i%3)}
 		s.list(m, false)
