Test sends against cut connections, faults of engines and allocations

Cause: nothing showed that a refund runs once whatever is cut, and an answer whose id merely ended in the request's was taken for its own. Change: ids match only whole or behind the engines' known prefixes; imports name their request.

--- a/internal/engine/figengine/ask.go
+++ b/internal/engine/figengine/ask.go
@@ -17,8 +17,11 @@
 	ID string `json:"id"`
 }
 
-// transferMessage carries transfer parameters.
+// transferMessage carries transfer parameters, and for an import the request
+// that they are of.
 type transferMessage struct {
+	ID       string          `json:"id,omitempty"`
+	Tokens   int             `json:"tokens,omitempty"`
 	Transfer json.RawMessage `json:"kvTransferParams"`
 }
 
@@ -54,11 +57,12 @@
 	if err := o.ask(ctx, server, "export", post("/kv/export", idMessage{ID: id}), &m); err != nil {
 		return nil, err
 	}
-	return &PrefillResult{Transfer: m.Transfer}, nil
+	return &PrefillResult{ID: id, Transfer: m.Transfer}, nil
 }
 
 func (o *openAI) importCache(ctx context.Context, server figview.Server, r *PrefillResult) error {
-	return o.ask(ctx, server, "import", post("/kv/import", transferMessage{Transfer: r.Transfer}), nil)
+	m := transferMessage{ID: r.ID, Tokens: r.PromptTokens, Transfer: r.Transfer}
+	return o.ask(ctx, server, "import", post("/kv/import", m), nil)
 }
 
 // get returns a call that may be repeated.
--- a/internal/engine/figengine/engine.go
+++ b/internal/engine/figengine/engine.go
@@ -59,6 +59,8 @@
 
 // PrefillResult says where the KV cache of a prompt is.
 type PrefillResult struct {
+	// ID is the request id under which the engine holds it.
+	ID string
 	// Transfer holds the engine's transfer parameters as they came.
 	Transfer json.RawMessage
 	// PromptTokens is the length of the prompt in tokens, CachedTokens the part
--- a/internal/engine/figengine/openai.go
+++ b/internal/engine/figengine/openai.go
@@ -125,6 +125,7 @@
 		}
 	}
 	return &PrefillResult{
+		ID:           c.ID,
 		Transfer:     json.RawMessage(transfer.Raw),
 		PromptTokens: int(gjson.GetBytes(body, "usage.prompt_tokens").Int()),
 		CachedTokens: int(gjson.GetBytes(body, "usage.prompt_tokens_details.cached_tokens").Int()),
--- /dev/null
+++ b/internal/engine/figengine/openai_test.go
@@ -0,0 +1,226 @@
+package figengine
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tidwall/gjson"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/request/figsend"
+	"figtrail.dev/figtrail/internal/stand/figstand"
+)
+
+const (
+	// patience bounds the wait for a condition.
+	patience = 20 * time.Second
+	// look is the time between two looks at a condition.
+	look = 2 * time.Millisecond
+)
+
+func startEngine(t *testing.T, opts figstand.EngineOptions) (*figstand.Engine, figview.Server) {
+	t.Helper()
+	e, err := figstand.StartEngine(opts)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = e.Close() })
+	return e, figview.Server{Name: opts.Role, Address: e.Address()}
+}
+
+func newAdapter(t *testing.T) (Engine, *figsend.Sender) {
+	t.Helper()
+	s := figsend.New(figsend.Options{})
+	t.Cleanup(s.Close)
+	return OpenAI(s), s
+}
+
+func newPrompt(id string) *Prompt {
+	return &Prompt{
+		ID: id, Path: "/v1/chat/completions", MaxTokens: 8, Priority: 3,
+		Body: []byte(`{"model":"m","messages":[{"role":"user","content":"hello"}],"max_tokens":500}`),
+	}
+}
+
+// text reads a stream to its end.
+func text(ctx context.Context, s *figsend.Stream) (string, error) {
+	var b strings.Builder
+	for {
+		e, err := s.Next(ctx, patience)
+		if err != nil {
+			return b.String(), err
+		}
+		b.WriteString(gjson.GetBytes(e.Data, "choices.0.delta.content").Str)
+	}
+}
+
+func requireKind(t *testing.T, err error, kind figsend.Kind, ran figsend.Ran) {
+	t.Helper()
+	require.Error(t, err)
+	require.Equal(t, kind.String(), figsend.KindOf(err).String(), err)
+	require.Equal(t, ran.String(), figsend.RanOf(err).String(), err)
+}
+
+func TestPrefillThenDecode(t *testing.T) {
+	p, prefiller := startEngine(t, figstand.EngineOptions{Role: "prefill"})
+	d, decoder := startEngine(t, figstand.EngineOptions{Role: "decode"})
+	e, _ := newAdapter(t)
+	result, err := e.Prefill(t.Context(), prefiller, newPrompt("r1"))
+	require.NoError(t, err)
+	require.Equal(t, figstand.CountTokens("hello"), result.PromptTokens)
+	stream, err := e.Decode(t.Context(), decoder, newPrompt("r1"), result)
+	require.NoError(t, err)
+	defer stream.Close()
+	got, err := text(t.Context(), stream)
+	require.Equal(t, io.EOF, err)
+	require.Equal(t, figstand.AnswerText("hello", 8), got)
+	require.Zero(t, p.Held())
+	require.Eventually(t, func() bool { return d.Held() == 0 }, patience, look)
+
+	// The result was fetched, so a second decode finds none.
+	_, err = e.Decode(t.Context(), decoder, newPrompt("r1"), result)
+	requireKind(t, err, figsend.KindRefused, figsend.NotRun)
+	require.Equal(t, 1, d.Run("r1").Decodes)
+}
+
+func TestResume(t *testing.T) {
+	_, decoder := startEngine(t, figstand.EngineOptions{Role: "decode"})
+	e, _ := newAdapter(t)
+	p := newPrompt("r1")
+	p.ResumeFrom = 3
+	stream, err := e.Decode(t.Context(), decoder, p, nil)
+	require.NoError(t, err)
+	defer stream.Close()
+	got, err := text(t.Context(), stream)
+	require.Equal(t, io.EOF, err)
+	require.Equal(t, figstand.AnswerText("hello", 8), figstand.AnswerText("hello", 3)+got)
+}
+
+func TestCloseFreesEngineMemory(t *testing.T) {
+	d, decoder := startEngine(t, figstand.EngineOptions{Role: "decode"})
+	e, _ := newAdapter(t)
+	p := newPrompt("r1")
+	p.MaxTokens = 100_000
+	stream, err := e.Decode(t.Context(), decoder, p, nil)
+	require.NoError(t, err)
+	_, err = stream.Next(t.Context(), patience)
+	require.NoError(t, err)
+	require.NotZero(t, d.Held())
+	stream.Close()
+	require.Eventually(t, func() bool { return d.Held() == 0 && d.Run("r1").Cancelled == 1 }, patience, look)
+}
+
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		fault           figstand.FaultKind
+		prefill, decode figsend.Kind
+		ran             figsend.Ran
+	}{
+		{figstand.Crossed, figsend.KindCrossed, figsend.KindCrossed, figsend.Unknown},
+		{figstand.Refuse, figsend.KindRefused, figsend.KindRefused, figsend.NotRun},
+		{figstand.ReadAndClose, figsend.KindCut, figsend.KindCut, figsend.Unknown},
+		{figstand.Silent, figsend.KindDeadline, figsend.KindDeadline, figsend.Unknown},
+		{figstand.Cut, figsend.KindOther, figsend.KindCut, figsend.Unknown},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.fault), func(t *testing.T) {
+			p, prefiller := startEngine(t, figstand.EngineOptions{Role: "prefill"})
+			d, decoder := startEngine(t, figstand.EngineOptions{Role: "decode"})
+			e, sender := newAdapter(t)
+			p.Faults.Set(figstand.Fault{Kind: tt.fault, Count: 1})
+			d.Faults.Set(figstand.Fault{Kind: tt.fault, Count: 1})
+			prompt := newPrompt("r1")
+			limit := func() {
+				if tt.fault == figstand.Silent {
+					prompt.Deadline = time.Now().Add(100 * time.Millisecond)
+				}
+			}
+			limit()
+			if tt.prefill != figsend.KindOther {
+				_, err := e.Prefill(t.Context(), prefiller, prompt)
+				requireKind(t, err, tt.prefill, tt.ran)
+				require.LessOrEqual(t, p.Run("r1").Prefills, 1)
+			}
+			limit()
+			stream, err := e.Decode(t.Context(), decoder, prompt, nil)
+			if err == nil {
+				_, err = text(t.Context(), stream)
+				stream.Close()
+			}
+			requireKind(t, err, tt.decode, tt.ran)
+			require.LessOrEqual(t, d.Run("r1").Decodes, 1)
+			require.Equal(t, tt.fault == figstand.Crossed, sender.Crossed.Load() == 2)
+		})
+	}
+}
+
+func TestEngineErrorIsAnAnswer(t *testing.T) {
+	_, decoder := startEngine(t, figstand.EngineOptions{Role: "decode"})
+	e, _ := newAdapter(t)
+	p := newPrompt("r1")
+	p.Path = "/v1/none"
+	stream, err := e.Decode(t.Context(), decoder, p, nil)
+	require.NoError(t, err)
+	require.Equal(t, 404, stream.Answer.Status)
+	_, err = e.Prefill(t.Context(), decoder, p)
+	requireKind(t, err, figsend.KindStatus, figsend.Unknown)
+	p.Body = []byte(`[]`)
+	_, err = e.Decode(t.Context(), decoder, p, nil)
+	requireKind(t, err, figsend.KindInvalid, figsend.NotRun)
+}
+
+func TestSecretStays(t *testing.T) {
+	d, decoder := startEngine(t, figstand.EngineOptions{Role: "decode"})
+	e, _ := newAdapter(t)
+	p := newPrompt("r1")
+	p.Secret = "ft_k1_0123456789abcdefgh"
+	p.Header = []figsend.Header{{Name: "Authorization", Value: "Bearer " + p.Secret}, {Name: "x-priority", Value: "0"}}
+	stream, err := e.Decode(t.Context(), decoder, p, nil)
+	require.NoError(t, err)
+	stream.Close()
+	require.False(t, d.Saw("0123456789abcdefgh"))
+	p.Body = []byte(`{"user":"ft_k1_0123456789abcdefgh"}`)
+	_, err = e.Decode(t.Context(), decoder, p, nil)
+	requireKind(t, err, figsend.KindInvalid, figsend.NotRun)
+}
+
+func TestControl(t *testing.T) {
+	p, prefiller := startEngine(t, figstand.EngineOptions{
+		Role: "prefill", ChecksFence: true, BlockBytes: 4, Models: []string{"m"},
+		ReportLag: time.Nanosecond, ResultLife: time.Hour,
+	})
+	d, decoder := startEngine(t, figstand.EngineOptions{Role: "decode", ResultLife: time.Hour})
+	e, _ := newAdapter(t)
+	ctx := t.Context()
+	result, err := e.Prefill(ctx, prefiller, newPrompt("r1"))
+	require.NoError(t, err)
+
+	load, err := e.Load(ctx, prefiller)
+	require.NoError(t, err)
+	require.Equal(t, []string{"m"}, load.Models)
+	require.Equal(t, []Running{{ID: "r1", Pieces: 1}}, load.Running)
+	require.Equal(t, 1, load.PiecesTotal-load.PiecesFree)
+	require.False(t, load.StartedAt.IsZero())
+
+	require.NoError(t, e.Order(ctx, prefiller, &Order{Fence: 5, Kind: "loadAdapter", Name: "a"}))
+	requireKind(t, e.Order(ctx, prefiller, &Order{Fence: 4, Kind: "loadModel", Name: "b"}), figsend.KindStatus, figsend.Unknown)
+	require.Len(t, p.Orders(), 1)
+
+	events, err := e.Events(ctx, prefiller, 0)
+	require.NoError(t, err)
+	require.Len(t, events.Events, 1)
+	require.Equal(t, "stored", events.Events[0].Kind)
+	events, err = e.Events(ctx, prefiller, events.Next)
+	require.NoError(t, err)
+	require.Empty(t, events.Events)
+
+	exported, err := e.Export(ctx, prefiller, "r1")
+	require.NoError(t, err)
+	require.JSONEq(t, string(result.Transfer), string(exported.Transfer))
+	require.NoError(t, e.Import(ctx, decoder, exported))
+	require.Equal(t, 1, d.HeldBy("r1"))
+	require.NoError(t, e.Cancel(ctx, decoder, "r1"))
+	require.Zero(t, d.Held())
+}
--- /dev/null
+++ b/internal/engine/figengine/rewrite_test.go
@@ -0,0 +1,87 @@
+package figengine
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestRewrite(t *testing.T) {
+	decode := rewrite{stream: true, maxTokens: 9, transfer: json.RawMessage(`{"a":1}`), resumeFrom: 3}
+	const decoded = `"stream":true,"stream_options":{"include_usage":true},"max_tokens":9,"resume_from":3,"kv_transfer_params":{"a":1}}`
+	tests := []struct {
+		name string
+		w    rewrite
+		body string
+		want string
+		err  error
+	}{
+		{"empty", rewrite{}, ` {} `, `{"stream":false}`, nil},
+		{"keeps order and bytes", rewrite{}, "{\"z\" : 1.50, \"a\":\t{\"stream\":true}}", `{"z":1.50,"a":{"stream":true},"stream":false}`, nil},
+		{"keeps its own length", rewrite{}, `{"max_tokens":5}`, `{"max_tokens":5,"stream":false}`, nil},
+		{"decode", decode, `{"stream":false,"max_tokens":1,"max_completion_tokens":2,"x":"\u00e4"}`, `{"x":"\u00e4",` + decoded, nil},
+		{"another's cache", decode, `{"kv_transfer_params":{"remote_block_ids":[7]},"resume_from":1}`, `{` + decoded, nil},
+		{"escaped name", decode, `{"kv_transfer_p\u0061rams":{"remote_block_ids":[7]}}`, `{` + decoded, nil},
+		{"twice", rewrite{}, `{"model":"a","model":"b"}`, "", errDuplicate},
+		{"twice, escaped", rewrite{}, `{"n":1,"\u006e":2}`, "", errDuplicate},
+		{"twice, dropped", rewrite{}, `{"stream":true,"stream":false}`, "", errDuplicate},
+		{"array", rewrite{}, `[]`, "", errNotObject},
+		{"cut", rewrite{}, `{"a":1`, "", errNotObject},
+		{"two objects", rewrite{}, `{}{}`, "", errNotObject},
+		{"nothing", rewrite{}, ``, "", errNotObject},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := tt.w.apply([]byte(tt.body))
+			require.ErrorIs(t, err, tt.err)
+			require.Equal(t, tt.want, string(got))
+		})
+	}
+}
+
+// TestRewriteAgainstLibrary compares with what a decoder makes of both bodies.
+func TestRewriteAgainstLibrary(t *testing.T) {
+	names := []string{"model", "stream", "max_tokens", "kv_transfer_params", "n", "prompt", "stream_options"}
+	rapid.Check(t, func(t *rapid.T) {
+		want := map[string]any{}
+		for _, name := range names {
+			if rapid.Bool().Draw(t, "has "+name) {
+				want[name] = rapid.String().Draw(t, name)
+			}
+		}
+		body, err := json.Marshal(want)
+		require.NoError(t, err)
+		before := string(body)
+		w := rewrite{maxTokens: rapid.IntRange(0, 1).Draw(t, "limit"), transfer: json.RawMessage(`{}`)}
+		out, err := w.apply(body)
+		require.NoError(t, err)
+		require.Equal(t, before, string(body), "the caller's body was changed")
+		delete(want, "stream_options")
+		want["stream"] = false
+		want["kv_transfer_params"] = map[string]any{}
+		if w.maxTokens > 0 {
+			want["max_tokens"] = 1.0
+		}
+		var got map[string]any
+		require.NoError(t, json.Unmarshal(out, &got))
+		require.Equal(t, want, got)
+	})
+}
+
+func TestRewriteCopiesLargeBodyTwice(t *testing.T) {
+	body := []byte(`{"model":"m","prompt":"` + strings.Repeat("word ", 200_000) + `","stream":true}`)
+	w := rewrite{stream: true, maxTokens: 100, transfer: json.RawMessage(`{"a":1}`)}
+	result := testing.Benchmark(func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := w.apply(body); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	// One copy for the parser and the result, with room for the allocator's rounding.
+	require.Less(t, result.AllocedBytesPerOp(), int64(len(body))*9/4)
+}
--- /dev/null
+++ b/internal/request/figsend/alloc_test.go
@@ -0,0 +1,124 @@
+package figsend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// doAllocations bounds the allocations of a call on a kept connection: the
+	// answer, its header fields and its body, the exchange and its watch.
+	doAllocations = 18
+	// eventAllocations bounds those of an event: the id that is compared.
+	eventAllocations = 1
+	// streamEvents is the length of the measured stream.
+	streamEvents = 20_000
+)
+
+// quietServer answers every request of a connection without allocating.
+func quietServer(tb testing.TB) *Call {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(tb, err)
+	tb.Cleanup(func() { _ = l.Close() })
+	answer := []byte(ok)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				b := make([]byte, 4096)
+				for {
+					n, err := c.Read(b)
+					if err != nil {
+						return
+					}
+					if bytes.HasSuffix(b[:n], []byte("\r\n\r\n")) {
+						_, _ = c.Write(answer)
+					}
+				}
+			}()
+		}
+	}()
+	c := callTo((&listener{Listener: l}).server(), http.MethodGet, true)
+	c.Header = []Header{{"Accept", "application/json"}}
+	return c
+}
+
+func TestDoAllocations(t *testing.T) {
+	c := quietServer(t)
+	s := newSender(t, Options{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	allocations := testing.AllocsPerRun(500, func() {
+		if _, err := s.Do(ctx, c); err != nil {
+			t.Error(err)
+		}
+	})
+	require.LessOrEqual(t, allocations, float64(doAllocations))
+}
+
+// openStream returns a stream whose events have all been written.
+func openStream(tb testing.TB, s *Sender) *Stream {
+	event := []byte(chunked(false, "data: {\"id\":\"r1\",\"choices\":[{\"delta\":{\"content\":\"word\"}}]}\n\n"))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(tb, err)
+	tb.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = c.Read(make([]byte, 4096))
+		_, err = io.WriteString(c, streamHead)
+		for err == nil {
+			_, err = c.Write(event)
+		}
+	}()
+	c := callTo((&listener{Listener: l}).server(), http.MethodPost, false)
+	c.MatchEvents = true
+	stream, err := s.Stream(tb.Context(), c)
+	require.NoError(tb, err)
+	tb.Cleanup(stream.Close)
+	return stream
+}
+
+func TestStreamAllocations(t *testing.T) {
+	stream := openStream(t, newSender(t, Options{}))
+	ctx := stream.exchange.ctx
+	allocations := testing.AllocsPerRun(streamEvents, func() {
+		if _, err := stream.Next(ctx, patience); err != nil {
+			t.Error(err)
+		}
+	})
+	require.LessOrEqual(t, allocations, float64(eventAllocations))
+}
+
+func BenchmarkDo(b *testing.B) {
+	c := quietServer(b)
+	s := New(Options{})
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := s.Do(b.Context(), c); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkStreamEvent(b *testing.B) {
+	stream := openStream(b, New(Options{}))
+	ctx := stream.exchange.ctx
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := stream.Next(ctx, patience); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/request/figsend/fail_test.go
+++ b/internal/request/figsend/fail_test.go
@@ -232,7 +232,10 @@
 func TestCancelClosesConnection(t *testing.T) {
 	for _, idempotent := range []bool{true, false} {
 		arrived := make(chan (<-chan struct{}), 1)
-		server := listen(t, func(c net.Conn) { arrived <- untilClosed(c) })
+		server := listen(t, func(c net.Conn) {
+			_, _ = http.ReadRequest(newReader(c))
+			arrived <- untilClosed(c)
+		})
 		ctx, cancel := context.WithCancel(t.Context())
 		failed := make(chan error, 1)
 		s := newSender(t, Options{})
--- a/internal/request/figsend/match.go
+++ b/internal/request/figsend/match.go
@@ -1,15 +1,26 @@
 package figsend
 
-import "github.com/cockroachdb/errors"
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// idPrefixes are what engines put before the request id in an answer's id.
+var idPrefixes = [...]string{"chatcmpl-", "cmpl-"}
 
 // Matches says that the id of an event or answer names the request: it is the
-// request id, or ends in it after a dash.
+// request id, alone or after one of the prefixes that engines use.
 func Matches(got, id string) bool {
 	if got == id {
 		return true
 	}
-	n := len(got) - len(id)
-	return n > 0 && got[n-1] == '-' && got[n:] == id
+	for _, p := range idPrefixes {
+		if rest, ok := strings.CutPrefix(got, p); ok && rest == id {
+			return true
+		}
+	}
+	return false
 }
 
 // CrossedAnswer counts an answer to c that names another request, and returns
--- a/internal/request/figsend/stream_test.go
+++ b/internal/request/figsend/stream_test.go
@@ -72,6 +72,7 @@
 		{"ended in an event", streamHead + chunked(true, one, "data: [DONE]\n"), true, 1, KindCut},
 		{"cut in a chunk", streamHead + chunked(false, one) + "40\r\ndata: [DO", true, 1, KindCut},
 		{"crossed", streamHead + chunked(true, one, "data: {\"id\":\"cmpl-r2\"}\n\n", done), true, 1, KindCrossed},
+		{"id behind another prefix", streamHead + chunked(true, "data: {\"id\":\"crossed-r1\"}\n\n", done), true, 0, KindCrossed},
 		{"longer id", streamHead + chunked(true, "data: {\"id\":\"xr1\"}\n\n", done), true, 0, KindCrossed},
 		{"no id", streamHead + chunked(true, "data: {\"n\":1}\n\n", done), true, 0, KindCrossed},
 		{"error event", streamHead + chunked(true, "data: {\"error\":{}}\n\n", done), true, 1, 0},
