Read a refusal that comes before the request is whole

Cause: a server that refuses a large request before reading it closes the connection, and the send said that the outcome was unknown; a 408 that a server sends to an idle connection passed for an answer; headers above 4 KB failed. Change: an early answer on a new connection is read, a 408 on a kept one is a cut connection, headers have 16 KB.

--- a/internal/request/figsend/exchange.go
+++ b/internal/request/figsend/exchange.go
@@ -11,14 +11,19 @@
 	"github.com/valyala/fasthttp"
 )
 
-// interimLimit bounds the 1xx answers before the final one.
-const interimLimit = 5
+const (
+	// interimLimit bounds the 1xx answers before the final one.
+	interimLimit = 5
+	// headerLimit bounds the header of an answer, in bytes.
+	headerLimit = 16 << 10
+)
 
 var (
-	readers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, headerLimit) }}
 	writers = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
 
 	errInterim  = errors.New("too many interim answers")
+	errIdle     = errors.New("the server gave up the idle connection")
 	errDeadline = errors.New("the deadline has passed")
 )
 
@@ -32,6 +37,8 @@
 	deadline time.Time
 	reader   *bufio.Reader
 	response *fasthttp.Response
+	// unsent is why only a part of the request was sent.
+	unsent *Failure
 	// stop ends the watch on ctx. It returns false if the watch has fired.
 	stop func() bool
 }
@@ -68,9 +75,9 @@
 	}
 	x := &exchange{held: h, sender: s, ctx: ctx, call: c, deadline: deadline}
 	x.stop = context.AfterFunc(ctx, func() { _ = h.conn.Close() })
-	if f := x.write(q); f != nil {
+	if x.unsent = x.write(q); x.unsent != nil && !x.answeredEarly() {
 		x.finish(false)
-		return nil, f
+		return nil, x.unsent
 	}
 	x.reader = readers.Get().(*bufio.Reader)
 	x.reader.Reset(h.conn)
@@ -120,6 +127,12 @@
 	return f
 }
 
+// answeredEarly says that the server closed the connection before it had read
+// the whole request, so that an answer may lie there already.
+func (x *exchange) answeredEarly() bool {
+	return x.unsent.Ran == Unknown && x.unsent.Kind == KindCut && !x.conn.reused
+}
+
 // head reads the answer's status line and header.
 func (x *exchange) head() *Failure {
 	opts := &x.sender.opts
@@ -129,6 +142,9 @@
 		x.conn.pause = min(opts.AnswerLimit, opts.ReuseLimit)
 	}
 	if _, err := x.reader.Peek(1); err != nil {
+		if x.unsent != nil {
+			return x.unsent
+		}
 		return x.failure("answer", err)
 	}
 	x.conn.pause = opts.ProgressLimit
@@ -143,8 +159,13 @@
 	return fail(x.call, "answer", KindOther, Unknown, errInterim)
 }
 
-// matchHeader refuses an answer that names another request.
+// matchHeader refuses an answer that names another request, and one that a
+// server gives to a kept connection instead of to a request on it.
 func (x *exchange) matchHeader() *Failure {
+	if x.conn.reused && x.response.StatusCode() == fasthttp.StatusRequestTimeout {
+		x.sender.Late.Add(1)
+		return x.failure("answer", errIdle)
+	}
 	echoed := x.response.Header.Peek(requestIDHeader)
 	if len(echoed) == 0 || x.call.ID == "" || string(echoed) == x.call.ID {
 		return nil
@@ -185,7 +206,7 @@
 // finish ends the exchange. A connection is kept only if the context never
 // reached for it and nothing unread is left on it.
 func (x *exchange) finish(reuse bool) {
-	quiet := x.stop()
+	reuse = x.stop() && reuse && x.unsent == nil
 	if x.reader != nil {
 		if left := x.reader.Buffered(); reuse && left > 0 {
 			x.sender.Late.Add(1)
@@ -199,5 +220,5 @@
 		fasthttp.ReleaseResponse(x.response)
 		x.response = nil
 	}
-	x.release(reuse && quiet)
+	x.release(reuse)
 }
--- a/internal/request/figsend/fail_test.go
+++ b/internal/request/figsend/fail_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -269,3 +270,44 @@
 	}
 	require.LessOrEqual(t, len(s.hosts), hostsKept)
 }
+
+// TestEarlyRefusal has a server refuse a large request before it has read it.
+func TestEarlyRefusal(t *testing.T) {
+	server := listen(t, func(c net.Conn) {
+		_, _ = http.ReadRequest(newReader(c))
+		_, _ = c.Write([]byte("HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n"))
+		_ = c.Close()
+	})
+	c := callTo(server.server(), http.MethodPost, false)
+	c.Body = make([]byte, 64<<20)
+	_, err := newSender(t, Options{}).Do(t.Context(), c)
+	kindIs(t, err, KindRefused, NotRun)
+}
+
+func TestLargeHeader(t *testing.T) {
+	large := "HTTP/1.1 200 OK\r\nX-Large: " + strings.Repeat("x", headerLimit/2) + "\r\nContent-Length: 3\r\n\r\nyes"
+	server := newRawServer(t, func(int64, *http.Request) string { return large })
+	answer, err := newSender(t, Options{}).Do(t.Context(), callTo(server.server(), http.MethodGet, true))
+	require.NoError(t, err)
+	require.Len(t, answer.Get("X-Large"), headerLimit/2)
+}
+
+// TestIdleTimeoutIsNoAnswer has a server say 408 on a kept connection, as some do
+// when they give it up.
+func TestIdleTimeoutIsNoAnswer(t *testing.T) {
+	server := newRawServer(t, func(run int64, _ *http.Request) string {
+		if run == 2 {
+			return "HTTP/1.1 408 Idle\r\nContent-Length: 0\r\n\r\n"
+		}
+		return ok
+	})
+	s := newSender(t, Options{})
+	c := callTo(server.server(), http.MethodGet, true)
+	_, err := s.Do(t.Context(), c)
+	require.NoError(t, err)
+	_, err = s.Do(t.Context(), c)
+	kindIs(t, err, KindCut, Unknown)
+	require.EqualValues(t, 1, s.Late.Load())
+	_, err = s.Do(t.Context(), c)
+	require.NoError(t, err)
+}
--- /dev/null
+++ b/internal/request/figsend/option_linux_test.go
@@ -0,0 +1,40 @@
+package figsend
+
+import (
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// option returns a socket option of a connection.
+func option(t *testing.T, c net.Conn, level, name int) int {
+	t.Helper()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	value := 0
+	var failed error
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		value, failed = unix.GetsockoptInt(int(fd), level, name)
+	}))
+	require.NoError(t, failed)
+	return value
+}
+
+// TestConnectionsAreProbed looks at both kinds of connection: those to servers
+// and those that callers have made.
+func TestConnectionsAreProbed(t *testing.T) {
+	_, accepted := callerPair(t)
+	server := listen(t, func(net.Conn) {})
+	dialled, err := dial(t.Context(), server.Addr().String(), patience)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = dialled.Close() })
+	for _, c := range []net.Conn{accepted, dialled} {
+		require.Equal(t, 1, option(t, c, unix.SOL_SOCKET, unix.SO_KEEPALIVE))
+		require.Equal(t, int(keepAliveIdle.Seconds()), option(t, c, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE))
+		require.Equal(t, int(keepAliveInterval.Seconds()), option(t, c, unix.IPPROTO_TCP, unix.TCP_KEEPINTVL))
+		require.Equal(t, keepAliveCount, option(t, c, unix.IPPROTO_TCP, unix.TCP_KEEPCNT))
+		require.Equal(t, int(unackedLimit.Milliseconds()), option(t, c, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT))
+	}
+}
--- a/internal/request/figsend/stream_test.go
+++ b/internal/request/figsend/stream_test.go
@@ -215,3 +215,22 @@
 	_, err = stream.Next(t.Context(), patience)
 	kindIs(t, err, KindDeadline, Unknown)
 }
+
+// FuzzEvents reads any bytes with two buffer sizes, which must make no difference.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("event: a\ndata: b\r\n\r\n: c\n\ndata:d\ndata\n\ndata: [DONE]\n"))
+	f.Fuzz(func(t *testing.T, wire []byte) {
+		small := eventReader{lines: bufio.NewReaderSize(bytes.NewReader(wire), 16)}
+		large := eventReader{lines: bufio.NewReaderSize(bytes.NewReader(wire), 1<<16)}
+		for {
+			a, failed := small.next()
+			b, err := large.next()
+			require.Equal(t, err, failed)
+			if err != nil {
+				return
+			}
+			require.Equal(t, string(b.Data), string(a.Data))
+			require.Equal(t, string(b.Name), string(a.Name))
+		}
+	})
+}
