--- /dev/null
+++ b/internal/config/figplatform/http_test.go
@@ -0,0 +1,175 @@
+package figplatform_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/config/figplatform"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/stand/figstand"
+)
+
+func startPlatform(t *testing.T) *figstand.Platform {
+	t.Helper()
+	p, err := figstand.StartPlatform(figstand.PlatformOptions{})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, p.Close()) })
+	return p
+}
+
+func TestValuesPageByPage(t *testing.T) {
+	stand := startPlatform(t)
+	const count = 50
+	for i := range count {
+		stand.Publish(fmt.Sprint("team/", i), "# nothing\n")
+	}
+	stand.Delete("team/0")
+	p := figplatform.HTTP(stand.Address())
+	seen := map[string]figplatform.Value{}
+	var after uint64
+	for more := true; more; {
+		v, err := p.Values(context.Background(), after, 0)
+		require.NoError(t, err)
+		for _, one := range v.Values {
+			seen[one.Path] = one
+		}
+		after, more = v.Revision, v.More
+	}
+	require.Len(t, seen, count)
+	require.True(t, seen["team/0"].Deleted)
+	require.Equal(t, uint64(count+1), after)
+}
+
+func TestLists(t *testing.T) {
+	stand := startPlatform(t)
+	stand.SetInstance(figstand.InstanceRow{Name: "a", Address: "127.0.0.1:1", DataCentre: "x", State: "live"})
+	stand.SetInstance(figstand.InstanceRow{Name: "b", Address: "127.0.0.1:2", DataCentre: "x", State: "gone"})
+	stand.SetServer(figstand.ServerRow{
+		Name: "s", Address: "127.0.0.1:3", DataCentre: "x", Pool: "p", Role: "decode", State: "leaving",
+		StartedAt: "2026-01-02T03:04:05Z",
+	})
+	p := figplatform.HTTP(stand.Address())
+	l, err := p.Instances(context.Background(), 0, 0)
+	require.NoError(t, err)
+	require.Equal(t, uint64(2), l.Revision)
+	gone := map[string]bool{}
+	for _, r := range l.Rows {
+		gone[r.Name] = r.Gone
+	}
+	require.Equal(t, map[string]bool{"a": false, "b": true}, gone)
+	s, err := p.Servers(context.Background(), 0, 0)
+	require.NoError(t, err)
+	require.Len(t, s.Rows, 1)
+	require.Equal(t, figview.Decode, s.Rows[0].Role)
+	require.Equal(t, figview.Leaving, s.Rows[0].State)
+	require.Equal(t, 2026, s.Rows[0].StartedAt.Year())
+}
+
+func TestWrongAnswers(t *testing.T) {
+	for _, c := range []struct{ name, body string }{
+		{"no JSON", "<html>"},
+		{"unknown state", `{"revision":1,"instances":[{"name":"a","state":"asleep"}]}`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := figplatform.HTTP(answerWith(t, c.body, new(atomic.Int64)))
+			_, err := p.Instances(context.Background(), 0, 0)
+			require.Error(t, err)
+		})
+	}
+}
+
+// A call is sent once, also when the service reads it and closes, on a fresh and
+// on a reused connection.
+func TestOneAttempt(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		answered int64
+	}{{"fresh", 0}, {"reused", 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			var calls atomic.Int64
+			p := figplatform.HTTP(answerFirst(t, c.answered, &calls))
+			for range c.answered {
+				_, err := p.Instances(context.Background(), 0, 0)
+				require.NoError(t, err)
+			}
+			_, err := p.Instances(context.Background(), 0, 0)
+			require.Error(t, err)
+			require.Equal(t, c.answered+1, calls.Load())
+		})
+	}
+}
+
+// A connection that has gone silent fails a call by its deadline.
+func TestSilentService(t *testing.T) {
+	stand := startPlatform(t)
+	stand.Silent(true)
+	p := figplatform.HTTP(stand.Address(), figplatform.WithTimeout(100*time.Millisecond))
+	_, err := p.Values(context.Background(), 0, 50*time.Millisecond)
+	require.Error(t, err)
+	stand.Silent(false)
+	_, err = p.Values(context.Background(), 0, 0)
+	require.NoError(t, err)
+}
+
+func TestContextEndsWait(t *testing.T) {
+	stand := startPlatform(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	p := figplatform.HTTP(stand.Address())
+	go func() {
+		for stand.Reads.Load() == 0 {
+			<-time.After(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, err := p.Values(ctx, 0, 20*time.Second)
+	require.ErrorIs(t, err, context.Canceled)
+}
+
+func answerWith(t *testing.T, body string, calls *atomic.Int64) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		_, _ = w.Write([]byte(body))
+	})}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { require.NoError(t, s.Close()) })
+	return l.Addr().String()
+}
+
+// answerFirst answers the first calls; the later ones it reads and then closes
+// their connection.
+func answerFirst(t *testing.T, answered int64, calls *atomic.Int64) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, l.Close()) })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					if _, err := http.ReadRequest(r); err != nil || calls.Add(1) > answered {
+						return
+					}
+					_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"revision\":1}"))
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
--- a/internal/config/figplatform/protocol.go
+++ b/internal/config/figplatform/protocol.go
@@ -61,6 +61,10 @@
 	for _, b := range body.Values {
 		v.Values = append(v.Values, Value(b))
 	}
+	if n := len(v.Values); v.More && n > 0 {
+		// The service names its latest revision on every page.
+		v.Revision = v.Values[n-1].Version
+	}
 	return v, nil
 }
 
