--- /dev/null
+++ b/internal/config/figtree/bench_test.go
@@ -0,0 +1,92 @@
+package figtree
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	benchAccounts = 47_000
+	perDocument   = 50
+)
+
+// benchDocument returns the text of one team's accounts, one of which has a rate.
+func benchDocument(team, rate int) string {
+	var s strings.Builder
+	s.WriteString("accounts:\n")
+	for i := range perDocument {
+		fmt.Fprintf(&s, "  - name: a%d\n    tokensPerSecond: %d\n    pools: [p]\n    keys:\n      - id: k%dx%d\n"+
+			"        salt: 00112233445566778899aabbccddeeff\n        hash: %064x\n", i, 100+rate*(i/(perDocument-1)), team, i, team)
+	}
+	return s.String()
+}
+
+// benchBuilder returns a builder that holds a number of accounts.
+func benchBuilder(tb testing.TB, accounts int) *Builder {
+	tb.Helper()
+	b := NewBuilder()
+	put := func(path, text string) {
+		d, faults := Parse(path, []byte(text))
+		require.Empty(tb, faults)
+		b.Put(d)
+	}
+	put("pools", "pools: [{name: p, models: [m]}]\nlimits: {tokensPerSecond: 100000}\n")
+	for team := range accounts / perDocument {
+		put(fmt.Sprintf("team%d/accounts", team), benchDocument(team, 0))
+	}
+	require.Equal(tb, accounts, b.Build().AccountCount())
+	return b
+}
+
+// One account's change costs its document and a few shards, not the tree: the
+// shards that a change copies are bounded by what it touches.
+func TestChangeCopiesFewShards(t *testing.T) {
+	b := benchBuilder(t, benchAccounts/10)
+	before := b.Build()
+	d, faults := Parse("team7/accounts", []byte(benchDocument(7, 1)))
+	require.Empty(t, faults)
+	b.Put(d)
+	after := b.Build()
+	copied := 0
+	for i := range before.accounts.shards {
+		was, is := before.accounts.shards[i], after.accounts.shards[i]
+		if fmt.Sprintf("%p", was) != fmt.Sprintf("%p", is) {
+			copied++
+		}
+	}
+	require.Equal(t, 1, copied)
+	require.Empty(t, b.Faults())
+}
+
+// BenchmarkChange applies one account's change to a tree of 47,000 accounts.
+func BenchmarkChange(b *testing.B) {
+	builder := benchBuilder(b, benchAccounts)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		d, _ := Parse("team7/accounts", []byte(benchDocument(7, i+1)))
+		builder.Put(d)
+		builder.Build()
+	}
+}
+
+// BenchmarkParse parses one document of fifty accounts.
+func BenchmarkParse(b *testing.B) {
+	text := []byte(benchDocument(7, 1))
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = Parse("team7/accounts", text)
+	}
+}
+
+// BenchmarkLookup finds an account and a key among 47,000.
+func BenchmarkLookup(b *testing.B) {
+	t := benchBuilder(b, benchAccounts).Build()
+	b.ReportAllocs()
+	for b.Loop() {
+		k, _ := t.Key("k7x7")
+		_, _ = t.Account(k.Account)
+	}
+}
