--- a/internal/config/figplatform/http_test.go
+++ b/internal/config/figplatform/http_test.go
@@ -160,7 +160,7 @@
 				return
 			}
 			go func() {
-				defer c.Close()
+				defer func() { _ = c.Close() }()
 				r := bufio.NewReader(c)
 				for {
 					if _, err := http.ReadRequest(r); err != nil || calls.Add(1) > answered {
