--- a/internal/limit/figbudget/budget.go
+++ b/internal/limit/figbudget/budget.go
@@ -74,7 +74,6 @@
 
 	mu     sync.Mutex
 	ledger *ledger
-	peers  map[string]*peer
 }
 
 // New returns a service that holds nothing yet.
@@ -85,7 +84,6 @@
 		ctx:    ctx,
 		cancel: cancel,
 		ledger: newLedger(opts.Self, opts.Incarnation, opts.Limits),
-		peers:  map[string]*peer{},
 	}
 }
 
@@ -105,16 +103,7 @@
 	defer b.mu.Unlock()
 	b.sync(now)
 	b.ledger.poll(now, b.acked)
-	for name, reports := range b.ledger.tick(now) {
-		b.queue(name, func(p *peer) { p.reports = append(p.reports, reports...) })
-	}
-	for name, pulls := range b.ledger.wanted(now) {
-		b.queue(name, func(p *peer) { p.pulls = append(p.pulls, pulls...) })
-	}
-	for _, p := range b.peers {
-		b.flush(p)
-	}
-	b.forgetPeers()
+	b.send(b.ledger.tick(now))
 }
 
 // Answer takes in a message from a peer.
@@ -154,18 +143,44 @@
 // exchange carries an ask and waits for its answer without the lock. It returns
 // false if ctx ended first; the lease then serves the next request.
 func (b *Budget) exchange(ctx context.Context, a *attempt, q *ask) bool {
-	c := &call{attempt: a, ask: q, done: make(chan struct{})}
-	b.queue(q.peer.Name, func(p *peer) { p.calls = append(p.calls, c) })
+	done := make(chan struct{})
+	now := b.opts.Clock.Now()
+	p := b.ledger.peer(q.peer.Name, now)
+	p.calls = append(p.calls, &call{attempt: a, ask: q, done: func() { close(done) }})
+	b.send(b.ledger.due(p, now))
 	b.mu.Unlock()
 	defer b.mu.Lock()
 	select {
-	case <-c.done:
+	case <-done:
 		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// send starts the messages on their way.
+func (b *Budget) send(due []*batch) {
+	for _, m := range due {
+		go b.carry(m)
+	}
+}
+
+// carry carries one message and takes in the answer.
+func (b *Budget) carry(m *batch) {
+	ctx, cancel := context.WithTimeout(b.ctx, askTimeout)
+	r, err := b.opts.Ask(ctx, m.member, m.query)
+	cancel()
+	if err != nil {
+		r = nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.opts.Clock.Now()
+	b.sync(now)
+	b.ledger.takeIn(m, r, now)
+	b.send(b.ledger.due(m.peer, now))
+}
+
 // sync takes in the view in force and says whether it is fresh. Freshness is
 // read first: a view that comes in between is newer than the one vouched for.
 func (b *Budget) sync(now time.Time) bool {
--- a/internal/limit/figbudget/ledger.go
+++ b/internal/limit/figbudget/ledger.go
@@ -32,6 +32,7 @@
 	dataCentre  string
 	purses      map[string]*purse
 	suspects    map[string]time.Time
+	peers       map[string]*peer
 	tally       Counters
 }
 
@@ -40,6 +41,7 @@
 		incarnation: incarnation,
 		purses:      map[string]*purse{},
 		suspects:    map[string]time.Time{},
+		peers:       map[string]*peer{},
 	}
 	g.holder = holder{
 		history:  history{self: self},
@@ -96,14 +98,13 @@
 	return p
 }
 
-// settle returns the refunds of a reservation by the name of the instance that
-// they go to. Those for slots held here are credited at once.
-func (g *ledger) settle(account string, pieces [Slots]int64, used int64, now time.Time) map[string][]Refund {
+// settle credits the refunds of a reservation to the slots that are held here
+// and queues the others for their holders.
+func (g *ledger) settle(account string, pieces [Slots]int64, used int64, now time.Time) {
 	e := g.current()
 	if e == nil {
-		return nil
+		return
 	}
-	told := map[string][]Refund{}
 	for _, r := range split(account, pieces, used) {
 		m, ok := e.holder(slotID{account, r.Slot})
 		switch {
@@ -112,10 +113,9 @@
 		case m.Name == g.self:
 			g.refund(r, now)
 		default:
-			told[m.Name] = append(told[m.Name], r)
+			g.peer(m.Name, now).addRefund(r)
 		}
 	}
-	return told
 }
 
 // split divides what a reservation did not use among its pieces in proportion,
@@ -151,26 +151,39 @@
 	return refunds
 }
 
-// tick forgets what has ended and returns the reports that are due, by holder.
-func (g *ledger) tick(now time.Time) map[string][]Report {
+// tick forgets what has ended and returns the messages that are due.
+func (g *ledger) tick(now time.Time) []*batch {
 	g.forget(now)
 	for name, until := range g.suspects {
 		if !now.Before(until) {
 			delete(g.suspects, name)
 		}
 	}
-	due := map[string][]Report{}
 	for account, p := range g.purses {
-		for holder, reports := range p.reports(account, now, g.tight(account)) {
-			due[holder] = append(due[holder], reports...)
-		}
+		g.queueReports(account, p, now)
 		if len(p.leases) == 0 && now.Sub(p.used) > purseKept {
 			delete(g.purses, account)
 		}
 	}
+	for name, pulls := range g.wanted(now) {
+		p := g.peer(name, now)
+		p.pulls = append(p.pulls, pulls...)
+	}
+	due := make([]*batch, 0, len(g.peers))
+	for _, p := range g.peers {
+		due = append(due, g.due(p, now)...)
+	}
+	g.forgetPeers(now)
 	return due
 }
 
+func (g *ledger) queueReports(account string, p *purse, now time.Time) {
+	for holder, reports := range p.reports(account, now, g.tight(account)) {
+		w := g.peer(holder, now)
+		w.reports = append(w.reports, reports...)
+	}
+}
+
 // tight says whether an account's burst is so small that leases already spent
 // would hold up its refill until they end.
 func (g *ledger) tight(account string) bool {
--- a/internal/limit/figbudget/peer.go
+++ b/internal/limit/figbudget/peer.go
@@ -1,10 +1,8 @@
 package figbudget
 
 import (
-	"context"
 	"time"
 
-	"figtrail.dev/figtrail/internal/core/figerror"
 	"figtrail.dev/figtrail/internal/fleet/figview"
 )
 
@@ -22,7 +20,8 @@
 type call struct {
 	attempt *attempt
 	ask     *ask
-	done    chan struct{}
+	// done is called once the answer is taken in or given up.
+	done func()
 }
 
 // peer is what waits to be sent to one instance.
@@ -40,40 +39,23 @@
 
 // batch is one message under way.
 type batch struct {
+	peer   *peer
 	member figview.Member
-	listed bool
 	calls  []*call
 	pulls  []pull
 	query  *Request
 	asked  time.Time
 }
 
-// queue adds something for a peer and sends it as soon as there is room for a
-// message.
-func (b *Budget) queue(name string, add func(*peer)) {
-	p := b.peer(name)
-	add(p)
-	b.flush(p)
-}
-
-func (b *Budget) peer(name string) *peer {
-	p := b.peers[name]
+func (g *ledger) peer(name string, now time.Time) *peer {
+	p := g.peers[name]
 	if p == nil {
-		p = &peer{name: name, used: b.opts.Clock.Now()}
-		b.peers[name] = p
+		p = &peer{name: name, used: now}
+		g.peers[name] = p
 	}
 	return p
 }
 
-// flush sends what waits for p.
-func (b *Budget) flush(p *peer) {
-	for p.inFlight < messagesInFlight && p.waiting() {
-		m := b.pack(p)
-		p.inFlight++
-		go b.send(p, m)
-	}
-}
-
 // waiting says whether a message is due. Refunds for an unknown incarnation wait
 // for one message to tell it.
 func (p *peer) waiting() bool {
@@ -83,91 +65,101 @@
 	return len(p.refunds) > 0 && (p.incarnation != 0 || p.inFlight == 0)
 }
 
+// addRefund keeps a refund until the next message or tick, so that it costs no
+// message of its own while the peer is asked often. Those of one slot are added up.
+func (p *peer) addRefund(r Refund) {
+	for i := range p.refunds {
+		w := &p.refunds[i]
+		if w.Account == r.Account && w.Slot == r.Slot {
+			w.Tokens += r.Tokens
+			return
+		}
+	}
+	if len(p.refunds) < refundsKept {
+		p.refunds = append(p.refunds, r)
+	}
+}
+
+// due returns the messages that can be sent to p now. What waits for a peer that
+// is no longer listed is given up.
+func (g *ledger) due(p *peer, now time.Time) []*batch {
+	var due []*batch
+	for p.inFlight < messagesInFlight && p.waiting() {
+		b := g.pack(p, now)
+		m, listed := g.current().view.Find(p.name)
+		if !listed {
+			p.refunds = nil
+			g.giveUp(b, now)
+			continue
+		}
+		b.member = m
+		p.inFlight++
+		due = append(due, b)
+	}
+	return due
+}
+
 // pack takes all that waits into one message. Reports and refunds are valid for
 // one incarnation of the peer only: while it isn't known, reports are dropped
 // and refunds wait for the answer that tells it.
-func (b *Budget) pack(p *peer) *batch {
-	now := b.opts.Clock.Now()
+func (g *ledger) pack(p *peer, now time.Time) *batch {
 	p.sequence++
 	p.used = now
-	m := &batch{calls: p.calls, pulls: p.pulls, asked: now}
-	m.member, m.listed = b.ledger.current().view.Find(p.name)
-	m.query = &Request{
-		From:        b.opts.Self,
-		Incarnation: b.opts.Incarnation,
+	b := &batch{peer: p, calls: p.calls, pulls: p.pulls, asked: now}
+	b.query = &Request{
+		From:        g.self,
+		Incarnation: g.incarnation,
 		Sequence:    p.sequence,
 		Peer:        p.incarnation,
 	}
 	for _, c := range p.calls {
-		m.query.Asks = append(m.query.Asks, c.ask.Ask)
+		b.query.Asks = append(b.query.Asks, c.ask.Ask)
 	}
 	for _, w := range p.pulls {
-		m.query.Pulls = append(m.query.Pulls, Pull{
-			Account: w.account, Slot: w.index, Version: b.ledger.current().view.Version,
+		b.query.Pulls = append(b.query.Pulls, Pull{
+			Account: w.account, Slot: w.index, Version: g.current().view.Version,
 		})
 	}
 	if p.incarnation != 0 {
-		m.query.Reports, m.query.Refunds = p.reports, p.refunds
+		b.query.Reports, b.query.Refunds = p.reports, p.refunds
 		p.refunds = nil
 	}
 	p.calls, p.pulls, p.reports = nil, nil, nil
-	return m
+	return b
 }
 
-// send carries one message and takes in the answer.
-func (b *Budget) send(p *peer, m *batch) {
-	r, err := b.ask(m)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.opts.Clock.Now()
-	b.sync(now)
-	p.inFlight--
-	if err != nil || len(r.Grants) != len(m.calls) || len(r.Gives) != len(m.pulls) {
-		b.fail(p, m, now)
-	} else {
-		b.takeIn(p, m, r, now)
-	}
-	for _, c := range m.calls {
-		close(c.done)
-	}
-	b.flush(p)
-}
-
-func (b *Budget) ask(m *batch) (*Reply, error) {
-	if !m.listed {
-		return nil, figerror.New("budget", m.query.From, "peer is no longer listed")
+// takeIn takes in the answer to a message; a nil answer means that none came.
+func (g *ledger) takeIn(b *batch, r *Reply, now time.Time) {
+	b.peer.inFlight--
+	if r == nil || len(r.Grants) != len(b.calls) || len(r.Gives) != len(b.pulls) {
+		if b.peer.incarnation == 0 {
+			b.peer.refunds = nil
+		}
+		g.giveUp(b, now)
+		return
 	}
-	ctx, cancel := context.WithTimeout(b.ctx, askTimeout)
-	defer cancel()
-	return b.opts.Ask(ctx, m.member, m.query)
-}
-
-func (b *Budget) takeIn(p *peer, m *batch, r *Reply, now time.Time) {
-	p.incarnation = r.Incarnation
-	for i, c := range m.calls {
-		b.ledger.granted(c.attempt, c.ask, r.Grants[i], m.asked, now)
+	b.peer.incarnation = r.Incarnation
+	for i, c := range b.calls {
+		g.granted(c.attempt, c.ask, r.Grants[i], b.asked, now)
+		c.done()
 	}
-	for i, w := range m.pulls {
-		b.ledger.accept(w, r.Gives[i], now)
+	for i, w := range b.pulls {
+		g.accept(w, r.Gives[i], now)
 	}
 }
 
-// fail drops what the message carried, and the refunds that waited for its answer.
-func (b *Budget) fail(p *peer, m *batch, now time.Time) {
-	for _, c := range m.calls {
-		b.ledger.failed(c.attempt, c.ask, now)
-	}
-	if p.incarnation == 0 {
-		p.refunds = nil
+func (g *ledger) giveUp(b *batch, now time.Time) {
+	for _, c := range b.calls {
+		g.failed(c.attempt, c.ask, now)
+		c.done()
 	}
 }
 
 // forgetPeers drops peers that nothing was said to for long.
-func (b *Budget) forgetPeers() {
-	now := b.opts.Clock.Now()
-	for name, p := range b.peers {
+func (g *ledger) forgetPeers(now time.Time) {
+	for name, p := range g.peers {
 		if p.inFlight == 0 && !p.waiting() && now.Sub(p.used) > peerKept {
-			delete(b.peers, name)
+			delete(g.peers, name)
 		}
 	}
 }
--- a/internal/limit/figbudget/reservation.go
+++ b/internal/limit/figbudget/reservation.go
@@ -30,30 +30,5 @@
 	r.settled = true
 	now := b.opts.Clock.Now()
 	b.sync(now)
-	for name, refunds := range b.ledger.settle(r.account, r.pieces, used, now) {
-		b.queueRefunds(name, refunds)
-	}
-}
-
-// queueRefunds keeps refunds until the next message or tick, so that they cost
-// no message of their own while the peer is asked often. Those of one slot are
-// added up.
-func (b *Budget) queueRefunds(name string, refunds []Refund) {
-	p := b.peer(name)
-	for _, r := range refunds {
-		p.addRefund(r)
-	}
-}
-
-func (p *peer) addRefund(r Refund) {
-	for i := range p.refunds {
-		w := &p.refunds[i]
-		if w.Account == r.Account && w.Slot == r.Slot {
-			w.Tokens += r.Tokens
-			return
-		}
-	}
-	if len(p.refunds) < refundsKept {
-		p.refunds = append(p.refunds, r)
-	}
+	b.ledger.settle(r.account, r.pieces, used, now)
 }
--- a/internal/limit/figbudget/slot.go
+++ b/internal/limit/figbudget/slot.go
@@ -110,15 +110,18 @@
 	return false
 }
 
-// credit adds a refund as far as there is room and returns what it added. A
-// negative amount is subtracted, at most down to a whole burst below zero.
+// credit adds a refund as far as there is room for whole tokens, and returns what
+// it added. A negative amount is subtracted, at most down to a whole burst below
+// zero.
 func (s *slot) credit(tokens int64, l Limits) int64 {
-	room := fromTokens(l.Burst-s.outstanding()) - s.balance
-	credited := min(fromTokens(tokens), max(0, room))
-	if tokens < 0 {
-		credited = max(-fromTokens(-tokens), -fromTokens(l.Burst)-s.balance)
-		credited = min(credited, 0)
+	var credited int64
+	if tokens > 0 {
+		room := fromTokens(l.Burst-s.outstanding()) - s.balance
+		credited = min(tokens, max(0, room.tokens()))
+	} else {
+		floor := -fromTokens(l.Burst) - s.balance
+		credited = max(tokens, min(0, floor.tokens()))
 	}
-	s.balance += credited
-	return credited.tokens()
+	s.balance += fromTokens(credited)
+	return credited
 }
