--- a/internal/limit/figbudget/invariant_test.go
+++ b/internal/limit/figbudget/invariant_test.go
@@ -26,7 +26,7 @@
 
 // audit checks the bound over every interval that ends with a charge.
 type audit struct {
-	marks  []mark
+	marks   []mark
 	inForce []inForce
 	// refunds and credits are the sums given back and taken in.
 	refunds, credits int64
@@ -83,7 +83,6 @@
 	audit
 	open []opened
 	err  error
-	used int64
 }
 
 type opened struct {
