Count a stand-in's cold start in tokens and cross answers with another id

Cause: the ramp counted requests, though the router ramps by tokens; a crossed answer ended in the request's own id, which an adapter rightly accepts; filler of hex digits weighs far more than text in a tokenizer's estimate.

--- a/internal/stand/figload/stream.go
+++ b/internal/stand/figload/stream.go
@@ -14,17 +14,25 @@
 	"figtrail.dev/figtrail/internal/stand/figstand"
 )
 
-// fillerTokenBytes is the length of one token of filler text.
-const fillerTokenBytes = 4
+const (
+	// fillerTokenBytes is the length of one token of filler text.
+	fillerTokenBytes = 4
+	// letters is the number of letters that filler words are made of.
+	letters = 26
+	// longestWord bounds a filler word, in letters.
+	longestWord = 9
+)
 
-// filler returns text of that many tokens.
+// filler returns words of that many tokens in all.
 func filler(random *rand.Rand, tokens int) string {
-	var b strings.Builder
-	b.Grow(tokens * fillerTokenBytes)
-	for range tokens {
-		fmt.Fprintf(&b, "%03x ", random.IntN(1<<12))
+	text := make([]byte, 0, tokens*fillerTokenBytes+longestWord)
+	for len(text) < tokens*fillerTokenBytes {
+		for range 1 + random.IntN(longestWord) {
+			text = append(text, byte('a'+random.IntN(letters)))
+		}
+		text = append(text, ' ')
 	}
-	return b.String()
+	return string(text[:tokens*fillerTokenBytes])
 }
 
 // chatRequest is the body of a streamed chat request.
--- a/internal/stand/figstand/answer.go
+++ b/internal/stand/figstand/answer.go
@@ -38,6 +38,10 @@
 	return b.String()
 }
 
+// otherID returns the request id of a crossed answer: another request's, which
+// differs from id at its end.
+func otherID(id string) string { return id + "x" }
+
 // transferParams is the hand-over of a prefill's result to a decode server.
 type transferParams struct {
 	DoRemoteDecode  bool    `json:"do_remote_decode,omitempty"`
--- a/internal/stand/figstand/engine.go
+++ b/internal/stand/figstand/engine.go
@@ -49,9 +49,10 @@
 	ReportLag time.Duration
 	// ChecksFence makes orders with an old fencing number fail.
 	ChecksFence bool
-	// ColdStart is the length of the cold start, ColdBatch what it bears at first.
-	ColdStart time.Duration
-	ColdBatch int
+	// ColdStart is the length of the cold start, ColdTokens the tokens in progress
+	// that it bears at first. A warm engine bears all that fits into its memory.
+	ColdStart  time.Duration
+	ColdTokens int
 	// CacheBlocks is the size of the prefix cache, BlockBytes that of a block.
 	CacheBlocks, BlockBytes int
 }
@@ -67,7 +68,7 @@
 	o.LinkRate = cmp.Or(o.LinkRate, 2e9)
 	o.TokenBytes = cmp.Or(o.TokenBytes, 2048)
 	o.ReportLag = cmp.Or(o.ReportLag, 100*time.Millisecond)
-	o.ColdBatch = cmp.Or(o.ColdBatch, 1)
+	o.ColdTokens = cmp.Or(o.ColdTokens, 2*o.PieceTokens)
 	o.CacheBlocks = cmp.Or(o.CacheBlocks, 4096)
 	o.BlockBytes = cmp.Or(o.BlockBytes, 1024)
 	return o
@@ -107,7 +108,7 @@
 func StartEngine(opts EngineOptions) (*Engine, error) {
 	opts = opts.withDefaults()
 	e := &Engine{
-		ramp:    newRamp(opts.ColdStart, opts.ColdBatch, opts.Batch),
+		ramp:    newRamp(opts.ColdStart, opts.ColdTokens, opts.Pieces*opts.PieceTokens, opts.Batch),
 		memory:  newMemory(opts.Pieces),
 		opts:    opts,
 		timer:   figtimer.New(figtimer.System()),
@@ -191,11 +192,12 @@
 	}
 	c.text = c.prompt()
 	e.note(c.id, func(n *Run) { n.Text = c.text[:min(len(c.text), textKept)] })
-	if !e.enter() {
+	work := CountTokens(c.text) + c.output()
+	if !e.enter(work) {
 		writeError(w, http.StatusTooManyRequests, "busy", "the batch is full")
 		return
 	}
-	defer e.leave()
+	defer e.leave(work)
 	if e.opts.Role == "prefill" {
 		e.prefill(w, r, c)
 		return
--- a/internal/stand/figstand/engine_decode.go
+++ b/internal/stand/figstand/engine_decode.go
@@ -27,7 +27,7 @@
 	}
 	s := &stream{Engine: e, completion: c, answered: c.id, answer: c.text}
 	if _, ok := e.Faults.take(Crossed); ok {
-		s.answered, s.answer = "crossed-"+c.id, "crossed "+c.text
+		s.answered, s.answer = otherID(c.id), "crossed "+c.text
 	}
 	if err := s.run(ctx, w); err != nil {
 		e.note(c.id, func(n *Run) { n.Cancelled++ })
--- a/internal/stand/figstand/engine_prefill.go
+++ b/internal/stand/figstand/engine_prefill.go
@@ -50,7 +50,7 @@
 	}
 	answered := c.id
 	if _, ok := e.Faults.take(Crossed); ok {
-		answered = "crossed-" + c.id
+		answered = otherID(c.id)
 	}
 	kept = true
 	params := e.keepResult(c.id, c.text, pieces, tokens)
--- a/internal/stand/figstand/engine_test.go
+++ b/internal/stand/figstand/engine_test.go
@@ -194,14 +194,17 @@
 }
 
 func TestColdStartViolations(t *testing.T) {
-	r := newRamp(time.Hour, 1, 4)
-	require.True(t, r.enter())
+	r := newRamp(time.Hour, 100, 1000, 3)
+	require.True(t, r.enter(200))
 	require.Zero(t, r.Violations())
-	require.True(t, r.enter())
+	require.True(t, r.enter(1))
 	require.Equal(t, 1, r.Violations())
 	require.Equal(t, 10*time.Second, r.slowed(time.Second))
-	r.leave()
+	r.leave(200)
 	require.Equal(t, time.Second, r.slowed(time.Second))
+	require.True(t, r.enter(1))
+	require.True(t, r.enter(1))
+	require.False(t, r.enter(1))
 }
 
 func TestPrefixCache(t *testing.T) {
--- a/internal/stand/figstand/plain.go
+++ b/internal/stand/figstand/plain.go
@@ -24,16 +24,16 @@
 	Batch int
 	// ReportLag is the age of the state that /load reports.
 	ReportLag time.Duration
-	// ColdStart is the length of the cold start, ColdBatch what it bears at first.
+	// ColdStart is the length of the cold start, ColdCalls what it bears at first.
 	ColdStart time.Duration
-	ColdBatch int
+	ColdCalls int
 }
 
 func (o PlainOptions) withDefaults() PlainOptions {
 	o.ServiceTime = cmp.Or(o.ServiceTime, time.Millisecond)
 	o.Batch = cmp.Or(o.Batch, 64)
 	o.ReportLag = cmp.Or(o.ReportLag, 100*time.Millisecond)
-	o.ColdBatch = cmp.Or(o.ColdBatch, 1)
+	o.ColdCalls = cmp.Or(o.ColdCalls, 2)
 	return o
 }
 
@@ -59,7 +59,7 @@
 func StartPlain(opts PlainOptions) (*Plain, error) {
 	opts = opts.withDefaults()
 	p := &Plain{
-		ramp:    newRamp(opts.ColdStart, opts.ColdBatch, opts.Batch),
+		ramp:    newRamp(opts.ColdStart, opts.ColdCalls, opts.Batch, opts.Batch),
 		opts:    opts,
 		timer:   figtimer.New(figtimer.System()),
 		running: map[string]int{},
@@ -113,11 +113,11 @@
 		writeError(w, http.StatusTooManyRequests, "busy", "the service refuses")
 		return
 	}
-	if !p.enter() {
+	if !p.enter(1) {
 		writeError(w, http.StatusTooManyRequests, "busy", "too many calls run")
 		return
 	}
-	defer p.leave()
+	defer p.leave(1)
 	id := r.Header.Get("X-Request-Id")
 	p.track(id, 1)
 	defer p.track(id, -1)
@@ -142,7 +142,7 @@
 
 func (p *Plain) answer(w http.ResponseWriter, r *http.Request, id, body string) {
 	if _, ok := p.Faults.take(Crossed); ok {
-		id, body = "crossed-"+id, "crossed "+body
+		id, body = otherID(id), "crossed "+body
 	}
 	text := PlainAnswer(r.Method, r.URL.RequestURI(), body)
 	b, err := json.Marshal(plainAnswer{Server: p.opts.Name, Answer: text})
