--- a/internal/limit/figqueue/admit.go
+++ b/internal/limit/figqueue/admit.go
@@ -44,6 +44,16 @@
 	return d.tokens / d.seconds
 }
 
+// time returns how long it takes to place so many tokens, or zero while the rate
+// isn't known.
+func (d *drain) time(tokens float64) time.Duration {
+	rate := d.perSecond()
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(min(tokens/rate, retryMost.Seconds()) * float64(time.Second))
+}
+
 // admits says whether there is room for an item, and why not. A full queue
 // makes room at the cost of the account that has the most in it.
 func (c *core) admits(f *flow, item Item, now time.Time) (Reason, bool) {
@@ -68,12 +78,12 @@
 // weight, if that has more than f would have with the item.
 func (c *core) evict(f *flow, item Item) bool {
 	var most *flow
-	top := float64(f.tokens+item.Tokens) / float64(max(1, item.Weight))
+	top := float64(f.tokens+item.Tokens) / f.weight
 	for _, g := range c.flows {
 		if g == f || len(g.waiting) == 0 {
 			continue
 		}
-		if load := float64(g.tokens) / float64(max(1, g.waiting[0].item.Weight)); load > top {
+		if load := float64(g.tokens) / g.weight; load > top {
 			most, top = g, load
 		}
 	}
@@ -92,11 +102,7 @@
 	if !now.Before(item.Deadline) {
 		return true
 	}
-	rate := c.rate.perSecond()
-	if rate == 0 {
-		return false
-	}
-	wait := time.Duration(c.ahead(f, item) / rate * float64(time.Second))
+	wait := max(c.rate.time(c.ahead(f, item)), f.rate.time(float64(f.tokens)))
 	return now.Add(wait).After(item.Deadline)
 }
 
@@ -104,7 +110,6 @@
 // higher priority, and of the others as many as the sharing gives them meanwhile.
 func (c *core) ahead(f *flow, item Item) float64 {
 	own := float64(f.tokens + item.Tokens)
-	weight := float64(max(1, item.Weight))
 	sum := float64(f.tokens)
 	for _, g := range c.flows {
 		if g == f || len(g.waiting) == 0 {
@@ -115,7 +120,7 @@
 		case head.Priority > item.Priority:
 			sum += float64(g.tokens)
 		case head.Priority == item.Priority:
-			sum += min(float64(g.tokens), own/weight*float64(max(1, head.Weight)))
+			sum += min(float64(g.tokens), own/f.weight*g.weight)
 		}
 	}
 	return sum
@@ -123,10 +128,5 @@
 
 // clearTime returns how long what waits now takes at the measured rate.
 func (c *core) clearTime() time.Duration {
-	rate := c.rate.perSecond()
-	if rate == 0 {
-		return retryLeast
-	}
-	wait := float64(c.tokens) / rate * float64(time.Second)
-	return time.Duration(min(max(wait, float64(retryLeast)), float64(retryMost)))
+	return max(c.rate.time(float64(c.tokens)), retryLeast)
 }
--- a/internal/limit/figqueue/core.go
+++ b/internal/limit/figqueue/core.go
@@ -43,12 +43,15 @@
 // flow is the part of one account.
 type flow struct {
 	account string
+	weight  float64
 	// virtual is the sum of the costs that it was served, in units of the queue's
 	// virtual time.
 	virtual float64
 	waiting []*entry
 	bytes   int64
 	tokens  int64
+	// rate is how fast its requests are placed while some wait.
+	rate drain
 }
 
 // core is the queue without its goroutines: it takes the time as an argument.
@@ -93,15 +96,16 @@
 
 // push adds an item or refuses it at once.
 func (c *core) push(ctx context.Context, item Item, now time.Time) (*entry, *Refusal) {
-	f := c.flow(item.Account)
+	f := c.flow(item.Account, item.Weight)
 	if reason, ok := c.admits(f, item, now); !ok {
 		c.tally.Refused[reason]++
 		c.tidy(f)
 		return nil, &Refusal{Account: item.Account, Reason: reason, RetryAfter: c.clearTime()}
 	}
 	c.rate.advance(now, c.count > 0)
+	f.rate.advance(now, len(f.waiting) > 0)
 	if len(f.waiting) == 0 {
-		f.virtual = max(f.virtual, c.virtual)
+		f.virtual = max(f.virtual, c.virtual-c.credit())
 	}
 	e := &entry{item: item, ctx: ctx, entered: now, done: make(chan struct{})}
 	c.insert(f, e, c.position(f, item.Priority))
@@ -124,6 +128,8 @@
 		return nil
 	}
 	e := f.waiting[0]
+	f.rate.advance(now, true)
+	f.rate.add(e.item.Tokens)
 	c.take(f, 0)
 	c.virtual = max(c.virtual, f.virtual)
 	f.virtual += e.cost()
@@ -156,8 +162,9 @@
 
 // unpop puts an entry back first in its turn.
 func (c *core) unpop(e *entry) {
-	f := c.flow(e.item.Account)
+	f := c.flow(e.item.Account, e.item.Weight)
 	f.virtual -= e.cost()
+	f.rate.add(-e.item.Tokens)
 	c.insert(f, e, 0)
 }
 
--- a/internal/limit/figqueue/flow.go
+++ b/internal/limit/figqueue/flow.go
@@ -1,15 +1,33 @@
 package figqueue
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
-// flow returns the account's flow. A new one starts at the virtual time: it has
-// no claim for the time in which it had nothing waiting.
-func (c *core) flow(account string) *flow {
+// creditTime is how long an account can save up its part of the pool: one that
+// had less than its part for so long goes before the others until it has caught
+// up. Without it a burst of an account within its part would queue behind its
+// own average.
+const creditTime = 2 * time.Second
+
+// credit returns how far a flow may be behind the virtual time.
+func (c *core) credit() float64 {
+	weights := 1.0
+	for _, f := range c.flows {
+		weights += f.weight
+	}
+	return c.rate.perSecond() * creditTime.Seconds() / weights
+}
+
+// flow returns the account's flow. A new one has saved up all it can.
+func (c *core) flow(account string, weight int64) *flow {
 	f := c.flows[account]
 	if f == nil {
-		f = &flow{account: account, virtual: c.virtual}
+		f = &flow{account: account, virtual: c.virtual - c.credit()}
 		c.flows[account] = f
 	}
+	f.weight = float64(max(1, weight))
 	return f
 }
 
@@ -34,23 +52,25 @@
 	c.tokens -= e.item.Tokens
 }
 
-// tidy forgets a flow that is empty and owes nothing: it would come back with
-// the same virtual time.
+// tidy forgets a flow that is empty and would come back the same.
 func (c *core) tidy(f *flow) {
-	if len(f.waiting) == 0 && f.virtual <= c.virtual {
+	if len(f.waiting) == 0 && f.virtual <= c.virtual-c.credit() {
 		delete(c.flows, f.account)
 	}
 }
 
 // settle forgets the flows that the virtual time has passed. When nothing waits
-// nobody is owed anything, and the virtual time catches up with all.
+// nobody is owed anything, and all start anew.
 func (c *core) settle() {
-	for _, f := range c.flows {
-		if c.count == 0 {
-			c.virtual = max(c.virtual, f.virtual)
-		}
+	if c.count == 0 {
+		c.virtual = 0
+		clear(c.flows)
+		return
 	}
-	for _, f := range c.flows {
-		c.tidy(f)
+	limit := c.virtual - c.credit()
+	for account, f := range c.flows {
+		if len(f.waiting) == 0 && f.virtual <= limit {
+			delete(c.flows, account)
+		}
 	}
 }
