--- a/internal/core/figring/ring.go
+++ b/internal/core/figring/ring.go
@@ -44,6 +44,7 @@
 	policy  Policy
 	dropped uint64
 	ready   chan struct{}
+	space   chan struct{}
 }
 
 // New returns a ring for at most capacity items. It panics if capacity is below one.
@@ -55,6 +56,7 @@
 		items:  make([]T, capacity),
 		policy: policy,
 		ready:  make(chan struct{}, 1),
+		space:  make(chan struct{}, 1),
 	}
 }
 
@@ -72,10 +74,26 @@
 	r.items[(r.head+r.count)%len(r.items)] = v
 	r.count++
 	r.mu.Unlock()
-	r.signal()
+	signal(r.ready)
 	return true
 }
 
+// PushWait adds v, waiting while the ring is full. It returns the context's
+// error when ctx ends first. It suits a producer that may be held back.
+func (r *Ring[T]) PushWait(ctx context.Context, v T) error {
+	for !r.Push(v) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.space:
+		}
+	}
+	if !r.full() {
+		signal(r.space)
+	}
+	return nil
+}
+
 // Pop waits for an item. It returns the context's error when ctx ends first.
 func (r *Ring[T]) Pop(ctx context.Context) (T, error) {
 	for {
@@ -102,8 +120,9 @@
 	}
 	v := r.take()
 	if r.count > 0 {
-		r.signal()
+		signal(r.ready)
 	}
+	signal(r.space)
 	return v, true
 }
 
@@ -130,9 +149,16 @@
 	return v
 }
 
-func (r *Ring[T]) signal() {
+func (r *Ring[T]) full() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count == len(r.items)
+}
+
+// signal wakes one waiter; a waiter that was not there yet finds it later.
+func signal(c chan struct{}) {
 	select {
-	case r.ready <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- /dev/null
+++ b/internal/edge/figadmin/admin.go
@@ -0,0 +1,101 @@
+// Package figadmin serves operators, on an address of its own: health,
+// readiness, metrics, and the status of all parts in JSON.
+//
+// # Usage
+//
+//	a := &figadmin.Admin{
+//		Ready:   func() error { … },
+//		Status:  func() any { … },
+//		Metrics: metrics.Handler(),
+//	}
+//	err := a.Serve(ctx, listener)
+//
+// Paths: /healthz answers 200 while the process runs; /readyz answers 200 when
+// callers may be sent here, and 503 with the reason otherwise; /metrics is in
+// Prometheus form; /status is JSON.
+package figadmin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"figtrail.dev/figtrail/internal/core/figerror"
+)
+
+const (
+	// readTimeout bounds the reading of an operator's request.
+	readTimeout = 5 * time.Second
+	// writeTimeout bounds the writing of an answer to an operator.
+	writeTimeout = 10 * time.Second
+)
+
+// Admin answers operators.
+type Admin struct {
+	// Ready returns nil when callers may be sent here, or the reason why not.
+	Ready func() error
+	// Status returns a plain struct to be shown as JSON.
+	Status func() any
+	// Metrics serves /metrics.
+	Metrics http.Handler
+}
+
+// Serve answers on l until ctx ends.
+func (a *Admin) Serve(ctx context.Context, l net.Listener) error {
+	s := &fasthttp.Server{
+		Handler:               a.handler(),
+		Name:                  "figtrail",
+		ReadTimeout:           readTimeout,
+		WriteTimeout:          writeTimeout,
+		CloseOnShutdown:       true,
+		NoDefaultServerHeader: true,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	err := s.Serve(l)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return figerror.Wrap(err, "serve operators", l.Addr().String())
+}
+
+func (a *Admin) handler() fasthttp.RequestHandler {
+	metrics := fasthttpadaptor.NewFastHTTPHandler(a.Metrics)
+	return func(c *fasthttp.RequestCtx) {
+		switch string(c.Path()) {
+		case "/healthz":
+			c.SetBodyString("ok\n")
+		case "/readyz":
+			a.answerReady(c)
+		case "/metrics":
+			metrics(c)
+		case "/status":
+			a.answerStatus(c)
+		default:
+			c.Error("no such page; try /healthz, /readyz, /metrics or /status\n", fasthttp.StatusNotFound)
+		}
+	}
+}
+
+func (a *Admin) answerReady(c *fasthttp.RequestCtx) {
+	if err := a.Ready(); err != nil {
+		c.Error(err.Error()+"\n", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	c.SetBodyString("ready\n")
+}
+
+func (a *Admin) answerStatus(c *fasthttp.RequestCtx) {
+	text, err := json.MarshalIndent(a.Status(), "", "  ")
+	if err != nil {
+		c.Error(err.Error()+"\n", fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(append(text, '\n'))
+}
--- /dev/null
+++ b/internal/edge/figmetric/metric.go
@@ -0,0 +1,199 @@
+// Package figmetric counts and measures requests, and shows them in Prometheus
+// form through tally. Client accounts that are busy get histograms of their own,
+// up to a cap; the others share one for each class, because a scope never goes
+// away and an instance knows tens of thousands of accounts.
+//
+// # Usage
+//
+//	m := figmetric.New(figmetric.Options{})
+//	defer m.Close()
+//	m.Ended(figmetric.Request{Account: "huber/treasury", Class: "large", Outcome: "answered"})
+//	http := m.Handler()
+//
+// Times are in seconds, sizes in tokens.
+package figmetric
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+)
+
+const (
+	// reportInterval is how often tally hands its counts to the reporter.
+	reportInterval = time.Second
+	// defaultOwnScopes bounds the accounts with histograms of their own.
+	defaultOwnScopes = 200
+	// ownScopeAfter is the number of requests after which an account is busy.
+	ownScopeAfter = 20
+	// seenLimit bounds the accounts whose requests are counted towards a scope.
+	seenLimit = 4096
+	// sharedAccount is the account label of all accounts without a scope.
+	sharedAccount = "other"
+)
+
+// Options holds the settings of Metrics.
+type Options struct {
+	// OwnScopes bounds the accounts with histograms of their own; 0 means 200.
+	OwnScopes int
+}
+
+// Request is what is known of a request when it has ended.
+type Request struct {
+	// Account is the ID of the client account; empty on open routes.
+	Account string
+	// Class is the account's class.
+	Class string
+	// Outcome is the outcome from figlife's closed set.
+	Outcome string
+	// Reason says why it was refused or cut; empty if it was answered.
+	Reason string
+	// PromptTokens and OutputTokens were charged.
+	PromptTokens, OutputTokens int64
+	// Took is the time from arrival to the end.
+	Took time.Duration
+	// FirstToken is the time from arrival to the first token; 0 if there was none.
+	FirstToken time.Duration
+	// BetweenTokens is the mean time between tokens; 0 for fewer than two.
+	BetweenTokens time.Duration
+}
+
+// Metrics holds the scopes of one instance. It is safe for concurrent use.
+type Metrics struct {
+	// Root is the scope of the instance, for counters of other parts.
+	Root tally.Scope
+
+	closer  io.Closer
+	handler http.Handler
+	limit   int
+
+	mu   sync.Mutex
+	seen map[string]int
+	own  map[string]*accountScope
+}
+
+type accountScope struct {
+	scope                      tally.Scope
+	first, between, took       tally.Histogram
+	promptTokens, outputTokens tally.Counter
+}
+
+// New returns metrics with a registry of their own.
+func New(o Options) *Metrics {
+	if o.OwnScopes == 0 {
+		o.OwnScopes = defaultOwnScopes
+	}
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer:      registry,
+		Gatherer:        registry,
+		OnRegisterError: func(error) {},
+	})
+	root, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "figtrail",
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{
+		Root:    root,
+		closer:  closer,
+		handler: reporter.HTTPHandler(),
+		limit:   o.OwnScopes,
+		seen:    map[string]int{},
+		own:     map[string]*accountScope{},
+	}
+}
+
+// Handler serves the metrics in Prometheus form.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Close reports for the last time.
+func (m *Metrics) Close() error { return m.closer.Close() }
+
+// Ended counts a request that has ended.
+func (m *Metrics) Ended(r Request) {
+	s := m.scopeOf(r.Account, r.Class)
+	s.scope.Tagged(map[string]string{"outcome": r.Outcome, "reason": r.Reason}).Counter("requests").Inc(1)
+	s.promptTokens.Inc(r.PromptTokens)
+	s.outputTokens.Inc(r.OutputTokens)
+	s.took.RecordDuration(r.Took)
+	if r.FirstToken > 0 {
+		s.first.RecordDuration(r.FirstToken)
+	}
+	if r.BetweenTokens > 0 {
+		s.between.RecordDuration(r.BetweenTokens)
+	}
+}
+
+// Count adds n to a counter of the instance, with one label.
+func (m *Metrics) Count(name, label, value string, n int64) {
+	m.Root.Tagged(map[string]string{label: value}).Counter(name).Inc(n)
+}
+
+// scopeOf returns the account's own scope if it is busy, or its class's.
+func (m *Metrics) scopeOf(account, class string) *accountScope {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s, ok := m.own[account]; ok {
+		return s
+	}
+	if m.earnsScope(account) {
+		delete(m.seen, account)
+		return m.add(account, account, class)
+	}
+	key := "class\x00" + class
+	if s, ok := m.own[key]; ok {
+		return s
+	}
+	return m.add(key, sharedAccount, class)
+}
+
+func (m *Metrics) earnsScope(account string) bool {
+	if account == "" || m.limit == 0 {
+		return false
+	}
+	if len(m.seen) >= seenLimit {
+		clear(m.seen)
+	}
+	m.seen[account]++
+	if m.seen[account] < ownScopeAfter {
+		return false
+	}
+	m.limit--
+	return true
+}
+
+func (m *Metrics) add(key, account, class string) *accountScope {
+	s := m.Root.Tagged(map[string]string{"account": account, "class": class})
+	a := &accountScope{
+		scope:        s,
+		first:        s.Histogram("first_token_seconds", firstTokenBuckets()),
+		between:      s.Histogram("between_tokens_seconds", betweenBuckets()),
+		took:         s.Histogram("request_seconds", tookBuckets()),
+		promptTokens: s.Counter("prompt_tokens"),
+		outputTokens: s.Counter("output_tokens"),
+	}
+	m.own[key] = a
+	return a
+}
+
+// firstTokenBuckets cover 5 ms to 10 s around the target of 1.4 s.
+func firstTokenBuckets() tally.Buckets {
+	return tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.6, 17)
+}
+
+// betweenBuckets cover 1 ms to 1 s around the target of 34 ms.
+func betweenBuckets() tally.Buckets {
+	return tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.6, 15)
+}
+
+// tookBuckets cover 1 ms to 5 minutes.
+func tookBuckets() tally.Buckets {
+	return tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 19)
+}
