--- /dev/null
+++ b/internal/app/figcommand/status.go
@@ -0,0 +1,33 @@
+package figcommand
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"github.com/valyala/fasthttp"
+)
+
+// statusTimeout bounds the call to the instance.
+const statusTimeout = 5 * time.Second
+
+func statusCommand() *cli.Command {
+	address := "127.0.0.1:8082"
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show the status of a running instance in JSON",
+		Flags: []cli.Flag{stringFlag("admin", "the instance's address for operators", &address)},
+		Action: func(_ context.Context, c *cli.Command) error {
+			code, body, err := fasthttp.GetTimeout(nil, "http://"+address+"/status", statusTimeout)
+			if err != nil {
+				return withCode(errors.Wrapf(err, "status at %s", address), exitFinding)
+			}
+			if code != fasthttp.StatusOK {
+				return withCode(errors.Newf("status at %s: HTTP %d: %s", address, code, body), exitFinding)
+			}
+			_, err = c.Root().Writer.Write(body)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/app/figserve/join.go
@@ -0,0 +1,229 @@
+package figserve
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"figtrail.dev/figtrail/internal/config/figplatform"
+	"figtrail.dev/figtrail/internal/config/figstore"
+	"figtrail.dev/figtrail/internal/config/figtree"
+	"figtrail.dev/figtrail/internal/core/figworker"
+	"figtrail.dev/figtrail/internal/edge/figadmin"
+	"figtrail.dev/figtrail/internal/edge/figfront"
+	"figtrail.dev/figtrail/internal/edge/figmetric"
+	"figtrail.dev/figtrail/internal/engine/figengine"
+	"figtrail.dev/figtrail/internal/fleet/figmember"
+	"figtrail.dev/figtrail/internal/fleet/figpeer"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/limit/figbudget"
+	"figtrail.dev/figtrail/internal/limit/figkey"
+	"figtrail.dev/figtrail/internal/limit/figqueue"
+	"figtrail.dev/figtrail/internal/place/figowner"
+	"figtrail.dev/figtrail/internal/place/figplace"
+	"figtrail.dev/figtrail/internal/request/figflow"
+	"figtrail.dev/figtrail/internal/request/figlife"
+	"figtrail.dev/figtrail/internal/request/figsend"
+)
+
+// Names of the calls between instances.
+const (
+	callBeat    = "beat"
+	callBudget  = "budget"
+	callConfig  = "config"
+	callReserve = "reserve"
+)
+
+const (
+	// retryFraction is how many retries each success allows.
+	retryFraction = 0.1
+	// retryFloor is how many retries ten seconds allow without any success.
+	retryFloor = 10
+	// queueRequests bounds the waiting requests of a pool that declares no bound.
+	queueRequests = 1000
+	// queueBytes bounds the bodies of a pool's waiting requests.
+	queueBytes = 64 << 20
+	// accountShare is the part of a queue that one account may fill: one half.
+	accountShare = 2
+	// queuePlacing bounds the requests of a pool that are being placed at once.
+	queuePlacing = 16
+	// backoffBase and backoffLimit bound the wait before a retry.
+	backoffBase  = 20 * time.Millisecond
+	backoffLimit = time.Second
+)
+
+// join makes the parts and gives each the functions of the others that it needs.
+func (i *Instance) join() error {
+	i.metrics = figmetric.New(figmetric.Options{OwnScopes: i.MetricAccounts})
+	i.handlers = figpeer.NewHandlers()
+	i.client = figpeer.NewClient(figpeer.ClientOptions{})
+	i.sender = figsend.New(figsend.Options{Clock: i.clock, MaxAnswer: i.AnswerLimit})
+	i.engine = figengine.OpenAI(i.sender)
+	i.sessions = figkey.NewSessions()
+	i.joinFleet()
+	i.joinLimits()
+	i.joinPlaces()
+	if err := i.joinRequests(); err != nil {
+		return err
+	}
+	i.admin = &figadmin.Admin{Ready: i.Ready, Status: i.status, Metrics: i.metrics.Handler()}
+	return nil
+}
+
+// asker returns the function by which a part asks its like on other instances.
+// An instance that asks itself does so without a message.
+func asker[Q, R any](i *Instance, name string, answer func(context.Context, *Q) (*R, error)) func(context.Context, figview.Member, *Q) (*R, error) {
+	figpeer.Handle(i.handlers, name, answer)
+	return func(ctx context.Context, m figview.Member, q *Q) (*R, error) {
+		if m.Name == i.Name {
+			return answer(ctx, q)
+		}
+		return figpeer.Call[Q, R](ctx, i.client, m, name, q)
+	}
+}
+
+func (i *Instance) joinFleet() {
+	i.store = figstore.New(figstore.Options{
+		Self:     i.Name,
+		Clock:    i.clock,
+		Platform: figplatform.HTTP(i.Platform),
+		Ask: asker(i, callConfig, func(ctx context.Context, q *figstore.Request) (*figstore.Reply, error) {
+			return i.store.Answer(ctx, q)
+		}),
+	})
+	i.member = figmember.New(figmember.Options{
+		Self:        figview.Member{Name: i.Name, Address: i.PeerAddress(), DataCentre: i.DataCentre},
+		Incarnation: uint64(time.Now().UnixMilli()),
+		Clock:       i.clock,
+		Random:      rand.Float64,
+		View:        i.store.View,
+		Confirmed:   i.store.Confirmed,
+		Digest:      i.store.Digest,
+		Heard: func(m figview.Member, b *figmember.Beat) {
+			i.store.Nudge(m, b.Highest, b.Digest, b.View)
+		},
+		Ask: asker(i, callBeat, func(ctx context.Context, q *figmember.Beat) (*figmember.Beat, error) {
+			return i.member.Answer(ctx, q)
+		}),
+	})
+}
+
+func (i *Instance) joinLimits() {
+	i.budget = figbudget.New(figbudget.Options{
+		Self:        i.Name,
+		Incarnation: i.incarnation,
+		Clock:       i.clock,
+		View:        i.store.View,
+		Fresh:       i.member.Fresh,
+		AllAcked:    i.member.AllAcked,
+		Limits:      i.limits,
+		Ask: asker(i, callBudget, func(ctx context.Context, q *figbudget.Request) (*figbudget.Reply, error) {
+			return i.budget.Answer(ctx, q)
+		}),
+	})
+	i.queues = newQueues(i.timer, i.newQueue)
+}
+
+// newQueue returns the queue of a pool, with the bounds that the pool declares.
+func (i *Instance) newQueue(pool string) *figqueue.Queue {
+	requests := queueRequests
+	if p, ok := i.store.Tree().Pool(pool); ok && p.QueueRequests > 0 {
+		requests = p.QueueRequests
+	}
+	return figqueue.New(figqueue.Options{
+		Clock:           i.clock,
+		Requests:        requests,
+		Bytes:           queueBytes,
+		AccountRequests: max(1, requests/accountShare),
+		AccountBytes:    queueBytes / accountShare,
+		Placing:         queuePlacing,
+	})
+}
+
+// limits returns what an account may spend.
+func (i *Instance) limits(account string) (figbudget.Limits, bool) {
+	t := i.store.Tree()
+	a, ok := t.Account(account)
+	if !ok {
+		return figbudget.Limits{}, false
+	}
+	return figbudget.Limits{TokensPerSecond: a.TokensPerSecond, Burst: a.Burst}, true
+}
+
+func (i *Instance) joinPlaces() {
+	i.owner = figowner.New(figowner.Options{
+		Self:          i.Name,
+		Incarnation:   i.incarnation,
+		Clock:         i.clock,
+		View:          i.store.View,
+		Servers:       i.store.Servers,
+		Pool:          func(id string) (*figtree.Pool, bool) { return i.store.Tree().Pool(id) },
+		DataCentreOut: func(name string) bool { return i.store.Tree().DataCentreOut(name) },
+		Fresh:         i.member.Fresh,
+		Load:          i.load,
+		Cancel:        i.engine.Cancel,
+		Order:         i.order,
+	})
+	i.placer = figplace.New(figplace.Options{
+		Self:       i.Name,
+		DataCentre: i.DataCentre,
+		Clock:      i.clock,
+		Random:     rand.Uint64,
+		View:       i.store.View,
+		Servers:    i.store.Servers,
+		Tree:       i.store.Tree,
+		Ask:        asker(i, callReserve, i.owner.Answer),
+	})
+}
+
+func (i *Instance) joinRequests() error {
+	var err error
+	if i.workers, err = figworker.New(i.Workers); err != nil {
+		return err
+	}
+	i.flow = &figflow.Flow{
+		Clock:       i.clock,
+		Timer:       i.timer,
+		Reserve:     i.budget.Reserve,
+		Queue:       i.queues.of,
+		Place:       i.placer.Place,
+		Engine:      i.engine,
+		Sender:      i.sender,
+		Sessions:    i.sessions,
+		Retries:     &figsend.RetryBudget{Fraction: retryFraction, Floor: retryFloor},
+		Backoff:     figsend.Backoff{Base: backoffBase, Limit: backoffLimit},
+		AnswerLimit: i.AnswerLimit,
+		Ended:       i.ended,
+	}
+	i.watch = figsend.NewCallerWatch()
+	i.front = figfront.New(figfront.Options{
+		Name:        i.Name,
+		Incarnation: i.incarnation,
+		Clock:       i.clock,
+		Tree:        i.store.Tree,
+		Run:         i.flow.Run,
+		Refused:     i.refused,
+		KeyRefused:  func(r figkey.Reason) { i.metrics.Count("keys_refused", "reason", r.String(), 1) },
+		Draining:    i.closing.Load,
+		Workers:     i.workers,
+		Watch:       i.watch.Add,
+		BodyLimit:   i.BodyLimit,
+		HeaderLimit: i.HeaderLimit,
+		SlowCaller:  i.SlowCaller,
+	})
+	return nil
+}
+
+// ended counts a request and lets waiting ones try for the room that it left.
+func (i *Instance) ended(r figmetric.Request) {
+	i.metrics.Ended(r)
+	i.queues.wake()
+}
+
+func (i *Instance) refused(a *figtree.Account, r *figlife.Result) {
+	m := figmetric.Request{Outcome: r.Outcome.String(), Reason: r.Reason.String()}
+	if a != nil {
+		m.Account, m.Class = a.ID, a.Class
+	}
+	i.metrics.Ended(m)
+}
--- /dev/null
+++ b/internal/app/figserve/register.go
@@ -0,0 +1,67 @@
+package figserve
+
+import (
+	"context"
+
+	"figtrail.dev/figtrail/internal/core/figkernel"
+	"figtrail.dev/figtrail/internal/request/figsend"
+)
+
+// register names the services in the order of their start. Callers come last in
+// and first out.
+func (i *Instance) register() error {
+	for _, s := range []figkernel.Service{
+		{Name: "metrics", Value: i.metrics, Stop: func(context.Context) error { return i.metrics.Close() }},
+		{Name: "peers", Value: i.client, Run: i.servePeers, Stop: func(context.Context) error { return i.client.Close() }},
+		{Name: "config", Value: i.store, Run: func(ctx context.Context) error { return i.store.Run(ctx, i.timer) }},
+		{Name: "membership", Value: i.member, Run: func(ctx context.Context) error { return i.member.Run(ctx, i.timer) }},
+		{Name: "keys", Value: i.sessions, Run: i.followKeys},
+		{Name: "budget", Value: i.budget, Run: func(ctx context.Context) error { return i.budget.Run(ctx, i.timer) }},
+		{Name: "owner", Value: i.owner, Run: func(ctx context.Context) error { return i.owner.Run(ctx, i.timer) }},
+		{Name: "placer", Value: i.placer, Run: func(ctx context.Context) error { return i.placer.Run(ctx, i.timer) }},
+		{Name: "queues", Value: i.queues, Start: i.queues.start},
+		{Name: "watch", Value: i.watch, Run: i.watchCallers},
+		{Name: "admin", Value: i.admin, Run: func(ctx context.Context) error { return i.admin.Serve(ctx, i.operators) }},
+		{Name: "callers", Value: i.front, Run: i.serveCallers},
+	} {
+		if err := i.kernel.Register(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (i *Instance) servePeers(ctx context.Context) error { return i.handlers.Serve(ctx, i.peers) }
+
+// serveCallers serves until ctx ends, and then cuts what still runs.
+func (i *Instance) serveCallers(ctx context.Context) error {
+	stopped := context.AfterFunc(ctx, func() {
+		now, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = i.front.Shutdown(now)
+	})
+	defer stopped()
+	if err := i.front.Serve(i.callers); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// followKeys ends the running requests of keys that are withdrawn.
+func (i *Instance) followKeys(ctx context.Context) error {
+	changes := i.store.Subscribe()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changes:
+			i.sessions.Apply(i.store.Tree())
+		}
+	}
+}
+
+// watchCallers notices callers that leave.
+func (i *Instance) watchCallers(ctx context.Context) error {
+	return i.watch.Run(ctx, i.timer.Subscribe(ctx, figsend.WatchInterval))
+}
--- /dev/null
+++ b/internal/app/figserve/serve_test.go
@@ -0,0 +1,249 @@
+package figserve
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/stretchr/testify/require"
+	"github.com/tidwall/gjson"
+
+	"figtrail.dev/figtrail/internal/stand/figstand"
+)
+
+const prompt = "summarise the contract of the stadium"
+
+func (f *fixture) client() openai.Client {
+	return openai.NewClient(
+		option.WithBaseURL("http://"+f.instances[0].CallerAddress()+"/v1"),
+		option.WithAPIKey(f.key.Text),
+		option.WithMaxRetries(0),
+	)
+}
+
+func chat(tokens int64) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:     "small",
+		MaxTokens: openai.Int(tokens),
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage(prompt)},
+	}
+}
+
+// The client library that callers use must get whole answers, streamed or not.
+func TestClientLibrary(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t, 2)
+	c := f.client()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+
+	whole, err := c.Chat.Completions.New(ctx, chat(12))
+	require.NoError(t, err)
+	require.Equal(t, figstand.AnswerText(prompt, 12), whole.Choices[0].Message.Content)
+	require.Equal(t, int64(12), whole.Usage.CompletionTokens)
+
+	stream := c.Chat.Completions.NewStreaming(ctx, chat(12))
+	var text strings.Builder
+	for stream.Next() {
+		for _, choice := range stream.Current().Choices {
+			text.WriteString(choice.Delta.Content)
+		}
+	}
+	require.NoError(t, stream.Err())
+	require.Equal(t, figstand.AnswerText(prompt, 12), text.String())
+
+	completion, err := c.Completions.New(ctx, openai.CompletionNewParams{
+		Model: "small", MaxTokens: openai.Int(5),
+		Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String(prompt)},
+	})
+	require.NoError(t, err)
+	require.Equal(t, figstand.AnswerText(prompt, 5), completion.Choices[0].Text)
+
+	models, err := c.Models.List(ctx)
+	require.NoError(t, err)
+	require.Equal(t, "small", models.Data[0].ID)
+
+	require.False(t, f.prefill.Saw(f.key.Text))
+	require.False(t, f.decode.Saw(f.key.Text))
+	f.eventually(func() bool { return f.prefill.Held() == 0 && f.decode.Held() == 0 })
+}
+
+// Every refusal must say that nothing ran, and why.
+func TestRefusals(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t, 1)
+	long := `{"model":"small","messages":[{"role":"user","content":"` + strings.Repeat("word ", 6000) + `"}]}`
+	for _, c := range []struct {
+		name, method, path, key, body string
+		status                        int
+		reason                        string
+	}{
+		{"no key", "POST", "/v1/chat/completions", "", "{}", 401, "unauthorized"},
+		{"wrong key", "POST", "/v1/chat/completions", "ft_0123456789abcdef_wrong", "{}", 401, "unauthorized"},
+		{"no JSON", "POST", "/v1/chat/completions", f.key.Text, "{", 400, "badRequest"},
+		{"no model", "POST", "/v1/chat/completions", f.key.Text, `{"messages":[]}`, 400, "badRequest"},
+		{"unknown model", "POST", "/v1/chat/completions", f.key.Text, `{"model":"x","messages":[]}`, 404, "notFound"},
+		{"two answers", "POST", "/v1/chat/completions", f.key.Text, `{"model":"small","n":2,"messages":[]}`, 400, "badRequest"},
+		{"no tokens", "POST", "/v1/chat/completions", f.key.Text, `{"model":"small","max_tokens":0,"messages":[]}`, 400, "badRequest"},
+		{"long prompt", "POST", "/v1/chat/completions", f.key.Text, long, 413, "tooLarge"},
+		{"wrong method", "GET", "/v1/completions", f.key.Text, "", 400, "badRequest"},
+		{"no route", "GET", "/elsewhere", f.key.Text, "", 404, "notFound"},
+		{"route by whole segments", "GET", "/ledger/balances", f.key.Text, "", 404, "notFound"},
+		{"method not declared", "GET", "/ledger/refund", f.key.Text, "", 400, "badRequest"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q, err := http.NewRequest(c.method, "http://"+f.instances[0].CallerAddress()+c.path, strings.NewReader(c.body))
+			require.NoError(t, err)
+			if c.key != "" {
+				q.Header.Set("X-Api-Key", c.key)
+			}
+			a, err := http.DefaultClient.Do(q)
+			require.NoError(t, err)
+			defer func() { _ = a.Body.Close() }()
+			body, err := io.ReadAll(a.Body)
+			require.NoError(t, err)
+			require.Equal(t, c.status, a.StatusCode, string(body))
+			require.Equal(t, c.reason, gjson.GetBytes(body, "error.reason").Str)
+			require.Equal(t, "notRun", gjson.GetBytes(body, "error.outcome").Str)
+			require.Equal(t, a.Header.Get("X-Request-Id"), gjson.GetBytes(body, "error.requestId").Str)
+		})
+	}
+	require.Zero(t, f.prefill.Requests())
+}
+
+// An open route needs no key; a body over the limit is refused with 413.
+func TestOpenRouteAndBodyLimit(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t, 1)
+	base := "http://" + f.instances[0].CallerAddress()
+	a, err := http.Get(base + "/open/hours")
+	require.NoError(t, err)
+	require.NoError(t, a.Body.Close())
+	require.Equal(t, http.StatusOK, a.StatusCode)
+
+	huge := bytes.NewReader(make([]byte, 9<<20))
+	a, err = http.Post(base+"/open/hours", "text/plain", huge)
+	if err == nil { // the connection may break while the body is still being sent
+		require.NoError(t, a.Body.Close())
+		require.Equal(t, http.StatusRequestEntityTooLarge, a.StatusCode)
+	}
+}
+
+// A withdrawn key must end a stream that is running, and say so.
+func TestWithdrawnKeyEndsStream(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c := f.client()
+	stream := c.Chat.Completions.NewStreaming(ctx, chat(500))
+	require.True(t, stream.Next())
+	f.platform.Publish("all", f.declare(true))
+	for stream.Next() {
+	}
+	require.Error(t, stream.Err())
+	require.NoError(t, ctx.Err())
+	f.eventually(func() bool { return f.decode.Held() == 0 })
+}
+
+// A cut stream must reach the caller as an error, never as a clean end.
+func TestCutStreamIsAnError(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t, 1)
+	f.decode.Faults.Set(figstand.Fault{Kind: figstand.Cut, Count: 1})
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c := f.client()
+	stream := c.Chat.Completions.NewStreaming(ctx, chat(50))
+	tokens := 0
+	for stream.Next() {
+		tokens += len(stream.Current().Choices)
+	}
+	require.Error(t, stream.Err())
+	require.Less(t, tokens, 50)
+}
+
+// A caller that leaves must free the engine memory within seconds.
+func TestCallerLeaves(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := f.client()
+	stream := c.Chat.Completions.NewStreaming(ctx, chat(500))
+	require.True(t, stream.Next())
+	require.Positive(t, f.decode.Held())
+	cancel()
+	f.eventually(func() bool { return f.decode.Held() == 0 })
+	require.Less(t, f.decode.Runs()[0].Tokens, 500)
+}
+
+// A draining instance must end its streams and take no new request.
+func TestDrainCutsNothing(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t, 2)
+	i := f.instances[0]
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	body := `{"model":"small","stream":true,"max_tokens":400,"messages":[{"role":"user","content":"` + prompt + `"}]}`
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.CallerAddress()+"/v1/chat/completions", strings.NewReader(body))
+	require.NoError(t, err)
+	q.Header.Set("X-Api-Key", f.key.Text)
+	a, err := http.DefaultClient.Do(q)
+	require.NoError(t, err)
+	defer func() { _ = a.Body.Close() }()
+	require.Equal(t, http.StatusOK, a.StatusCode)
+
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		i.Drain(ctx)
+	}()
+	f.eventually(func() bool { return i.Ready() != nil })
+	f.platform.SetInstance(figstand.InstanceRow{Name: i.Name, Address: i.PeerAddress(), DataCentre: "east", State: "leaving"})
+	events, done := 0, false
+	lines := bufio.NewScanner(a.Body)
+	for lines.Scan() {
+		events += strings.Count(lines.Text(), `"content"`)
+		done = done || lines.Text() == "data: [DONE]"
+	}
+	require.NoError(t, lines.Err())
+	require.True(t, done)
+	require.Equal(t, 400, events)
+	select {
+	case <-drained:
+	case <-ctx.Done():
+		require.NoError(t, errors.New("the drain did not end"))
+	}
+	_, err = net.Dial("tcp", i.CallerAddress())
+	require.Error(t, err)
+}
+
+func BenchmarkOverhead(b *testing.B) {
+	f := startFixture(b, 1)
+	for _, c := range []struct{ name, address string }{
+		{"direct", f.plain.Address()},
+		{"routed", f.instances[0].CallerAddress()},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				q, err := http.NewRequest(http.MethodGet, "http://"+c.address+"/ledger/balance", http.NoBody)
+				require.NoError(b, err)
+				q.Header.Set("X-Api-Key", f.key.Text)
+				a, err := http.DefaultClient.Do(q)
+				require.NoError(b, err)
+				_, _ = io.Copy(io.Discard, a.Body)
+				_ = a.Body.Close()
+				require.Equal(b, http.StatusOK, a.StatusCode)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/edge/figfront/models.go
@@ -0,0 +1,55 @@
+package figfront
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"figtrail.dev/figtrail/internal/config/figtree"
+	"figtrail.dev/figtrail/internal/request/figflow"
+	"figtrail.dev/figtrail/internal/request/figlife"
+)
+
+// modelList is the answer to a call for the models.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// answerModels lists the models that the client account may use, or shows the
+// one called name.
+func (f *Front) answerModels(c *fasthttp.RequestCtx, t *figtree.Tree, q *figflow.Call, name string) {
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, m := range t.Models(q.Account) {
+		list.Data = append(list.Data, modelEntry{ID: m, Object: "model", OwnedBy: "figtrail"})
+	}
+	if name == "" {
+		answerJSON(c, list)
+		return
+	}
+	i := slices.IndexFunc(list.Data, func(m modelEntry) bool { return m.ID == name })
+	if i < 0 {
+		f.refuse(c, refusal(q.ID, figlife.NotFound, "this client account has no model "+strconv.Quote(name)))
+		return
+	}
+	answerJSON(c, list.Data[i])
+}
+
+func answerJSON(c *fasthttp.RequestCtx, v any) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(text)
+}
--- /dev/null
+++ b/internal/edge/figfront/read.go
@@ -0,0 +1,148 @@
+package figfront
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"figtrail.dev/figtrail/internal/config/figtree"
+	"figtrail.dev/figtrail/internal/limit/figkey"
+	"figtrail.dev/figtrail/internal/request/figflow"
+	"figtrail.dev/figtrail/internal/request/figlife"
+	"figtrail.dev/figtrail/internal/request/figsend"
+)
+
+// read fills in the call of a request. It returns the refusal that answers it, or
+// true if it has answered the request itself.
+func (f *Front) read(c *fasthttp.RequestCtx, q *figflow.Call) (answered bool, r *figlife.Result) {
+	if f.opts.Draining() {
+		return false, refusal(q.ID, figlife.Draining, "")
+	}
+	t := f.opts.Tree()
+	q.Method = string(c.Method())
+	q.Path = string(c.RequestURI())
+	path := string(c.Path())
+	route, plain := t.Route(path)
+	if !plain || !route.Open {
+		if r := f.authenticate(c, t, q); r != nil {
+			return false, r
+		}
+	}
+	switch {
+	case path == pathChat || path == pathCompletions:
+		r = readModel(c, t, q, path == pathChat)
+	case path == pathModels || strings.HasPrefix(path, pathModels+"/"):
+		f.answerModels(c, t, q, strings.TrimPrefix(path[len(pathModels):], "/"))
+		return true, nil
+	case plain:
+		r = readPlain(t, q, route)
+	default:
+		r = refusal(q.ID, figlife.NotFound, "no route has the path "+strconv.Quote(path))
+	}
+	if r != nil {
+		return false, r
+	}
+	q.Header = copyHeader(c)
+	q.Body = slices.Clone(c.PostBody())
+	return false, setDeadline(c, q)
+}
+
+// authenticate finds the client account of the key that came with the request.
+// All faults look alike to the caller.
+func (f *Front) authenticate(c *fasthttp.RequestCtx, t *figtree.Tree, q *figflow.Call) *figlife.Result {
+	q.Secret = keyOf(c)
+	k, err := figkey.Verify(t, q.Secret)
+	if err != nil {
+		var refused *figkey.Refusal
+		if errors.As(err, &refused) {
+			f.opts.KeyRefused(refused.Reason)
+		}
+		return refusal(q.ID, figlife.Unauthorized, "")
+	}
+	account, ok := t.Account(k.Account)
+	if !ok {
+		return refusal(q.ID, figlife.Unauthorized, "")
+	}
+	q.Account = account
+	q.KeyID = k.ID
+	return nil
+}
+
+// keyOf returns the key as the caller sent it, without the scheme.
+func keyOf(c *fasthttp.RequestCtx) string {
+	if v := c.Request.Header.Peek("X-Api-Key"); len(v) > 0 {
+		return string(v)
+	}
+	scheme, key, _ := strings.Cut(string(c.Request.Header.Peek(fasthttp.HeaderAuthorization)), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+func readModel(c *fasthttp.RequestCtx, t *figtree.Tree, q *figflow.Call, chat bool) *figlife.Result {
+	bad := func(reason figlife.Reason, detail string) *figlife.Result { return refusal(q.ID, reason, detail) }
+	if !c.IsPost() {
+		return bad(figlife.BadRequest, "the method must be POST")
+	}
+	m, err := parseModel(c.PostBody(), chat)
+	if err != nil {
+		return bad(figlife.BadRequest, err.Error())
+	}
+	p, ok := t.PoolForModel(q.Account, m.Model)
+	if !ok {
+		return bad(figlife.NotFound, "this client account has no model "+strconv.Quote(m.Model))
+	}
+	q.Pool = p
+	q.Idempotent = true
+	q.Model = m.call(p)
+	if q.Model.PromptTokens > p.PromptLimit {
+		return bad(figlife.TooLarge, "the prompt has about "+strconv.FormatInt(q.Model.PromptTokens, 10)+
+			" tokens; the limit is "+strconv.FormatInt(p.PromptLimit, 10))
+	}
+	return nil
+}
+
+func readPlain(t *figtree.Tree, q *figflow.Call, route *figtree.Route) *figlife.Result {
+	if len(route.Methods) > 0 && !slices.Contains(route.Methods, q.Method) {
+		return refusal(q.ID, figlife.BadRequest, "the route takes "+strings.Join(route.Methods, ", "))
+	}
+	p, ok := t.Pool(route.Pool)
+	if !ok || (q.Account != nil && !slices.Contains(q.Account.Pools, route.Pool)) {
+		return refusal(q.ID, figlife.NotFound, "this client account has no such route")
+	}
+	q.Pool = p
+	q.Idempotent = route.Idempotent
+	return nil
+}
+
+// setDeadline takes the earlier of the pool's timeout and the caller's own.
+func setDeadline(c *fasthttp.RequestCtx, q *figflow.Call) *figlife.Result {
+	q.Deadline = q.Arrived.Add(q.Pool.Timeout)
+	text := string(c.Request.Header.Peek(headerTimeout))
+	if text == "" {
+		return nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || ms < 1 {
+		return refusal(q.ID, figlife.BadRequest, headerTimeout+" must be a number of milliseconds above 0")
+	}
+	if own := q.Arrived.Add(time.Duration(ms) * time.Millisecond); own.Before(q.Deadline) {
+		q.Deadline = own
+	}
+	return nil
+}
+
+// copyHeader copies the caller's header fields; the sender leaves out those that
+// carry the key and those that end at a connection.
+func copyHeader(c *fasthttp.RequestCtx) []figsend.Header {
+	fields := make([]figsend.Header, 0, c.Request.Header.Len())
+	for name, value := range c.Request.Header.All() {
+		fields = append(fields, figsend.Header{Name: string(name), Value: string(value)})
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/request/figflow/model.go
@@ -0,0 +1,111 @@
+package figflow
+
+import (
+	"context"
+
+	"figtrail.dev/figtrail/internal/engine/figengine"
+	"figtrail.dev/figtrail/internal/place/figplace"
+	"figtrail.dev/figtrail/internal/request/figlife"
+	"figtrail.dev/figtrail/internal/request/figsend"
+)
+
+// tryModel runs prefill and decode on the placed servers and relays the tokens.
+func (x *run) tryModel(ctx context.Context, p *figplace.Placement) (verdict, error) {
+	prompt := x.prompt()
+	var result *figengine.PrefillResult
+	if p.Prefill.Name != "" {
+		var err error
+		if result, err = x.prefill(ctx, p, prompt); err != nil {
+			return x.failed(p, p.Prefill.Name, err)
+		}
+	}
+	send, err := x.life.Send()
+	if err != nil {
+		return ended, err
+	}
+	x.life.Advance(figlife.Transferring)
+	x.sent.Store(true)
+	stream, err := x.Engine.Decode(ctx, p.Decode, prompt, result)
+	if err != nil {
+		send.Fail(err)
+		return x.failed(p, p.Decode.Name, err)
+	}
+	defer stream.Close()
+	if stream.Answer != nil {
+		return x.engineRefusal(p, send, stream.Answer)
+	}
+	err = x.relay(ctx, p, stream)
+	if err == nil {
+		send.OK()
+		x.life.End(figlife.Cause{Reason: figlife.Done})
+		return ended, nil
+	}
+	send.Fail(err)
+	if !x.streaming && figsend.KindOf(err) != figsend.KindCancelled {
+		return x.failed(p, p.Decode.Name, err)
+	}
+	x.life.End(figlife.CauseOf(cutReason(err), err))
+	return ended, err
+}
+
+func (x *run) prompt() *figengine.Prompt {
+	return &figengine.Prompt{
+		ID:        x.ID,
+		Path:      x.Path,
+		Header:    x.Header,
+		Body:      x.Body,
+		Secret:    x.Secret,
+		Stream:    x.Model.Stream,
+		MaxTokens: int(x.Model.OutputTokens),
+		Priority:  x.priority(),
+		Deadline:  x.Deadline,
+	}
+}
+
+// prefill computes the KV cache, late enough that its result is fetched in time.
+func (x *run) prefill(ctx context.Context, p *figplace.Placement, prompt *figengine.Prompt) (*figengine.PrefillResult, error) {
+	if err := x.Timer.Sleep(ctx, p.StartPrefillAt.Sub(x.Clock.Now())); err != nil {
+		return nil, err
+	}
+	send, err := x.life.Send()
+	if err != nil {
+		return nil, err
+	}
+	x.life.Advance(figlife.Prefilling)
+	x.sent.Store(true)
+	begun := x.Clock.Now()
+	result, err := x.Engine.Prefill(ctx, p.Prefill, prompt)
+	if err != nil {
+		send.Fail(err)
+		return nil, err
+	}
+	send.OK()
+	x.promptTokens.Store(int64(result.PromptTokens))
+	p.PrefillDone(int64(result.PromptTokens-result.CachedTokens), x.Clock.Now().Sub(begun))
+	return result, nil
+}
+
+// engineRefusal relays an engine's own error answer: it judged the request, so
+// another engine would answer alike. A server error is tried elsewhere.
+func (x *run) engineRefusal(p *figplace.Placement, send *figlife.Send, a *figsend.Answer) (verdict, error) {
+	send.OK()
+	if a.Status >= 500 {
+		return x.failed(p, p.Decode.Name, errEngine)
+	}
+	if x.life.FirstByte() {
+		x.reply.Begin(a.Status, a.Header, a.Body)
+	}
+	x.life.End(figlife.Cause{Reason: figlife.Done})
+	return ended, nil
+}
+
+func cutReason(err error) figlife.Reason {
+	switch {
+	case figsend.KindOf(err) == figsend.KindTooLarge:
+		return figlife.TooLarge
+	case isSlowCaller(err):
+		return figlife.SlowCaller
+	default:
+		return figlife.StreamCut
+	}
+}
--- /dev/null
+++ b/internal/request/figflow/plain.go
@@ -0,0 +1,52 @@
+package figflow
+
+import (
+	"context"
+
+	"github.com/valyala/fasthttp"
+
+	"figtrail.dev/figtrail/internal/place/figowner"
+	"figtrail.dev/figtrail/internal/place/figplace"
+	"figtrail.dev/figtrail/internal/request/figlife"
+	"figtrail.dev/figtrail/internal/request/figsend"
+)
+
+// tryPlain sends the call to a plain service and relays its answer. Any status
+// that the service answers with is an answer.
+func (x *run) tryPlain(ctx context.Context, p *figplace.Placement) (verdict, error) {
+	send, err := x.life.Send()
+	if err != nil {
+		x.life.End(figlife.CauseOf(figlife.ServerFailed, err))
+		return ended, err
+	}
+	x.life.Advance(figlife.Decoding)
+	x.sent.Store(true)
+	answer, err := x.Sender.Do(ctx, &figsend.Call{
+		ID:         x.ID,
+		Server:     p.Decode,
+		Method:     x.Method,
+		Path:       x.Path,
+		Header:     x.Header,
+		Body:       x.Body,
+		Secret:     x.Secret,
+		Idempotent: x.Idempotent,
+		Deadline:   x.Deadline,
+		MaxAnswer:  x.AnswerLimit,
+	})
+	if err != nil {
+		send.Fail(err)
+		if figsend.RanOf(err) == figsend.NotRun {
+			x.sent.Store(false)
+		}
+		return x.failed(p, p.Decode.Name, err)
+	}
+	send.OK()
+	if x.Idempotent && answer.Status >= fasthttp.StatusBadGateway && answer.Status <= fasthttp.StatusGatewayTimeout {
+		p.Fail(p.Decode.Name, figowner.ServerError)
+	}
+	if x.life.FirstByte() {
+		x.reply.Begin(answer.Status, answer.Header, answer.Body)
+	}
+	x.life.End(figlife.Cause{Reason: figlife.Done})
+	return ended, nil
+}
--- /dev/null
+++ b/internal/request/figflow/relay.go
@@ -0,0 +1,120 @@
+package figflow
+
+import (
+	"context"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tidwall/gjson"
+	"github.com/valyala/fasthttp"
+
+	"figtrail.dev/figtrail/internal/place/figplace"
+	"figtrail.dev/figtrail/internal/request/figlife"
+	"figtrail.dev/figtrail/internal/request/figsend"
+)
+
+// ErrSlowCaller is returned by Reply.Write when the caller doesn't read.
+var ErrSlowCaller = errors.New("the caller reads too slowly")
+
+var (
+	errEngine = errors.New("the engine answered with a server error")
+	errEnded  = errors.New("the request has ended")
+	// endEvent is the marker that ends a whole stream.
+	endEvent = []byte("data: [DONE]\n\n")
+)
+
+func isSlowCaller(err error) bool { return errors.Is(err, ErrSlowCaller) }
+
+// relay passes the engine's events on until their proved end. A caller that
+// wants no stream gets them joined.
+func (x *run) relay(ctx context.Context, p *figplace.Placement, s *figsend.Stream) error {
+	whole := &collector{}
+	for {
+		e, err := s.Next(ctx, x.Pool.StallLimit)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		data := gjson.ParseBytes(e.Data)
+		if data.Get("error").Exists() {
+			return errors.Newf("the engine sent an error: %s", data.Get("error.type").Str)
+		}
+		x.count(p, data)
+		if !x.Model.Stream {
+			whole.add(data)
+			continue
+		}
+		if err := x.pass(ctx, e, data); err != nil {
+			return err
+		}
+	}
+	if x.Model.Stream {
+		return x.write(ctx, endEvent)
+	}
+	return x.answerWhole(whole)
+}
+
+// count follows the progress of the answer: each event with choices is a token,
+// until the engine's own usage says better.
+func (x *run) count(p *figplace.Placement, data gjson.Result) {
+	if u := data.Get("usage"); u.IsObject() {
+		x.promptTokens.Store(u.Get("prompt_tokens").Int())
+		x.outputTokens.Store(u.Get("completion_tokens").Int())
+	}
+	if len(data.Get("choices").Array()) == 0 {
+		return
+	}
+	now := x.Clock.Now()
+	if x.firstToken.IsZero() {
+		x.life.Advance(figlife.Decoding)
+		x.firstToken = now
+		p.TransferDone(0, 0)
+	}
+	x.lastToken = now
+	x.outputTokens.Add(1)
+	p.Progress(1)
+}
+
+// pass hands one event to the caller. The usage event goes only to callers that
+// asked for it.
+func (x *run) pass(ctx context.Context, e figsend.Event, data gjson.Result) error {
+	if !x.Model.Usage && data.Get("usage").IsObject() && len(data.Get("choices").Array()) == 0 {
+		return nil
+	}
+	return x.write(ctx, figsend.AppendEvent(make([]byte, 0, len(e.Data)+16), e))
+}
+
+// write begins the stream with its first part.
+func (x *run) write(ctx context.Context, part []byte) error {
+	if !x.streaming {
+		if !x.life.FirstByte() {
+			return errEnded
+		}
+		x.streaming = true
+		x.reply.Begin(fasthttp.StatusOK, streamHeader(), nil)
+	}
+	return x.reply.Write(ctx, part)
+}
+
+func streamHeader() []figsend.Header {
+	return []figsend.Header{
+		{Name: fasthttp.HeaderContentType, Value: "text/event-stream"},
+		{Name: fasthttp.HeaderCacheControl, Value: "no-cache"},
+	}
+}
+
+func (x *run) answerWhole(c *collector) error {
+	body, err := c.body()
+	if err != nil {
+		return err
+	}
+	if !x.life.FirstByte() {
+		return errEnded
+	}
+	x.reply.Begin(fasthttp.StatusOK, []figsend.Header{
+		{Name: fasthttp.HeaderContentType, Value: "application/json"},
+	}, body)
+	return nil
+}
