Count wasted prefills, bound slow callers as a whole, serve while draining

Cause, from reading the thin path: a slow caller could hold engine memory for its patience at every single event; a request on an open connection was refused during a drain; usage in every event counted tokens twice; a stream cut by its server left no evidence; priorities went to engines with the wrong sign. Ruled out: refusing with a retry hint while draining, because the promise is that no request is refused for a replacement.

--- a/internal/app/figcommand/serve.go
+++ b/internal/app/figcommand/serve.go
@@ -26,6 +26,9 @@
 			if err := joinFaults(s.Check()); err != nil {
 				return withCode(err, exitUsage)
 			}
+			if err := setVerbosity(s.Verbosity); err != nil {
+				return withCode(err, exitUsage)
+			}
 			return withCode(serve(ctx, s), exitFailed)
 		},
 	}
@@ -90,6 +93,7 @@
 		&cli.DurationFlag{Name: "slow-caller", Usage: "how long a stream waits for a caller that doesn't read", Value: s.SlowCaller, Destination: &s.SlowCaller, Sources: env("slow-caller")},
 		&cli.DurationFlag{Name: "drain-notice", Usage: "how long a draining instance goes on accepting", Value: s.DrainNotice, Destination: &s.DrainNotice, Sources: env("drain-notice")},
 		&cli.DurationFlag{Name: "drain-limit", Usage: "how long running requests may take to end after that", Value: s.DrainLimit, Destination: &s.DrainLimit, Sources: env("drain-limit")},
+		intFlag("verbosity", "level of log lines; 1 adds refusals", &s.Verbosity),
 		intFlag("metric-accounts", "client accounts with histograms of their own", &s.MetricAccounts),
 	}
 }
--- a/internal/app/figserve/drain.go
+++ b/internal/app/figserve/drain.go
@@ -20,7 +20,6 @@
 	if i.timer.Sleep(ctx, i.DrainNotice) != nil {
 		return
 	}
-	i.closing.Store(true)
 	limited, cancel := context.WithTimeout(ctx, i.DrainLimit)
 	defer cancel()
 	if err := i.front.Shutdown(limited); err != nil {
--- a/internal/app/figserve/instance.go
+++ b/internal/app/figserve/instance.go
@@ -74,7 +74,6 @@
 	admin    *figadmin.Admin
 
 	draining atomic.Bool
-	closing  atomic.Bool
 }
 
 // New opens the addresses and joins the parts. Nothing runs yet.
@@ -120,6 +119,8 @@
 		return errors.New("draining")
 	case !i.store.Ready():
 		return errors.New("the configuration is not in force yet")
+	case i.store.Tree().DataCentreOut(i.DataCentre):
+		return errors.Newf("data centre %s is taken out", i.DataCentre)
 	}
 	return nil
 }
--- a/internal/app/figserve/join.go
+++ b/internal/app/figserve/join.go
@@ -204,7 +204,7 @@
 		Run:         i.flow.Run,
 		Refused:     i.refused,
 		KeyRefused:  func(r figkey.Reason) { i.metrics.Count("keys_refused", "reason", r.String(), 1) },
-		Draining:    i.closing.Load,
+		Draining:    i.draining.Load,
 		Workers:     i.workers,
 		Watch:       i.watch.Add,
 		BodyLimit:   i.BodyLimit,
--- a/internal/app/figserve/settings.go
+++ b/internal/app/figserve/settings.go
@@ -35,6 +35,9 @@
 	DrainLimit time.Duration
 	// MetricAccounts bounds the client accounts with histograms of their own.
 	MetricAccounts int
+	// Verbosity is the level of log lines: 0 shows what operators act on, 1 adds
+	// refusals, higher ones add detail.
+	Verbosity int
 }
 
 // Defaults returns the settings that need not be given.
@@ -75,6 +78,7 @@
 	add(s.SlowCaller > 0, "slow-caller", "must be above 0")
 	add(s.DrainNotice >= 0, "drain-notice", "must not be negative")
 	add(s.DrainLimit > 0, "drain-limit", "must be above 0")
+	add(s.Verbosity >= 0, "verbosity", "must not be negative")
 	add(s.MetricAccounts >= 0, "metric-accounts", "must not be negative")
 	return faults
 }
--- a/internal/core/figring/ring.go
+++ b/internal/core/figring/ring.go
@@ -63,25 +63,24 @@
 // Push adds v. It returns false if the ring is full and refuses.
 func (r *Ring[T]) Push(v T) bool {
 	r.mu.Lock()
-	if r.count == len(r.items) {
-		r.dropped++
-		if r.policy == Refuse {
-			r.mu.Unlock()
-			return false
-		}
-		r.take()
+	defer r.mu.Unlock()
+	if r.count < len(r.items) {
+		r.put(v)
+		return true
 	}
-	r.items[(r.head+r.count)%len(r.items)] = v
-	r.count++
-	r.mu.Unlock()
-	signal(r.ready)
+	r.dropped++
+	if r.policy == Refuse {
+		return false
+	}
+	r.take()
+	r.put(v)
 	return true
 }
 
 // PushWait adds v, waiting while the ring is full. It returns the context's
 // error when ctx ends first. It suits a producer that may be held back.
 func (r *Ring[T]) PushWait(ctx context.Context, v T) error {
-	for !r.Push(v) {
+	for !r.tryPut(v) {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -140,6 +139,23 @@
 	return r.dropped
 }
 
+// tryPut adds v if there is room; a full ring doesn't count as dropped.
+func (r *Ring[T]) tryPut(v T) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.count == len(r.items) {
+		return false
+	}
+	r.put(v)
+	return true
+}
+
+func (r *Ring[T]) put(v T) {
+	r.items[(r.head+r.count)%len(r.items)] = v
+	r.count++
+	signal(r.ready)
+}
+
 func (r *Ring[T]) take() T {
 	var zero T
 	v := r.items[r.head]
--- a/internal/edge/figfront/front.go
+++ b/internal/edge/figfront/front.go
@@ -74,7 +74,8 @@
 	Refused func(account *figtree.Account, r *figlife.Result)
 	// KeyRefused is told why a key was not accepted.
 	KeyRefused func(reason figkey.Reason)
-	// Draining says that no new request is taken.
+	// Draining says that callers should use other instances: connections are
+	// closed after their answer. A request that came all the same is served.
 	Draining func() bool
 	// Watch calls gone when the caller's connection has closed, until stop is called.
 	Watch func(conn net.Conn, gone func()) (stop func())
--- a/internal/edge/figfront/read.go
+++ b/internal/edge/figfront/read.go
@@ -19,9 +19,6 @@
 // read fills in the call of a request. It returns the refusal that answers it, or
 // true if it has answered the request itself.
 func (f *Front) read(c *fasthttp.RequestCtx, q *figflow.Call) (answered bool, r *figlife.Result) {
-	if f.opts.Draining() {
-		return false, refusal(q.ID, figlife.Draining, "")
-	}
 	t := f.opts.Tree()
 	q.Method = string(c.Method())
 	q.Path = string(c.RequestURI())
--- a/internal/edge/figfront/reply.go
+++ b/internal/edge/figfront/reply.go
@@ -17,6 +17,9 @@
 const (
 	// defaultSlowCaller is how long a stream waits for a caller that doesn't read.
 	defaultSlowCaller = 10 * time.Second
+	// endPatience is how long the end of a stream waits for the caller. It holds
+	// no engine memory any more.
+	endPatience = 30 * time.Second
 	// partsBuffered bounds the parts of a stream that wait for the caller.
 	partsBuffered = 64
 )
@@ -46,10 +49,12 @@
 	ctx   context.Context
 	// cancel tells the flow that the caller has gone.
 	cancel context.CancelCauseFunc
-	slow   time.Duration
-	rest   []byte
-	ended  bool
-	cut    bool
+	// patience is what is left of the time that the caller may hold the flow back.
+	patience time.Duration
+	now      func() time.Time
+	rest     []byte
+	ended    bool
+	cut      bool
 }
 
 // run answers q by the flow, on a worker. The connection's goroutine stays to
@@ -57,11 +62,12 @@
 func (f *Front) run(c *fasthttp.RequestCtx, q *figflow.Call) {
 	ctx, cancel := context.WithCancelCause(f.ctx)
 	x := &exchange{
-		began:  make(chan begin, 1),
-		parts:  figring.New[part](partsBuffered, figring.Refuse),
-		ctx:    ctx,
-		cancel: cancel,
-		slow:   f.opts.SlowCaller,
+		began:    make(chan begin, 1),
+		parts:    figring.New[part](partsBuffered, figring.Refuse),
+		ctx:      ctx,
+		cancel:   cancel,
+		patience: f.opts.SlowCaller,
+		now:      f.opts.Clock.Now,
 	}
 	stop := f.opts.Watch(c.Conn(), func() { cancel(figflow.ErrCallerLeft) })
 	accepted := f.opts.Workers.Go(func() {
@@ -108,14 +114,18 @@
 	}
 }
 
-// write queues one part, waiting for a slow caller only so long.
+// write queues one part. A slow caller may hold it back only so long, all parts
+// of the answer taken together: it can't keep engine memory for ever.
 func (x *exchange) write(ctx context.Context, data []byte) error {
 	if x.parts.Push(part{data: data}) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, x.slow, figflow.ErrSlowCaller)
+	ctx, cancel := context.WithTimeoutCause(ctx, x.patience, figflow.ErrSlowCaller)
 	defer cancel()
-	if x.parts.PushWait(ctx, part{data: data}) != nil {
+	begun := x.now()
+	err := x.parts.PushWait(ctx, part{data: data})
+	x.patience -= x.now().Sub(begun)
+	if err != nil {
 		return context.Cause(ctx)
 	}
 	return nil
@@ -129,7 +139,7 @@
 		last.cut = true
 		last.data = errorEvent(cut)
 	}
-	ctx, cancel := context.WithTimeout(x.ctx, x.slow)
+	ctx, cancel := context.WithTimeout(x.ctx, endPatience)
 	defer cancel()
 	if x.parts.PushWait(ctx, last) != nil {
 		x.cancel(figflow.ErrSlowCaller)
--- a/internal/edge/figmetric/metric.go
+++ b/internal/edge/figmetric/metric.go
@@ -55,6 +55,9 @@
 	Reason string
 	// PromptTokens and OutputTokens were charged.
 	PromptTokens, OutputTokens int64
+	// PrefillTokens is the prompt work done for it, WastedTokens the part of that
+	// which no answer came from.
+	PrefillTokens, WastedTokens int64
 	// Took is the time from arrival to the end.
 	Took time.Duration
 	// FirstToken is the time from arrival to the first token; 0 if there was none.
@@ -78,9 +81,10 @@
 }
 
 type accountScope struct {
-	scope                      tally.Scope
-	first, between, took       tally.Histogram
-	promptTokens, outputTokens tally.Counter
+	scope                       tally.Scope
+	first, between, took        tally.Histogram
+	promptTokens, outputTokens  tally.Counter
+	prefillTokens, wastedTokens tally.Counter
 }
 
 // New returns metrics with a registry of their own.
@@ -122,6 +126,8 @@
 	s.scope.Tagged(map[string]string{"outcome": r.Outcome, "reason": r.Reason}).Counter("requests").Inc(1)
 	s.promptTokens.Inc(r.PromptTokens)
 	s.outputTokens.Inc(r.OutputTokens)
+	s.prefillTokens.Inc(r.PrefillTokens)
+	s.wastedTokens.Inc(r.WastedTokens)
 	s.took.RecordDuration(r.Took)
 	if r.FirstToken > 0 {
 		s.first.RecordDuration(r.FirstToken)
@@ -172,12 +178,14 @@
 func (m *Metrics) add(key, account, class string) *accountScope {
 	s := m.Root.Tagged(map[string]string{"account": account, "class": class})
 	a := &accountScope{
-		scope:        s,
-		first:        s.Histogram("first_token_seconds", firstTokenBuckets()),
-		between:      s.Histogram("between_tokens_seconds", betweenBuckets()),
-		took:         s.Histogram("request_seconds", tookBuckets()),
-		promptTokens: s.Counter("prompt_tokens"),
-		outputTokens: s.Counter("output_tokens"),
+		scope:         s,
+		first:         s.Histogram("first_token_seconds", firstTokenBuckets()),
+		between:       s.Histogram("between_tokens_seconds", betweenBuckets()),
+		took:          s.Histogram("request_seconds", tookBuckets()),
+		promptTokens:  s.Counter("prompt_tokens"),
+		outputTokens:  s.Counter("output_tokens"),
+		prefillTokens: s.Counter("prefill_tokens"),
+		wastedTokens:  s.Counter("wasted_prefill_tokens"),
 	}
 	m.own[key] = a
 	return a
--- a/internal/request/figflow/flow.go
+++ b/internal/request/figflow/flow.go
@@ -146,9 +146,12 @@
 	}
 	m.PromptTokens = x.promptTokens.Load()
 	m.OutputTokens = x.outputTokens.Load()
+	m.PrefillTokens = x.prefilled
 	if x.firstToken.IsZero() {
+		m.WastedTokens = x.prefilled
 		return m
 	}
+	m.WastedTokens = max(0, x.prefilled-m.PromptTokens)
 	m.FirstToken = x.firstToken.Sub(x.Arrived)
 	if n := m.OutputTokens - 1; n > 0 {
 		m.BetweenTokens = x.lastToken.Sub(x.firstToken) / time.Duration(n)
--- a/internal/request/figflow/model.go
+++ b/internal/request/figflow/model.go
@@ -44,7 +44,9 @@
 	if !x.streaming && figsend.KindOf(err) != figsend.KindCancelled {
 		return x.failed(p, p.Decode.Name, err)
 	}
-	x.life.End(figlife.CauseOf(cutReason(err), err))
+	if x.life.End(figlife.CauseOf(cutReason(err), err)) && !isSlowCaller(err) {
+		p.Fail(p.Decode.Name, evidenceOf(err))
+	}
 	return ended, err
 }
 
@@ -57,7 +59,7 @@
 		Secret:    x.Secret,
 		Stream:    x.Model.Stream,
 		MaxTokens: int(x.Model.OutputTokens),
-		Priority:  x.priority(),
+		Priority:  -x.priority(), // an engine serves lower numbers first
 		Deadline:  x.Deadline,
 	}
 }
@@ -81,6 +83,7 @@
 	}
 	send.OK()
 	x.promptTokens.Store(int64(result.PromptTokens))
+	x.prefilled += int64(result.PromptTokens - result.CachedTokens)
 	p.PrefillDone(int64(result.PromptTokens-result.CachedTokens), x.Clock.Now().Sub(begun))
 	return result, nil
 }
--- a/internal/request/figflow/relay.go
+++ b/internal/request/figflow/relay.go
@@ -59,13 +59,17 @@
 // count follows the progress of the answer: each event with choices is a token,
 // until the engine's own usage says better.
 func (x *run) count(p *figplace.Placement, data gjson.Result) {
-	if u := data.Get("usage"); u.IsObject() {
-		x.promptTokens.Store(u.Get("prompt_tokens").Int())
-		x.outputTokens.Store(u.Get("completion_tokens").Int())
+	usage := data.Get("usage")
+	if usage.IsObject() {
+		x.promptTokens.Store(usage.Get("prompt_tokens").Int())
+		x.outputTokens.Store(usage.Get("completion_tokens").Int())
 	}
 	if len(data.Get("choices").Array()) == 0 {
 		return
 	}
+	if !usage.IsObject() {
+		x.outputTokens.Add(1)
+	}
 	now := x.Clock.Now()
 	if x.firstToken.IsZero() {
 		x.life.Advance(figlife.Decoding)
@@ -73,7 +77,6 @@
 		p.TransferDone(0, 0)
 	}
 	x.lastToken = now
-	x.outputTokens.Add(1)
 	p.Progress(1)
 }
 
--- a/internal/request/figflow/run.go
+++ b/internal/request/figflow/run.go
@@ -25,6 +25,9 @@
 
 	reply *Reply
 	life  *figlife.Life
+	// prefilled counts the prompt tokens that prefill servers computed for it, in
+	// all tries.
+	prefilled int64
 	// streaming says that the answer began as a stream.
 	streaming bool
 	avoid     []string
