--- a/internal/config/figstore/relay.go
+++ b/internal/config/figstore/relay.go
@@ -26,18 +26,6 @@
 	pullRounds = 4096
 )
 
-// neighbours returns the peers that this instance asks and notifies. They differ
-// from instance to instance and stand in different data centres where they can.
-func (s *Store) neighbours() []figview.Member {
-	v := s.View()
-	if v.Version == 0 {
-		return s.opts.Seeds
-	}
-	ranked := v.Rank(figview.Key("relay", s.opts.Self), "")
-	ranked = slices.DeleteFunc(ranked, func(m figview.Member) bool { return m.Name == s.opts.Self })
-	return spreadOut(ranked, neighbourCount)
-}
-
 // spreadOut picks up to n members, one of each data centre before a second of any.
 func spreadOut(ranked []figview.Member, n int) []figview.Member {
 	picked := make([]figview.Member, 0, n)
--- a/internal/config/figstore/role.go
+++ b/internal/config/figstore/role.go
@@ -1,6 +1,7 @@
 package figstore
 
 import (
+	"slices"
 	"time"
 
 	"figtrail.dev/figtrail/internal/fleet/figview"
@@ -13,13 +14,11 @@
 // reading says whether this instance reads the service now: it is among the
 // readers, or it hasn't heard of any other that the service answers.
 func (s *Store) reading() bool {
-	for _, m := range s.View().Readers() {
-		if m.Name == s.opts.Self {
-			return true
-		}
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.roleNow().reader {
+		return true
+	}
 	last := s.started
 	if s.source.elsewhere.After(last) {
 		last = s.source.elsewhere
@@ -27,6 +26,34 @@
 	return s.opts.Clock.Now().Sub(last) > s.patience
 }
 
+// role is what a list of instances makes of this one.
+type role struct {
+	view       *figview.View
+	reader     bool
+	neighbours []figview.Member
+}
+
+// roleNow returns the role by the list in force. The caller holds the lock.
+func (s *Store) roleNow() role {
+	if v := s.View(); s.role.view != v {
+		self := func(m figview.Member) bool { return m.Name == s.opts.Self }
+		ranked := slices.DeleteFunc(v.Rank(figview.Key("relay", s.opts.Self), ""), self)
+		s.role = role{v, slices.ContainsFunc(v.Readers(), self), spreadOut(ranked, neighbourCount)}
+	}
+	return s.role
+}
+
+// neighbours returns the peers that this instance asks and notifies. They differ
+// from instance to instance and stand in different data centres where they can.
+func (s *Store) neighbours() []figview.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.View().Version == 0 {
+		return s.opts.Seeds
+	}
+	return s.roleNow().neighbours
+}
+
 // boot keeps what a new instance has learned from its peers.
 type boot struct {
 	tried  map[string]bool
--- a/internal/config/figstore/store.go
+++ b/internal/config/figstore/store.go
@@ -74,6 +74,7 @@
 	serverList  list[figview.Server]
 	source      source
 	boot        boot
+	role        role
 	subscribers []chan struct{}
 	lastBuckets time.Time
 	counts      Counts
--- a/internal/fleet/figmember/run.go
+++ b/internal/fleet/figmember/run.go
@@ -58,10 +58,23 @@
 	if len(v.Members) <= fullMesh {
 		return slices.DeleteFunc(slices.Clone(v.Members), func(m figview.Member) bool { return m.Name == s.self })
 	}
-	key := figview.Key("beat", s.self)
+	if s.ranking.view != v {
+		s.ranking = rank(v, s.self)
+	}
+	near := s.pick(nil, s.ranking.readers, 1, now)
+	return s.pick(near, s.ranking.all, fewPeers, now)
+}
+
+// ranking is the order in which an instance prefers the members of a list.
+type ranking struct {
+	view         *figview.View
+	readers, all []figview.Member
+}
+
+func rank(v *figview.View, self string) ranking {
+	key := figview.Key("beat", self)
 	readers := &figview.View{Members: v.Readers()}
-	near := s.pick(nil, readers.Rank(key, ""), 1, now)
-	return s.pick(near, v.Rank(key, ""), fewPeers, now)
+	return ranking{v, readers.Rank(key, ""), v.Rank(key, "")}
 }
 
 // pick adds members in their order up to n, leaving out those that don't answer.
@@ -81,16 +94,22 @@
 
 // ask sends one beat and takes in the answer.
 func (m *Membership) ask(ctx context.Context, to figview.Member) {
-	q := m.beatTo(to.Name)
 	sent := m.opts.Clock.Now()
-	r, err := m.opts.Ask(ctx, to, q)
-	now := m.opts.Clock.Now()
-	v := m.opts.View()
+	r, err := m.opts.Ask(ctx, to, m.beatTo(to.Name))
+	if err != nil || r.From != to.Name {
+		r = nil
+	}
+	m.finish(to, sent, r)
+}
+
+// finish takes in the answer to a beat that was sent at a time; nil for none.
+func (m *Membership) finish(to figview.Member, sent time.Time, r *Beat) {
+	v, now := m.opts.View(), m.opts.Clock.Now()
 	m.mu.Lock()
 	p := m.state.peer(to.Name)
 	p.busy = false
 	m.counts.Beats++
-	if err != nil || r.From != to.Name {
+	if r == nil {
 		m.counts.Unanswered++
 		p.fail(now, m.opts.Random())
 		m.mu.Unlock()
--- a/internal/fleet/figmember/state.go
+++ b/internal/fleet/figmember/state.go
@@ -54,6 +54,7 @@
 	// confirmed is when the service said that no list newer than the one held existed.
 	confirmed time.Time
 	peers     map[string]*peer
+	ranking   ranking
 }
 
 func newState(self string, incarnation uint64, freshness time.Duration) *state {
@@ -143,11 +144,17 @@
 	return rows
 }
 
-// receive takes in what holds whenever it was sent.
-func (s *state) receive(b *Beat, now time.Time) {
+// receive takes in what holds whenever it was sent. It returns false for a late
+// beat of a process that is known to have a successor.
+func (s *state) receive(b *Beat, now time.Time) bool {
+	if a := s.acks[hashOf(b.From)]; a != nil && b.Incarnation < a.incarnation {
+		// If it lives after all, the answer's rows tell it to outnumber the other.
+		s.peer(b.From).acked = 0
+		return false
+	}
 	p := s.peer(b.From)
 	if b.Incarnation != p.incarnation {
-		p.incarnation, p.seen, p.view = b.Incarnation, 0, 0
+		p.incarnation, p.seen, p.view, p.heard = b.Incarnation, 0, 0, time.Time{}
 	}
 	p.view = max(p.view, b.View)
 	p.draining = b.Draining
@@ -163,12 +170,15 @@
 	if b.Base <= p.seen {
 		p.seen = max(p.seen, b.Sequence)
 	}
+	return true
 }
 
 // answered takes in the answer to a beat that was sent at a time. Ages count from
 // then: the answer may have been on the way since, but it was not made before.
 func (s *state) answered(b *Beat, sent, now time.Time, held uint64) {
-	s.receive(b, now)
+	if !s.receive(b, now) {
+		return
+	}
 	p := s.peer(b.From)
 	p.failures = 0
 	if sent.After(p.heard) {
--- /dev/null
+++ b/internal/fleet/figmember/state_test.go
@@ -0,0 +1,146 @@
+package figmember
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func viewOf(version uint64, names ...string) *figview.View {
+	members := make([]figview.Member, 0, len(names))
+	for _, n := range names {
+		members = append(members, figview.Member{Name: n, DataCentre: "d"})
+	}
+	return figview.NewView(version, members)
+}
+
+// exchange lets a ask b, both holding a version.
+func exchange(a, b *state, view uint64, now time.Time) {
+	a.hold(view, now)
+	b.hold(view, now)
+	b.receive(a.beat(b.self, view, now), now)
+	a.answered(b.beat(a.self, view, now), now, now, view)
+}
+
+// A process that comes back under an earlier clock is heard again at once.
+func TestLowerIncarnation(t *testing.T) {
+	a, old, back := newState("a", 1, DefaultFreshness), newState("b", 50, DefaultFreshness), newState("b", 20, DefaultFreshness)
+	exchange(a, old, 3, epoch)
+	exchange(back, a, 3, epoch)
+	require.Equal(t, uint64(51), back.incarnation)
+	exchange(back, a, 4, epoch)
+	_, ok := a.allAcked(viewOf(4, "a", "b"), 4)
+	require.True(t, ok)
+}
+
+func TestSinceIsWhenTheLastToldIt(t *testing.T) {
+	a, b, c := newState("a", 1, DefaultFreshness), newState("b", 1, DefaultFreshness), newState("c", 1, DefaultFreshness)
+	v := viewOf(2, "a", "b", "c")
+	exchange(a, b, 2, epoch)
+	_, ok := a.allAcked(v, 2)
+	require.False(t, ok)
+	exchange(a, c, 2, epoch.Add(time.Second))
+	exchange(a, b, 2, epoch.Add(2*time.Second))
+	since, ok := a.allAcked(v, 2)
+	require.True(t, ok)
+	require.Equal(t, epoch.Add(time.Second), since)
+	_, ok = a.allAcked(v, 3)
+	require.False(t, ok)
+}
+
+// Rows travel once to each peer and are sent again to one that lost them.
+func TestRowsTravelOnce(t *testing.T) {
+	a, b := newState("a", 1, DefaultFreshness), newState("b", 1, DefaultFreshness)
+	for i := range 100 {
+		a.note(Row{Member: uint64(i), Incarnation: 1, View: 7}, epoch)
+	}
+	exchange(a, b, 7, epoch)
+	exchange(a, b, 7, epoch)
+	require.Empty(t, a.beat("b", 7, epoch).Rows)
+	require.Empty(t, b.beat("a", 7, epoch).Rows)
+	again := newState("b", 2, DefaultFreshness)
+	exchange(again, a, 7, epoch)
+	require.Len(t, again.acks, len(a.acks))
+}
+
+func TestForgetKeepsListed(t *testing.T) {
+	a := newState("a", 1, DefaultFreshness)
+	a.hold(1, epoch)
+	a.note(Row{Member: hashOf("b"), Incarnation: 1, View: 1}, epoch)
+	for i := range 1000 {
+		a.note(Row{Member: uint64(i), Incarnation: 1, View: 1}, epoch)
+	}
+	a.peer("b").seen = 9
+	v := viewOf(1, "a", "b")
+	a.forget(v)
+	require.LessOrEqual(t, len(a.acks), 2+rowsSpare)
+	_, ok := a.allAcked(v, 1)
+	require.True(t, ok)
+	require.Zero(t, a.peer("b").seen)
+}
+
+func largeView(n int) *figview.View {
+	members := make([]figview.Member, 0, n)
+	for i := range n {
+		members = append(members, figview.Member{Name: fmt.Sprint("i", i), DataCentre: fmt.Sprint("d", i%7)})
+	}
+	return figview.NewView(1, members)
+}
+
+func TestNeighboursAreBounded(t *testing.T) {
+	v := largeView(480)
+	asked := map[string]int{}
+	readers := map[string]bool{}
+	for _, r := range v.Readers() {
+		readers[r.Name] = true
+	}
+	for _, m := range v.Members {
+		near := newState(m.Name, 1, DefaultFreshness).neighbours(v, epoch)
+		require.Len(t, near, fewPeers)
+		require.True(t, readers[near[0].Name])
+		for _, p := range near {
+			require.NotEqual(t, m.Name, p.Name)
+			asked[p.Name]++
+		}
+	}
+	most := 0
+	for _, n := range asked {
+		most = max(most, n)
+	}
+	t.Logf("an instance among 480 asks %d and is asked by at most %d", fewPeers, most)
+	require.Less(t, most, 32)
+}
+
+func TestSilentNeighbourIsReplaced(t *testing.T) {
+	v := largeView(48)
+	s := newState("i0", 1, DefaultFreshness)
+	first := s.neighbours(v, epoch)
+	for range failuresSpared {
+		s.peer(first[1].Name).fail(epoch, 0)
+	}
+	require.NotContains(t, s.neighbours(v, epoch), first[1])
+	require.Equal(t, first, s.neighbours(v, epoch.Add(spareTime+time.Millisecond)))
+}
+
+func TestBeatSize(t *testing.T) {
+	a, b := newState("instance-one", 1_764_820_000_000, DefaultFreshness), newState("instance-two", 1_764_820_000_001, DefaultFreshness)
+	exchange(a, b, 9, epoch)
+	exchange(a, b, 9, epoch)
+	steady, err := cbor.Marshal(a.beat("instance-two", 9, epoch))
+	require.NoError(t, err)
+	for i := range 480 {
+		a.note(Row{Member: hashOf(fmt.Sprint(i)), Incarnation: 1_764_820_000_000, View: 9}, epoch)
+	}
+	whole, err := cbor.Marshal(a.beat("instance-two", 9, epoch))
+	require.NoError(t, err)
+	t.Logf("a steady beat has %d bytes; one with 480 rows %d", len(steady), len(whole))
+	require.Less(t, len(steady), 120)
+	require.Less(t, len(whole), 480*24)
+}
