Compare ways of placing on fakes of engines, and bound decode batches

Change: figfake runs five policies over the same traces in virtual time. The link is a backlog that may use half of a result's life; reported queues count only beyond the own leases; the step time is fitted to the batch size and bounds it by the pool's target between tokens; a request that has waited past its target is refused without a message.

--- /dev/null
+++ b/internal/place/figfake/policy.go
@@ -0,0 +1,118 @@
+package figfake
+
+import (
+	"slices"
+	"strconv"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+// Policy is one way of placing requests.
+type Policy struct {
+	// Name is what the table calls it.
+	Name string
+
+	prepare func(r *runner) func(c *call)
+}
+
+// The policies that are compared. Those before Ours choose a prefill and a decode
+// server when the request arrives and submit it at once.
+var (
+	// Random takes any server.
+	Random = Policy{Name: "random", prepare: byPick(func(r *runner, _ figview.Role, all []*Engine) *Engine {
+		return all[r.rng.IntN(len(all))]
+	})}
+	// RoundRobin takes each in turn.
+	RoundRobin = Policy{Name: "round robin", prepare: byPick(func(r *runner, role figview.Role, all []*Engine) *Engine {
+		r.turn[role]++
+		return all[r.turn[role]%len(all)]
+	})}
+	// LeastLoaded takes the one with the least load in the lagged reports.
+	LeastLoaded = Policy{Name: "least loaded", prepare: byPick(func(_ *runner, _ figview.Role, all []*Engine) *Engine {
+		return slices.MinFunc(all, func(a, b *Engine) int { return compareLoad(a, b) })
+	})}
+	// TwoChoices takes the less loaded of two random ones.
+	TwoChoices = Policy{Name: "two choices", prepare: byPick(func(r *runner, _ figview.Role, all []*Engine) *Engine {
+		a, b := all[r.rng.IntN(len(all))], all[r.rng.IntN(len(all))]
+		if compareLoad(b, a) < 0 {
+			return b
+		}
+		return a
+	})}
+	// Ours drives figplace and figowner.
+	Ours = Policy{Name: "figtrail", prepare: prepareOurs}
+)
+
+// Policies holds all policies in the order of the table.
+var Policies = []Policy{Random, RoundRobin, LeastLoaded, TwoChoices, Ours}
+
+// reportedLoad is the load in the last report: work that waits, then memory.
+func reportedLoad(e *Engine) float64 {
+	p := e.Report()
+	if p == nil {
+		return 0
+	}
+	load := float64(p.QueueTokens) / e.PrefillSpeed
+	if p.PiecesTotal > 0 {
+		load += 1 - float64(p.PiecesFree)/float64(p.PiecesTotal)
+	}
+	return load + float64(p.Waiting)
+}
+
+func compareLoad(a, b *Engine) int {
+	x, y := reportedLoad(a), reportedLoad(b)
+	switch {
+	case x < y:
+		return -1
+	case x > y:
+		return 1
+	}
+	return 0
+}
+
+// byPick returns a policy that picks each server by itself.
+func byPick(pick func(r *runner, role figview.Role, all []*Engine) *Engine) func(r *runner) func(c *call) {
+	return func(r *runner) func(c *call) {
+		return func(c *call) {
+			roles := []figview.Role{figview.Prefill, figview.Decode}
+			if c.Plain {
+				roles = []figview.Role{figview.Plain}
+			}
+			for _, role := range roles {
+				all := r.listed(role, c.avoid)
+				if len(all) == 0 {
+					r.end(c, false)
+					return
+				}
+				c.take(pick(r, role, all))
+			}
+			r.After(hop, func() { r.start(c) })
+		}
+	}
+}
+
+// take notes the server that was chosen for a role.
+func (c *call) take(e *Engine) {
+	if e.Role == figview.Prefill {
+		c.prefill = e
+		return
+	}
+	c.decode = e
+}
+
+// listed returns the engines of a role that the lists offer and that no failure
+// speaks against.
+func (r *runner) listed(role figview.Role, avoid []string) []*Engine {
+	var all []*Engine
+	for _, s := range r.servers {
+		if s.Role != role || s.DataCentre == r.out || slices.Contains(avoid, s.Name) {
+			continue
+		}
+		if r.now >= r.suspect[s.Name] {
+			all = append(all, r.engines[s.Name])
+		}
+	}
+	return all
+}
+
+func requestID(n int) string { return "r" + strconv.Itoa(n) }
--- a/internal/place/figowner/book.go
+++ b/internal/place/figowner/book.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"figtrail.dev/figtrail/internal/config/figtree"
 	"figtrail.dev/figtrail/internal/fleet/figview"
 )
 
@@ -32,6 +33,8 @@
 	defaultPlainCalls = 64
 	// defaultPieceTokens is the piece size where the pool declares none.
 	defaultPieceTokens = 2048
+	// defaultResultLife is the life of a result where the pool declares none.
+	defaultResultLife = 500 * time.Millisecond
 )
 
 // Lease is one reservation on a server.
@@ -47,6 +50,7 @@
 
 	starts time.Time
 	done   int64
+	link   time.Duration
 	seen   bool
 }
 
@@ -63,10 +67,16 @@
 	Server figview.Server
 	// PieceTokens is the size of a piece of engine memory.
 	PieceTokens int64
+	// ResultLife is how long a prefill's result survives; half of it may be spent
+	// waiting for the link.
+	ResultLife time.Duration
 	// Ramp bounds the work after a cold start.
 	Ramp Ramp
 	// Breaker keeps work away while the server fails.
 	Breaker Breaker
+	// Batch is the estimate of the decode step time, BetweenTokens its target.
+	Batch         Batch
+	BetweenTokens time.Duration
 	// Fence forms the fencing numbers.
 	Fence Fence
 	// Speed and Link are the estimates of prefill speed and transfer rate.
@@ -85,25 +95,40 @@
 	pieces   int64
 	tokens   int64
 	linkFree time.Time
-	lastDone time.Time
+	// strangers is prefill work that was reported and that no lease stands for;
+	// most is the largest work of the leases since the last report and since the
+	// one before it, which a report may show late.
+	strangers int64
+	most      [2]int64
+	lastDone  time.Time
 }
 
-// NewBook returns the book of a server gained at now.
-func NewBook(s figview.Server, pieceTokens int64, now time.Time) *Book {
-	if pieceTokens <= 0 {
-		pieceTokens = defaultPieceTokens
+// NewBook returns the book of a server gained at now. The pool may be nil.
+func NewBook(s figview.Server, p *figtree.Pool, now time.Time) *Book {
+	if p == nil {
+		p = &figtree.Pool{}
 	}
 	return &Book{
-		Server:      s,
-		PieceTokens: pieceTokens,
-		gained:      now,
-		leases:      map[uint64]*Lease{},
-		byID:        map[string]*Lease{},
-		strays:      map[string]*stray{},
-		released:    map[string]time.Time{},
+		Server:        s,
+		PieceTokens:   orDefault(p.PieceTokens, defaultPieceTokens),
+		ResultLife:    orDefault(p.ResultLife, defaultResultLife),
+		BetweenTokens: p.BetweenTokens,
+		gained:        now,
+		leases:        map[uint64]*Lease{},
+		byID:          map[string]*Lease{},
+		strays:        map[string]*stray{},
+		released:      map[string]time.Time{},
 	}
 }
 
+// orDefault returns v if it is positive, else standard.
+func orDefault[T int64 | time.Duration](v, standard T) T {
+	if v > 0 {
+		return v
+	}
+	return standard
+}
+
 // Len returns the number of live leases.
 func (b *Book) Len() int { return len(b.leases) }
 
@@ -122,10 +147,7 @@
 	for _, s := range b.strays {
 		n += s.pieces * b.PieceTokens
 	}
-	if b.Server.Role == figview.Prefill && b.report != nil {
-		n = max(n, b.report.QueueTokens)
-	}
-	return n
+	return n + b.strangers
 }
 
 // Total returns the server's memory in pieces, and zero if it isn't known.
@@ -161,6 +183,7 @@
 	b.byID[l.ID] = l
 	b.pieces += l.Pieces
 	b.tokens += l.Tokens
+	b.most[0] = max(b.most[0], b.tokens)
 	delete(b.strays, l.ID)
 	delete(b.released, l.ID)
 }
--- a/internal/place/figowner/message.go
+++ b/internal/place/figowner/message.go
@@ -7,7 +7,8 @@
 	From string `cbor:"1,keyasint"`
 	// Epoch is the owner's incarnation that the lease numbers belong to.
 	Epoch uint64 `cbor:"2,keyasint,omitempty"`
-	// Pool is the pool whose loads the reply carries.
+	// Pool is the pool whose loads the reply carries. If it is empty, an owner of
+	// few servers sends those of all.
 	Pool string `cbor:"3,keyasint,omitempty"`
 	// Reserve holds the wanted reservations; the reply has a grant for each.
 	Reserve []Ask `cbor:"4,keyasint,omitempty"`
--- a/internal/place/figowner/owner.go
+++ b/internal/place/figowner/owner.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +14,10 @@
 // maxLoads bounds the load indexes on one reply.
 const maxLoads = 8
 
+// fewBooks is the number of owned servers up to which a reply to a message that
+// names no pool carries the load of all.
+const fewBooks = 4
+
 // Owner keeps the books of the servers that this instance owns. It is safe for
 // concurrent use.
 type Owner struct {
@@ -71,11 +78,8 @@
 		b.Server = s
 		return b
 	}
-	piece := int64(0)
-	if p, ok := o.opts.Pool(s.Pool); ok {
-		piece = p.PieceTokens
-	}
-	b := NewBook(s, piece, now)
+	p, _ := o.opts.Pool(s.Pool)
+	b := NewBook(s, p, now)
 	b.Fence.Gain(o.view.Version, o.opts.Incarnation)
 	return b
 }
@@ -157,8 +161,13 @@
 	return false
 }
 
+func compareBooks(a, b *Book) int { return strings.Compare(a.Server.Name, b.Server.Name) }
+
 func (o *Owner) loads(now time.Time, pool string, fresh bool) []Load {
 	books := o.byPool[pool]
+	if pool == "" && len(o.books) <= fewBooks {
+		books = slices.SortedFunc(maps.Values(o.books), compareBooks)
+	}
 	if len(books) > maxLoads {
 		books = books[:maxLoads]
 	}
--- a/internal/place/figowner/ramp.go
+++ b/internal/place/figowner/ramp.go
@@ -29,6 +29,7 @@
 
 	usual float64
 	slow  int
+	part  float64
 }
 
 // Cold says whether the ramp is still running.
@@ -42,8 +43,11 @@
 }
 
 // Progress adds work that the server was seen to do.
-func (r *Ramp) Progress(tokens int64) {
-	r.Limit = min(r.Full, r.Limit+max(0, tokens))
+func (r *Ramp) Progress(tokens float64) {
+	r.part += max(0, tokens)
+	whole := int64(r.part)
+	r.part -= float64(whole)
+	r.Limit = min(r.Full, r.Limit+whole)
 }
 
 // Allows says whether more tokens may be added to those in progress.
--- a/internal/place/figowner/reconcile.go
+++ b/internal/place/figowner/reconcile.go
@@ -1,6 +1,7 @@
 package figowner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,8 +12,13 @@
 const (
 	// rampCalls is the work in progress that a plain server gets at first, in calls.
 	rampCalls = 2
+	// plainRounds is how many calls of a plain server add one to its ramp.
+	plainRounds = 16
 	// prefillFull is how many seconds of its own work end a prefill server's ramp.
 	prefillFull = 2
+	// warmShare divides the full load of a server whose history is unknown and
+	// whose process is old: what is granted without any progress.
+	warmShare = 2
 	// cancelEvery is the least time between two cancels of one request.
 	cancelEvery = time.Second
 	// missedReports is how many polls in a row may fail before that is evidence.
@@ -40,6 +46,8 @@
 	case b.measure(r):
 		b.restart()
 	}
+	b.strangers = max(0, r.QueueTokens-max(b.most[0], b.most[1]))
+	b.most = [2]int64{b.tokens, b.most[0]}
 	b.match(now.Add(-r.Age), now)
 	b.quota = b.handoverQuota()
 }
@@ -60,7 +68,7 @@
 	if now.Sub(b.report.StartedAt) < warmAge {
 		return
 	}
-	b.Ramp.Progress(2 * b.reportedWork())
+	b.Ramp.Progress(float64(max(b.Ramp.Full/warmShare, 2*b.reportedWork())))
 }
 
 // reportedWork returns the tokens of work that the report shows.
@@ -87,7 +95,7 @@
 	total := b.Total()
 	switch b.Server.Role {
 	case figview.Plain:
-		b.Ramp.Restart(rampCalls, max(total, defaultPlainCalls))
+		b.Ramp.Restart(rampCalls, orDefault(total, defaultPlainCalls))
 	case figview.Prefill:
 		full := int64(prefillFull * b.Speed.Or(defaultSpeed))
 		b.Ramp.Restart(rampPieces*b.PieceTokens, full)
@@ -97,16 +105,34 @@
 }
 
 // measure takes the speed from a report and says whether it was lost. The speed
-// of a decode server is that of one request.
+// of a decode server is that of one request that generates.
 func (b *Book) measure(r *Report) bool {
-	if r.TokensPerSecond <= 0 || len(r.Running) == 0 {
+	if b.Server.Role != figview.Decode {
+		busy := len(r.Running) > 0 || r.QueueTokens > 0
+		return busy && r.TokensPerSecond > 0 && b.Ramp.LostSpeed(r.TokensPerSecond)
+	}
+	active := generating(r)
+	if active == 0 || r.TokensPerSecond <= 0 {
 		return false
 	}
-	speed := r.TokensPerSecond
-	if b.Server.Role == figview.Decode {
-		speed /= float64(len(r.Running))
+	speed := r.TokensPerSecond / float64(active)
+	lost := b.Ramp.LostSpeed(speed)
+	proved := b.Ramp.Limit >= b.Ramp.Full/warmShare
+	if proved && !lost {
+		b.Batch.Add(active, seconds(1/speed))
 	}
-	return b.Ramp.LostSpeed(speed)
+	return lost
+}
+
+// generating returns the number of requests that have generated a token.
+func generating(r *Report) int {
+	n := 0
+	for _, x := range r.Running {
+		if x.Tokens > 0 {
+			n++
+		}
+	}
+	return n
 }
 
 // match compares what the server reports, as of taken, with the live leases.
@@ -140,7 +166,7 @@
 	}
 	done := min(l.Tokens, l.Tokens*tokens/l.Output)
 	if done > l.done {
-		b.Ramp.Progress(done - l.done)
+		b.Ramp.Progress(float64(done - l.done))
 		l.done = done
 	}
 }
@@ -197,6 +223,7 @@
 			cancels = append(cancels, id)
 		}
 	}
+	slices.Sort(cancels)
 	return cancels
 }
 
--- a/internal/place/figowner/reserve.go
+++ b/internal/place/figowner/reserve.go
@@ -92,12 +92,26 @@
 	if b.report.PiecesTotal == 0 {
 		return b.refusePlain()
 	}
+	if !b.Batch.Allows(b.batchAt(now, a)+1, b.BetweenTokens) {
+		return Full, b.untilFree(now, 1)
+	}
 	if a.Pieces > b.Free() {
 		return Full, b.untilFree(now, a.Pieces)
 	}
 	return Granted, 0
 }
 
+// batchAt estimates the requests on a decode server when the asked one would join.
+func (b *Book) batchAt(now time.Time, a Ask) int {
+	old := 0
+	for _, l := range b.leases {
+		if now.Sub(l.starts) > b.Batch.Life/2 {
+			old++
+		}
+	}
+	return b.Len() - b.Batch.Leaving(old, time.Duration(a.AfterMillis)*time.Millisecond)
+}
+
 // duration returns how long the server needs for tokens of prefill work.
 func (b *Book) duration(tokens int64) time.Duration {
 	return seconds(float64(tokens) / b.Speed.Or(defaultSpeed))
@@ -110,9 +124,12 @@
 		return g
 	}
 	took := seconds(float64(a.Bytes) / b.Link.Or(defaultLink))
-	start := later(l.starts, b.linkFree)
-	b.linkFree = start.Add(took)
-	g.DelayMillis = millis(start.Sub(l.starts))
+	latest := l.starts.Add(b.ResultLife / 2)
+	g.DelayMillis = millis(max(0, b.linkFree.Sub(latest)))
+	if l.link == 0 {
+		l.link = took
+		b.linkFree = later(b.linkFree, now).Add(took)
+	}
 	return g
 }
 
@@ -139,15 +156,32 @@
 	b.drop(l)
 	b.released[l.ID] = now
 	if r.Tokens <= 0 {
+		b.freeLink(l)
 		return
 	}
 	b.Breaker.Worked(now)
-	b.Ramp.Progress(max(0, l.Tokens-l.done))
+	b.Batch.Ended(now.Sub(l.starts))
+	b.Ramp.Progress(b.credit(l))
 	if b.Server.Role == figview.Prefill {
 		b.measurePrefill(now, r)
 	}
 }
 
+// credit returns the work of a lease that the ramp hasn't been told of.
+func (b *Book) credit(l *Lease) float64 {
+	if b.Server.Role == figview.Plain {
+		return 1.0 / plainRounds
+	}
+	return float64(max(0, l.Tokens-l.done))
+}
+
+// freeLink takes back the link time of a request that has not used it.
+func (b *Book) freeLink(l *Lease) {
+	if !l.seen {
+		b.linkFree = b.linkFree.Add(-l.link)
+	}
+}
+
 // measurePrefill corrects the speed by a finished prefill. Work that queued
 // behind another is counted from the end of that one.
 func (b *Book) measurePrefill(now time.Time, r Release) {
--- a/internal/place/figplace/choose.go
+++ b/internal/place/figplace/choose.go
@@ -42,8 +42,10 @@
 	server figview.Server
 	owner  figview.Member
 	score  float64
-	// tokens is the work after the cached prefix, ready when it would be done.
+	// tokens is the work after the cached prefix, queue the wait before it, ready
+	// when it would be done.
 	tokens int64
+	queue  time.Duration
 	ready  time.Duration
 }
 
@@ -171,7 +173,8 @@
 		queue = r.queue(s.now)
 	}
 	c.tokens = s.prefixes.uncached(c.server.Name, s.request)
-	c.ready = time.Duration(float64(queue+c.tokens) / speed * float64(time.Second))
+	c.queue = time.Duration(float64(queue) / speed * float64(time.Second))
+	c.ready = c.queue + time.Duration(float64(c.tokens)/speed*float64(time.Second))
 	cost := c.ready + s.distance(c.server, crossTime, regionTime)
 	if s.missing(r) {
 		cost += missingTime
--- a/internal/place/figplace/errors.go
+++ b/internal/place/figplace/errors.go
@@ -9,6 +9,10 @@
 type NoRoom struct {
 	// RetryAfter is when room is likely.
 	RetryAfter time.Duration
+	// TooLate says that the request has waited so long that the target for its
+	// first token can't be met any more. A caller that wants a late answer places
+	// it again with a zero Arrived.
+	TooLate bool
 }
 
 // Error returns the message with the advised wait.
--- a/internal/place/figplace/lease.go
+++ b/internal/place/figplace/lease.go
@@ -131,7 +131,7 @@
 func (p *Placer) moved(l *lease, r Request, bytes int64, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.transferred(r.Pool, bytes, r.PromptTokens)
+	p.transferred(r.Pool, bytes, r.PromptTokens, took)
 	p.box(l.owner).transfer(figowner.Transfer{
 		Server: l.server.Name, Bytes: bytes, TookMillis: took.Milliseconds(),
 	})
--- a/internal/place/figplace/place.go
+++ b/internal/place/figplace/place.go
@@ -20,8 +20,8 @@
 	// always wait, however long its prompt.
 	queueShare = 0.25
 	// targetShare is the part of that target that is planned for; the rest is
-	// left for the transfer and the first decode step.
-	targetShare = 0.85
+	// left for errors of the estimates and the first decode step.
+	targetShare = 0.9
 	// defaultFirstToken is the target where the pool declares none.
 	defaultFirstToken = 2 * time.Second
 )
@@ -38,7 +38,8 @@
 		return nil, &NoServer{Pool: r.Pool}
 	}
 	allowed := p.takeRetry(len(r.Avoid) > 0)
-	pool := p.pool(r.Pool)
+	a := &attempt{placer: p, cat: cat, request: &r, pool: p.pool(r.Pool), now: now}
+	a.bytes, a.moving = p.transferOf(r.Pool, r.PromptTokens)
 	p.mu.Unlock()
 	if len(r.Avoid) > 0 {
 		p.Retries.Add(1)
@@ -47,7 +48,6 @@
 		p.NoRoom.Add(1)
 		return nil, &NoRoom{RetryAfter: unreachableRetry}
 	}
-	a := &attempt{placer: p, cat: cat, request: &r, pool: pool, now: now}
 	x, err := a.place(ctx)
 	p.count(err)
 	return x, err
@@ -82,6 +82,9 @@
 	request *Request
 	pool    figtree.Pool
 	now     time.Time
+	// bytes is the KV cache to move, moving the time that it takes.
+	bytes  int64
+	moving time.Duration
 }
 
 func (a *attempt) place(ctx context.Context) (*Placement, error) {
@@ -92,14 +95,14 @@
 		}
 		return x, nil
 	}
-	after := a.expected()
-	if !a.request.Deadline.IsZero() && a.now.Add(after).After(a.request.Deadline) {
-		return nil, &NoRoom{RetryAfter: after}
+	after, err := a.expected()
+	if err != nil {
+		return nil, err
 	}
 	if err := a.reserve(ctx, x, figview.Decode, after); err != nil {
 		return nil, err
 	}
-	if a.cat.groups[groupKey{pool: a.request.Pool, role: figview.Prefill}] == nil {
+	if !a.hasPrefill() {
 		return x, nil
 	}
 	if err := a.reserve(ctx, x, figview.Prefill, 0); err != nil {
@@ -109,15 +112,59 @@
 	return x, nil
 }
 
-// expected returns when the best prefill server known would be done.
-func (a *attempt) expected() time.Duration {
+func (a *attempt) hasPrefill() bool {
+	return a.cat.groups[groupKey{pool: a.request.Pool, role: figview.Prefill}] != nil
+}
+
+// expected returns when the best prefill server known would be done. It refuses
+// without any message if that would be too late.
+func (a *attempt) expected() (time.Duration, error) {
+	if !a.hasPrefill() {
+		return 0, nil
+	}
 	s := a.search(figview.Prefill)
 	a.placer.mu.Lock()
-	defer a.placer.mu.Unlock()
-	if found := s.candidates(); len(found) > 0 {
-		return found[0].ready
+	found := s.candidates()
+	a.placer.mu.Unlock()
+	if len(found) == 0 {
+		return 0, s.nothing()
+	}
+	best := found[0]
+	if a.tooLate(best) {
+		return 0, &NoRoom{RetryAfter: unreachableRetry, TooLate: true}
+	}
+	if late := best.queue - a.maxWait(best); late > 0 {
+		return 0, &NoRoom{RetryAfter: late}
+	}
+	if d := a.request.Deadline; !d.IsZero() && a.now.Add(best.ready).After(d) {
+		return 0, &NoRoom{RetryAfter: best.ready}
+	}
+	return best.ready, nil
+}
+
+// tooLate says whether a request would miss its target because it has waited.
+func (a *attempt) tooLate(best candidate) bool {
+	waited, own := a.request.waited(a.now), best.ready-best.queue+a.moving
+	planned := time.Duration(targetShare * float64(a.target()))
+	return own < planned && waited > 0 && waited+own > planned
+}
+
+func (a *attempt) target() time.Duration {
+	if a.pool.FirstToken > 0 {
+		return a.pool.FirstToken
+	}
+	return defaultFirstToken
+}
+
+// nothing returns the error of a search that found no server to ask.
+func (s *search) nothing() error {
+	if s.usable == 0 && len(s.request.Avoid) == 0 {
+		return &NoServer{Pool: s.request.Pool}
+	}
+	if s.wait == 0 {
+		s.wait = unreachableRetry
 	}
-	return 0
+	return &NoRoom{RetryAfter: s.wait}
 }
 
 func (a *attempt) search(role figview.Role) *search {
@@ -145,9 +192,6 @@
 	a.placer.mu.Lock()
 	found := s.candidates()
 	a.placer.mu.Unlock()
-	if s.usable == 0 && len(a.request.Avoid) == 0 {
-		return &NoServer{Pool: a.request.Pool}
-	}
 	for _, c := range found[:min(len(found), tries)] {
 		if ctx.Err() != nil {
 			break
@@ -160,10 +204,7 @@
 			s.passOver(time.Duration(g.RetryMillis) * time.Millisecond)
 		}
 	}
-	if s.wait == 0 {
-		s.wait = unreachableRetry
-	}
-	return &NoRoom{RetryAfter: s.wait}
+	return s.nothing()
 }
 
 // ask asks the owner of one candidate.
@@ -179,7 +220,7 @@
 		ask.Tokens = a.request.PromptTokens + a.request.OutputTokens
 		ask.Output = a.request.OutputTokens
 		ask.AfterMillis = after.Milliseconds()
-		ask.Bytes = a.kvSize()
+		ask.Bytes = a.bytes
 	}
 	g, l := a.placer.askFor(ctx, c, a.request.Pool, ask)
 	if l == nil {
@@ -189,20 +230,12 @@
 	return g, true
 }
 
-func (a *attempt) kvSize() int64 {
-	a.placer.mu.Lock()
-	defer a.placer.mu.Unlock()
-	return a.placer.kvSize(a.request.Pool, a.request.PromptTokens)
-}
-
 // maxWait returns how long a prefill may queue for its first token to be in time.
 func (a *attempt) maxWait(c candidate) time.Duration {
-	target := a.pool.FirstToken
-	if target <= 0 {
-		target = defaultFirstToken
-	}
-	least := time.Duration(queueShare * float64(target))
-	own := time.Duration(float64(c.tokens) / unknownSpeed * float64(time.Second))
-	planned := time.Duration(targetShare*float64(target)) - a.request.waited(a.now) - own
+	target := a.target()
+	left := max(0, target-a.request.waited(a.now))
+	least := time.Duration(queueShare * float64(left))
+	planned := time.Duration(targetShare * float64(target))
+	planned -= a.request.waited(a.now) + c.ready - c.queue + a.moving
 	return max(least, planned)
 }
--- a/internal/place/figplace/placer.go
+++ b/internal/place/figplace/placer.go
@@ -34,29 +34,29 @@
 
 	opts Options
 
-	mu       sync.Mutex
-	cat      *catalogue
-	tree     *figtree.Tree
-	out      map[string]bool
-	regions  map[string]string
-	table    *table
-	prefixes *prefixes
-	held     map[string]map[*lease]struct{}
-	outbox   map[string]*outbox
-	kvBytes  map[string]float64
-	retries  float64
+	mu        sync.Mutex
+	cat       *catalogue
+	tree      *figtree.Tree
+	out       map[string]bool
+	regions   map[string]string
+	table     *table
+	prefixes  *prefixes
+	held      map[string]map[*lease]struct{}
+	outbox    map[string]*outbox
+	transfers map[string]transfer
+	retries   float64
 }
 
 // New returns a Placer that knows nothing of the servers' load yet.
 func New(opts Options) *Placer {
 	return &Placer{
-		opts:     opts,
-		table:    newTable(),
-		prefixes: newPrefixes(),
-		held:     map[string]map[*lease]struct{}{},
-		outbox:   map[string]*outbox{},
-		kvBytes:  map[string]float64{},
-		retries:  retryStock,
+		opts:      opts,
+		table:     newTable(),
+		prefixes:  newPrefixes(),
+		held:      map[string]map[*lease]struct{}{},
+		outbox:    map[string]*outbox{},
+		transfers: map[string]transfer{},
+		retries:   retryStock,
 	}
 }
 
@@ -114,27 +114,37 @@
 	return true
 }
 
+// transfer is what a pool's KV cache transfers were measured at.
+type transfer struct {
+	// bytes and seconds are those of one prompt token.
+	bytes, seconds float64
+}
+
 // transferred corrects the size of the pool's KV cache by a finished transfer.
-func (p *Placer) transferred(pool string, bytes, tokens int64) {
+func (p *Placer) transferred(pool string, bytes, tokens int64, took time.Duration) {
 	if bytes <= 0 || tokens <= 0 {
 		return
 	}
-	sample := float64(bytes) / float64(tokens)
-	old, ok := p.kvBytes[pool]
+	x := transfer{bytes: float64(bytes) / float64(tokens), seconds: took.Seconds() / float64(tokens)}
+	old, ok := p.transfers[pool]
 	if !ok {
-		p.kvBytes[pool] = sample
+		p.transfers[pool] = x
 		return
 	}
-	p.kvBytes[pool] = old + kvWeight*(sample-old)
+	old.bytes += kvWeight * (x.bytes - old.bytes)
+	old.seconds += kvWeight * (x.seconds - old.seconds)
+	p.transfers[pool] = old
 }
 
-// kvSize estimates the KV cache of a prompt, in bytes.
-func (p *Placer) kvSize(pool string, tokens int64) int64 {
-	b, ok := p.kvBytes[pool]
+// transferOf estimates the KV cache of a prompt, in bytes, and how long it takes to
+// move.
+func (p *Placer) transferOf(pool string, tokens int64) (int64, time.Duration) {
+	x, ok := p.transfers[pool]
 	if !ok {
-		b = defaultKVBytes
+		x.bytes = defaultKVBytes
 	}
-	return int64(b * float64(tokens))
+	took := x.seconds * float64(tokens) * float64(time.Second)
+	return int64(x.bytes * float64(tokens)), time.Duration(took)
 }
 
 // waited returns how long a request has waited since it arrived.
--- a/internal/place/figplace/run.go
+++ b/internal/place/figplace/run.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,7 +15,7 @@
 
 const (
 	// flushInterval is how long a release waits at most for a message to ride on.
-	flushInterval = 100 * time.Millisecond
+	flushInterval = 50 * time.Millisecond
 	// renewInterval is the time between two renewals of a lease; two of them may
 	// get lost before it expires.
 	renewInterval = time.Second
@@ -23,13 +26,22 @@
 // Run renews the leases and sends what waits, until ctx ends.
 func (p *Placer) Run(ctx context.Context, t *figtimer.Timer) error {
 	for range t.Subscribe(ctx, flushInterval) {
-		p.Flush(ctx)
+		p.flushAtOnce(ctx)
 	}
 	return nil
 }
 
-// Flush sends what is due now to every owner that something is due for.
+// Flush sends what is due now to every owner that something is due for, one after
+// the other in the order of their names.
 func (p *Placer) Flush(ctx context.Context) {
+	for _, b := range p.due(p.opts.Clock.Now()) {
+		p.deliver(ctx, b)
+	}
+}
+
+// flushAtOnce is Flush with several owners at a time, so that one that doesn't
+// answer delays no other.
+func (p *Placer) flushAtOnce(ctx context.Context) {
 	batches := p.due(p.opts.Clock.Now())
 	var sends sync.WaitGroup
 	slots := make(chan struct{}, duties)
@@ -69,7 +81,7 @@
 			if !listed || !p.table.reachable(now, name) {
 				return nil
 			}
-			b = &batch{owner: m, message: p.empty(name, p.anyPool(name))}
+			b = &batch{owner: m, message: p.empty(name, "")}
 			batches[name] = b
 		}
 		return b
@@ -93,23 +105,42 @@
 			}
 		}
 	}
-	all := make([]*batch, 0, len(batches))
-	for _, b := range batches {
-		all = append(all, b)
+	return sorted(batches)
+}
+
+// sorted returns the messages and what is in them in a fixed order.
+func sorted(batches map[string]*batch) []*batch {
+	all := slices.SortedFunc(maps.Values(batches), func(a, b *batch) int {
+		return strings.Compare(a.owner.Name, b.owner.Name)
+	})
+	for _, b := range all {
+		slices.SortFunc(b.renewed, compareLeases)
+		slices.SortFunc(b.moved, compareLeases)
+		b.fill()
 	}
 	return all
 }
 
-// add puts a renewal into the message, or the ask that tells a new owner of it.
-func (b *batch) add(l *lease) {
-	if l.number == 0 || l.epoch != b.message.Epoch {
+func compareLeases(a, b *lease) int { return strings.Compare(a.ask.ID, b.ask.ID) }
+
+// fill writes the leases into the message.
+func (b *batch) fill() {
+	for _, l := range b.renewed {
+		b.message.Renew = append(b.message.Renew, l.number)
+	}
+	for _, l := range b.moved {
 		ask := l.ask
 		ask.Held = true
 		b.message.Reserve = append(b.message.Reserve, ask)
+	}
+}
+
+// add takes a lease to renew, or to tell a new owner of.
+func (b *batch) add(l *lease) {
+	if l.number == 0 || l.epoch != b.message.Epoch {
 		b.moved = append(b.moved, l)
 		return
 	}
-	b.message.Renew = append(b.message.Renew, l.number)
 	b.renewed = append(b.renewed, l)
 }
 
@@ -132,14 +163,6 @@
 	}
 }
 
-// anyPool returns a pool that is in use at an owner, for its load indexes.
-func (p *Placer) anyPool(owner string) string {
-	for l := range p.held[owner] {
-		return l.pool
-	}
-	return ""
-}
-
 // deliver sends a batch and takes the answers.
 func (p *Placer) deliver(ctx context.Context, b *batch) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
