Report spent leases with the next message and measure wrongful refusals

With nine instances at 80% load, a holder's death refused 0.25% of the requests inside their rate until 8.7 s after it: leases that were spent kept their room at the holder until they ended, 21,000 of 33,000 tokens. Static split refuses 81% under skew, one holder 0.5% at its death.

--- a/internal/limit/figbudget/history.go
+++ b/internal/limit/figbudget/history.go
@@ -11,7 +11,7 @@
 	freshness = 2 * time.Second
 	// settleTime is how long after the last acknowledgement another holder may
 	// still take itself for fresh: freshness, the error of two clocks, and slack.
-	settleTime = 3 * time.Second
+	settleTime = 2800 * time.Millisecond
 	// leaseLife is how long a lease may be spent, on the lessee's clock from the ask.
 	leaseLife = 1500 * time.Millisecond
 	// leaseHeld is how long the holder keeps its tokens apart, from the answer:
--- a/internal/limit/figbudget/invariant_test.go
+++ b/internal/limit/figbudget/invariant_test.go
@@ -30,7 +30,7 @@
 	inForce []inForce
 	// refunds and credits are the sums given back and taken in.
 	refunds, credits int64
-	reserved         int
+	reserved         int64
 }
 
 // declare notes what is in force at a time.
@@ -41,18 +41,24 @@
 	a.inForce = append(a.inForce, inForce{at, l})
 }
 
-// largest returns the largest limits in force from one time to another.
-func (a *audit) largest(from, to time.Duration) Limits {
-	var l Limits
-	for i, f := range a.inForce {
-		ended := i+1 < len(a.inForce) && a.inForce[i+1].at < from
-		if ended || f.at > to {
-			continue
+// since is the largest of the declarations in force from a time on that moves
+// back.
+type since struct {
+	Limits
+	declared []inForce
+}
+
+// back widens s to a time no later than before.
+func (s *since) back(to time.Duration) {
+	for len(s.declared) > 0 {
+		last := s.declared[len(s.declared)-1]
+		s.TokensPerSecond = max(s.TokensPerSecond, last.TokensPerSecond)
+		s.Burst = max(s.Burst, last.Burst)
+		if last.at <= to {
+			return
 		}
-		l.TokensPerSecond = max(l.TokensPerSecond, f.TokensPerSecond)
-		l.Burst = max(l.Burst, f.Burst)
+		s.declared = s.declared[:len(s.declared)-1]
 	}
-	return l
 }
 
 // check returns an error for the first interval that ends now and holds too much.
@@ -60,14 +66,15 @@
 // lent under it may still be spent.
 func (a *audit) check() error {
 	end := a.marks[len(a.marks)-1].at
+	rate, burst := since{declared: a.inForce}, since{declared: a.inForce}
 	sum := int64(0)
 	for i := len(a.marks) - 1; i >= 0; i-- {
 		m := a.marks[i]
 		sum += m.tokens
 		length := end - m.at
-		rate := a.largest(m.at, end).TokensPerSecond
-		burst := a.largest(m.at-leaseHeld-leaseHeld/50, end).Burst
-		bound := float64(rate)*length.Seconds() + float64(burst)
+		rate.back(m.at)
+		burst.back(m.at - leaseHeld - leaseHeld/50)
+		bound := float64(rate.TokensPerSecond)*length.Seconds() + float64(burst.Burst)
 		if float64(sum) > bound+1e-6 {
 			return fmt.Errorf("charged %d in the %s up to %s, bound %.3f", sum, length, end, bound)
 		}
@@ -97,8 +104,12 @@
 	w.majority = majority
 	w.network = network{lose: 0.03, double: 0.03, late: 0.03}
 	t := &trial{world: w}
+	fast := random.IntN(3)
 	for _, n := range w.nodes {
-		n.speed = 0.99 + 0.02*random.Float64()
+		n.speed = []float64{0.99, 1.01, 0.99 + 0.02*random.Float64()}[fast]
+		if random.IntN(3) == 0 {
+			n.ticks = 3 * time.Second
+		}
 	}
 	w.observe = t.watch
 	return t
@@ -121,19 +132,55 @@
 	t.declare(t.now, l)
 }
 
-func (t *trial) spend(n *node, tokens int64) {
+func always() bool { return true }
+
+// spend charges tokens at n and tells whether it could.
+func (t *trial) spend(n *node, tokens int64, ended func(bool)) {
 	t.at(0, n, func() {
 		life := n.incarnation
-		n.reserve(account, tokens, func(o outcome) {
-			if o.pieces == nil {
-				return
+		n.reserve(account, tokens, always, func(o outcome) {
+			if o.pieces != nil {
+				t.charge(n, life, o.pieces, tokens)
 			}
-			t.reserved++
-			t.watch(n)
-			t.marks = append(t.marks, mark{t.now, tokens})
-			t.open = append(t.open, opened{n, life, *o.pieces})
-			if err := t.check(); err != nil && t.err == nil {
-				t.err = err
+			ended(o.pieces != nil)
+		})
+	})
+}
+
+func (t *trial) charge(n *node, life uint64, pieces *[Slots]int64, tokens int64) {
+	t.reserved += tokens
+	t.watch(n)
+	t.marks = append(t.marks, mark{t.now, tokens})
+	t.open = append(t.open, opened{n, life, *pieces})
+	if err := t.check(); err != nil && t.err == nil {
+		t.err = err
+	}
+}
+
+// drain spends all that n can get, in steps that halve.
+func (t *trial) drain(n *node, tokens int64) {
+	if tokens < 1 || tokens < t.limits[account].Burst/100 {
+		return
+	}
+	t.spend(n, tokens, func(ok bool) {
+		if !ok {
+			tokens /= 2
+		}
+		t.drain(n, tokens)
+	})
+}
+
+// hoard leases tokens at n for a caller that has left when they come.
+func (t *trial) hoard(n *node, tokens int64) {
+	t.at(0, n, func() {
+		asked := false
+		n.reserve(account, tokens, func() bool {
+			first := !asked
+			asked = true
+			return first
+		}, func(o outcome) {
+			if o.pieces != nil {
+				t.charge(n, n.incarnation, o.pieces, tokens)
 			}
 		})
 	})
@@ -171,67 +218,6 @@
 	})
 }
 
-func (t *trial) actions(victim string) map[string]func(*rapid.T) {
-	pick := func(r *rapid.T) *node { return t.nodes[rapid.IntRange(0, 4).Draw(r, "node")] }
-	step := func(r *rapid.T) {
-		ms := rapid.OneOf(rapid.IntRange(1, 100), rapid.IntRange(100, 2000)).Draw(r, "ms")
-		t.advance(time.Duration(ms) * time.Millisecond)
-	}
-	return map[string]func(*rapid.T){
-		"advance":      step,
-		"advanceAgain": step,
-		"spend": func(r *rapid.T) {
-			t.spend(pick(r), rapid.Int64Range(1, t.limits[account].Burst).Draw(r, "tokens"))
-			t.advance(5 * time.Millisecond)
-		},
-		"storm": func(r *rapid.T) {
-			tokens := max(1, t.limits[account].Burst/rapid.Int64Range(1, 12).Draw(r, "part"))
-			for i := range 40 {
-				t.spend(t.nodes[i%len(t.nodes)], tokens)
-				t.advance(time.Duration(t.random.Int64N(int64(40 * time.Millisecond))))
-			}
-		},
-		"settle": func(r *rapid.T) { t.settleOne(rapid.Float64Range(0, 1.2).Draw(r, "part")) },
-		"pause": func(r *rapid.T) {
-			pick(r).pausedUntil = t.now + time.Duration(rapid.IntRange(100, 8000).Draw(r, "ms"))*time.Millisecond
-		},
-		"restart": func(r *rapid.T) { pick(r).start() },
-		"kill":    func(r *rapid.T) { pick(r).alive = false },
-		"list": func(r *rapid.T) {
-			name := victim
-			if !t.majority {
-				name = pick(r).name
-			}
-			t.list(name, rapid.IntRange(0, 2).Draw(r, "state"))
-		},
-		"cut": func(r *rapid.T) {
-			clear(t.apart)
-			for _, n := range t.nodes {
-				t.apart[n.name] = rapid.Bool().Draw(r, "apart")
-			}
-		},
-		"heal": func(*rapid.T) {
-			clear(t.apart)
-			t.serviceDown = false
-			for _, n := range t.nodes {
-				n.cutOff = false
-				if !n.alive {
-					n.start()
-				}
-			}
-		},
-		"cutFromService": func(r *rapid.T) { pick(r).cutOff = true },
-		"serviceDown":    func(*rapid.T) { t.serviceDown = true },
-		"limits": func(r *rapid.T) {
-			t.limits = map[string]Limits{account: drawLimits(r)}
-		},
-		"": func(r *rapid.T) {
-			require.NoError(r, t.err)
-			require.LessOrEqual(r, t.credits, t.refunds)
-		},
-	}
-}
-
 func drawLimits(r *rapid.T) Limits {
 	return Limits{
 		TokensPerSecond: rapid.Int64Range(1, 400).Draw(r, "rate"),
@@ -248,10 +234,10 @@
 	t.advance(20 * time.Second)
 	t.reserved = 0
 	for range 6 {
-		t.spend(t.nodes[0], 150)
+		t.spend(t.nodes[0], 150, func(bool) {})
 		t.advance(100 * time.Millisecond)
 	}
-	require.Equal(r, 6, t.reserved)
+	require.EqualValues(r, 900, t.reserved)
 	require.NoError(r, t.err)
 }
 
--- a/internal/limit/figbudget/ledger.go
+++ b/internal/limit/figbudget/ledger.go
@@ -1,6 +1,8 @@
 package figbudget
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"figtrail.dev/figtrail/internal/fleet/figview"
@@ -173,19 +175,30 @@
 	for _, p := range g.peers {
 		due = append(due, g.due(p, now)...)
 	}
+	slices.SortFunc(due, func(a, b *batch) int { return strings.Compare(a.peer.name, b.peer.name) })
 	g.forgetPeers(now)
 	return due
 }
 
 func (g *ledger) queueReports(account string, p *purse, now time.Time) {
-	for holder, reports := range p.reports(account, now, g.tight(account)) {
+	e := p.reports(account, now)
+	for holder, reports := range e.returned {
 		w := g.peer(holder, now)
 		w.reports = append(w.reports, reports...)
 	}
+	tight := g.tight(account)
+	for holder, reports := range e.spent {
+		w := g.peer(holder, now)
+		if tight {
+			w.reports = append(w.reports, reports...)
+		} else {
+			w.addSpent(reports)
+		}
+	}
 }
 
 // tight says whether an account's burst is so small that leases already spent
-// would hold up its refill until they end.
+// would hold up its refill until they end, so that their report can't wait.
 func (g *ledger) tight(account string) bool {
 	l, _ := g.limits(account)
 	return l.Burst < 2*int64(float64(l.TokensPerSecond)*leaseHeld.Seconds())
--- a/internal/limit/figbudget/member_test.go
+++ b/internal/limit/figbudget/member_test.go
@@ -25,13 +25,14 @@
 	})
 }
 
-// learn adopts a list that is newer than the node's own.
+// learn adopts a list that is newer than the node's own, and tells the others.
 func (n *node) learn(v *figview.View) {
 	if v == nil || (n.known != nil && v.Version <= n.known.Version) {
 		return
 	}
 	n.known, n.confirmed = v, time.Time{}
 	n.newest = max(n.newest, v.Version)
+	n.world.at(0, n, n.beat)
 }
 
 // beat tells the other nodes what this one has and takes in what they have.
@@ -162,8 +163,9 @@
 	refusal *Refusal
 }
 
-// reserve makes a reservation as Budget.Reserve does and tells how it ended.
-func (n *node) reserve(account string, tokens int64, ended func(outcome)) {
+// reserve makes a reservation as Budget.Reserve does and tells how it ended. It
+// goes on while wanted says so, as long as its caller waits.
+func (n *node) reserve(account string, tokens int64, wanted func() bool, ended func(outcome)) {
 	a, refusal := n.begin(account, tokens)
 	if refusal != nil {
 		ended(outcome{refusal: refusal})
@@ -171,6 +173,9 @@
 	}
 	var try func()
 	try = func() {
+		if !wanted() {
+			return
+		}
 		now, fresh := n.sync()
 		pieces, q, refusal := n.step(a, now, fresh)
 		if q == nil {
--- a/internal/limit/figbudget/peer.go
+++ b/internal/limit/figbudget/peer.go
@@ -1,6 +1,7 @@
 package figbudget
 
 import (
+	"slices"
 	"time"
 
 	"figtrail.dev/figtrail/internal/fleet/figview"
@@ -14,6 +15,8 @@
 	peerKept = time.Minute
 	// refundsKept bounds the refunds that wait for one peer.
 	refundsKept = 1024
+	// spentKept bounds the reports of spent leases that wait for a message.
+	spentKept = 256
 )
 
 // call is an ask that waits for its answer.
@@ -35,6 +38,8 @@
 	reports     []Report
 	refunds     []Refund
 	pulls       []pull
+	// spent holds reports that go with the next message and cause none.
+	spent []Report
 }
 
 // batch is one message under way.
@@ -65,6 +70,14 @@
 	return len(p.refunds) > 0 && (p.incarnation != 0 || p.inFlight == 0)
 }
 
+// addSpent keeps reports of spent leases until the next message.
+func (p *peer) addSpent(reports []Report) {
+	p.spent = append(p.spent, reports...)
+	if over := len(p.spent) - spentKept; over > 0 {
+		p.spent = slices.Delete(p.spent, 0, over)
+	}
+}
+
 // addRefund keeps a refund until the next message or tick, so that it costs no
 // message of its own while the peer is asked often. Those of one slot are added up.
 func (p *peer) addRefund(r Refund) {
@@ -121,10 +134,10 @@
 		})
 	}
 	if p.incarnation != 0 {
-		b.query.Reports, b.query.Refunds = p.reports, p.refunds
+		b.query.Reports, b.query.Refunds = append(p.reports, p.spent...), p.refunds
 		p.refunds = nil
 	}
-	p.calls, p.pulls, p.reports = nil, nil, nil
+	p.calls, p.pulls, p.reports, p.spent = nil, nil, nil, nil
 	return b
 }
 
--- a/internal/limit/figbudget/purse.go
+++ b/internal/limit/figbudget/purse.go
@@ -145,10 +145,16 @@
 	}
 }
 
+// ended is what became of leases, by holder. Spent ones only free room there and
+// can wait for a message that goes anyway.
+type ended struct {
+	returned, spent map[string][]Report
+}
+
 // reports removes leases that have ended or go back, and returns what to tell
 // their holders. What a lease has left is subtracted here before it is told.
-func (p *purse) reports(account string, now time.Time, tight bool) map[string][]Report {
-	told := map[string][]Report{}
+func (p *purse) reports(account string, now time.Time) ended {
+	e := ended{returned: map[string][]Report{}, spent: map[string][]Report{}}
 	p.leases = slices.DeleteFunc(p.leases, func(l lease) bool {
 		if !l.valid(now) {
 			return true
@@ -157,12 +163,13 @@
 		if !back {
 			return false
 		}
-		if l.left > 0 || tight {
-			told[l.holder] = append(told[l.holder], Report{
-				Account: account, Slot: l.index, Lease: l.number, Spent: l.spent, Returned: l.left,
-			})
+		r := Report{Account: account, Slot: l.index, Lease: l.number, Spent: l.spent, Returned: l.left}
+		if l.left > 0 {
+			e.returned[l.holder] = append(e.returned[l.holder], r)
+		} else {
+			e.spent[l.holder] = append(e.spent[l.holder], r)
 		}
 		return true
 	})
-	return told
+	return e
 }
--- a/internal/limit/figbudget/world_test.go
+++ b/internal/limit/figbudget/world_test.go
@@ -44,8 +44,9 @@
 	world  *world
 	name   string
 	centre string
-	// speed is the rate of its clock.
+	// speed is the rate of its clock, ticks the time between its ticks.
 	speed       float64
+	ticks       time.Duration
 	alive       bool
 	pausedUntil time.Duration
 	cutOff      bool
@@ -89,7 +90,7 @@
 	w := &world{random: random, limits: limits, apart: map[string]bool{}, observe: func(*node) {}}
 	members := make([]figview.Member, 0, len(centres))
 	for i, c := range centres {
-		n := &node{world: w, name: string(rune('a' + i)), centre: c, speed: 1}
+		n := &node{world: w, name: string(rune('a' + i)), centre: c, speed: 1, ticks: tickTime}
 		w.nodes = append(w.nodes, n)
 		members = append(members, figview.Member{Name: n.name, Address: n.name, DataCentre: c})
 	}
@@ -135,7 +136,7 @@
 	w.now = end
 }
 
-// publish puts a new list in force.
+// publish puts a new list in force. Nodes wait for it in a long poll.
 func (w *world) publish(change func(m *figview.Member) bool) {
 	var members []figview.Member
 	for _, n := range w.nodes {
@@ -145,6 +146,9 @@
 		}
 	}
 	w.view = figview.NewView(w.view.Version+1, members)
+	for _, n := range w.nodes {
+		w.at(0, n, n.read)
+	}
 }
 
 // call carries a message from n to the node called to and its answer back.
@@ -217,9 +221,9 @@
 	n.alive, n.pausedUntil, n.credited = true, 0, 0
 	n.known, n.confirmed, n.newest = nil, time.Time{}, 0
 	n.heard = map[string]heard{}
-	n.every(200*time.Millisecond, n.read)
-	n.every(200*time.Millisecond, n.beat)
-	n.every(tickTime, n.tickNow)
+	n.every(300*time.Millisecond, n.read)
+	n.every(400*time.Millisecond, n.beat)
+	n.every(n.ticks, n.tickNow)
 }
 
 func (n *node) every(d time.Duration, do func()) {
