--- a/internal/limit/figbudget/measure_test.go
+++ b/internal/limit/figbudget/measure_test.go
@@ -311,10 +311,10 @@
 			"staticSplit": func() scheme { return staticSplit(limits) },
 			"oneHolder":   func() scheme { return oneHolder(limits) },
 		}
-		for name, make := range schemes {
+		for name, start := range schemes {
 			b.Run(s.name+"/"+name, func(b *testing.B) {
 				for b.Loop() {
-					f := measure(s, make(), limits)
+					f := measure(s, start(), limits)
 					b.ReportMetric(f.percent(), "refused%")
 					b.ReportMetric(max(0, f.last.Seconds()), "lastRefusal-s")
 					b.ReportMetric(float64(f.messages)/float64(f.inRate), "messages/request")
