Test reservations by a state machine, and end leases that holders gave up

Cause: a lost release of a holder that lives kept a request's memory until the holder fell silent for good; nothing tested ownership changes or cold starts. Change: an expired lease ends when its holder is heard again and doesn't renew it.

--- a/internal/place/figowner/book.go
+++ b/internal/place/figowner/book.go
@@ -13,6 +13,9 @@
 	// ReleaseGrace is how long a released request may still be reported before
 	// the owner cancels it; it covers the lag of reports.
 	ReleaseGrace = time.Second
+	// UnrenewedGrace is how long the holder of an expired lease may be heard again
+	// without renewing it.
+	UnrenewedGrace = 2 * time.Second
 	// SilenceLimit is how long a running request stays when its holder is listed
 	// but silent: the holder may be cut off from the owner and not from the server.
 	SilenceLimit = 30 * time.Second
@@ -51,7 +54,9 @@
 	starts time.Time
 	done   int64
 	link   time.Duration
-	seen   bool
+	// suspect is when the holder was first heard again after the expiry.
+	suspect time.Time
+	seen    bool
 }
 
 // stray is a request that the server reports and that has no live lease.
@@ -88,6 +93,8 @@
 	resident []uint64
 	misses   int
 	quota    int64
+	// refused is set from the server's own refusal until its next report.
+	refused  bool
 	leases   map[uint64]*Lease
 	byID     map[string]*Lease
 	strays   map[string]*stray
--- /dev/null
+++ b/internal/place/figowner/cold_test.go
@@ -0,0 +1,153 @@
+package figowner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// viewLag is how long an instance may act on a view that is not the latest: the
+// freshness bound of the published list.
+const viewLag = 2 * time.Second
+
+// coldMachine is a machine whose server has just started.
+func coldMachine() *machine {
+	m := newMachine()
+	m.started = m.now
+	for range 2 {
+		m.tick()
+	}
+	return m
+}
+
+// inProgress returns the tokens of all granted work that isn't done.
+func (m *machine) inProgress() int64 {
+	n := int64(0)
+	for _, j := range m.jobs {
+		n += j.pieces * m.book.PieceTokens
+	}
+	return n
+}
+
+// A server in a cold start gets no more than the ramp allows from all instances
+// together, also while its owner changes: the old one grants until its view is no
+// longer fresh, the new one only after that. Without progress the ramp stands.
+func TestColdStartBoundHoldsWhileOwnerChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := coldMachine()
+		gained := m.now
+		old := m.book
+		m.book, m.old = m.newBook(), old
+		for m.now.Sub(gained) < 3*HandoverTime {
+			for range rapid.IntRange(0, 4).Draw(t, "requests") {
+				b, fresh := m.book, true
+				if rapid.Bool().Draw(t, "old owner") {
+					b, fresh = old, m.now.Sub(gained) < viewLag
+				}
+				j := m.placeAs(b, "a", rapid.Int64Range(1, 2).Draw(t, "pieces"), fresh)
+				if j != nil && rapid.Bool().Draw(t, "start") {
+					require.True(t, m.start(j))
+				}
+			}
+			if len(m.jobs) > 1 {
+				require.LessOrEqual(t, m.inProgress(), rampPieces*m.book.PieceTokens)
+			}
+			m.tick()
+		}
+		require.NotEmpty(t, m.jobs, "nothing was granted at all")
+	})
+}
+
+// A cold start that comes back without warning begins the ramp again.
+func TestColdStartIsNoticed(t *testing.T) {
+	tests := []struct {
+		name  string
+		cause func(m *machine)
+	}{
+		{"changed start time", func(m *machine) { m.started = m.now }},
+		{"lost speed", func(m *machine) { m.speed = 0.2 }},
+		{"server stops answering", func(m *machine) {
+			m.book.Missed(m.now)
+			m.book.Missed(m.now)
+		}},
+		{"connections fail", func(m *machine) { m.book.Fail(m.now, Unreachable) }},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			m := newMachine()
+			m.speed = 1
+			require.True(t, m.start(m.place(m.book, "a", 1)))
+			for range 4 {
+				m.tick()
+			}
+			before := m.book.Ramp.Limit
+			require.Greater(t, before, rampPieces*m.book.PieceTokens)
+			x.cause(m)
+			for range 4 {
+				m.tick()
+			}
+			require.Equal(t, rampPieces*m.book.PieceTokens, m.book.Ramp.Limit)
+		})
+	}
+}
+
+// The ramp grows with work that is seen to be done and not with time.
+func TestRampGrowsByProgress(t *testing.T) {
+	m := coldMachine()
+	for range 40 {
+		m.tick()
+	}
+	require.Equal(t, rampPieces*m.book.PieceTokens, m.book.Ramp.Limit)
+	limit := m.book.Ramp.Limit
+	for m.book.Ramp.Cold() {
+		j := m.place(m.book, "a", 1)
+		require.NotNil(t, j)
+		delete(m.jobs, j.id)
+		m.book.Release(m.now, "a", Release{Lease: j.lease, Tokens: 100})
+		require.LessOrEqual(t, m.book.Ramp.Limit, limit+m.book.PieceTokens)
+		limit = m.book.Ramp.Limit
+	}
+	require.Equal(t, machinePieces*m.book.PieceTokens, limit)
+}
+
+func TestBreaker(t *testing.T) {
+	at := func(d time.Duration) time.Time { return testStart.Add(d) }
+	var b Breaker
+	for range 10 {
+		require.False(t, b.Failed(at(0), CallerError))
+		require.False(t, b.Failed(at(0), Refused))
+	}
+	require.False(t, b.Failed(at(0), Stalled))
+	require.False(t, b.Failed(at(time.Second), ServerError))
+	require.True(t, b.Failed(at(2*time.Second), ServerError))
+	require.True(t, b.Open(at(2500*time.Millisecond)))
+	require.False(t, b.Open(at(3*time.Second)))
+	require.True(t, b.Probing(at(3*time.Second)))
+
+	// A failed probe doubles the pause, a success closes the breaker.
+	require.True(t, b.Failed(at(3*time.Second), ServerError))
+	require.True(t, b.Open(at(4500*time.Millisecond)))
+	require.False(t, b.Open(at(5*time.Second)))
+	b.Worked(at(5 * time.Second))
+	require.False(t, b.Probing(at(5*time.Second)))
+
+	// Old evidence is forgotten.
+	require.False(t, b.Failed(at(10*time.Second), ServerError))
+	require.False(t, b.Failed(at(11*time.Second), ServerError))
+	require.False(t, b.Failed(at(30*time.Second), ServerError))
+}
+
+func TestBatchFitsStepTime(t *testing.T) {
+	var b Batch
+	step := func(n int) time.Duration { return 14*time.Millisecond + time.Duration(n)*800*time.Microsecond }
+	require.True(t, b.Allows(50, 34*time.Millisecond))
+	for i := range 40 {
+		b.Add(5+i%10, step(5+i%10))
+	}
+	for n := 1; n < 60; n++ {
+		want := n == 1 || float64(step(n)) <= batchShare*float64(34*time.Millisecond)
+		require.Equal(t, want, b.Allows(n, 34*time.Millisecond), n)
+	}
+}
--- a/internal/place/figowner/owner.go
+++ b/internal/place/figowner/owner.go
@@ -29,6 +29,7 @@
 	books   map[string]*Book
 	byPool  map[string][]*Book
 	polling map[string]bool
+	heard   map[string]time.Time
 	next    uint64
 }
 
@@ -39,6 +40,7 @@
 		books:   map[string]*Book{},
 		byPool:  map[string][]*Book{},
 		polling: map[string]bool{},
+		heard:   map[string]time.Time{},
 	}
 }
 
@@ -70,6 +72,10 @@
 		o.byPool[s.Pool] = append(o.byPool[s.Pool], b)
 	}
 	o.books = kept
+	maps.DeleteFunc(o.heard, func(name string, _ time.Time) bool {
+		_, listed := view.Find(name)
+		return !listed
+	})
 }
 
 // book returns the book of an owned server, a new one if it was not owned.
@@ -91,6 +97,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.sync(now)
+	o.heard[q.From] = now
 	o.release(now, q)
 	r := &Reply{Epoch: o.opts.Incarnation}
 	for _, a := range q.Reserve {
@@ -111,7 +118,7 @@
 		if q.Epoch != o.opts.Incarnation {
 			x.Lease = 0
 		}
-		if b := o.holder(x); b != nil {
+		if b := o.bookOf(x); b != nil {
 			b.Release(now, q.From, x)
 		}
 	}
@@ -127,8 +134,8 @@
 	}
 }
 
-// holder returns the book that a release belongs to, and nil if there is none.
-func (o *Owner) holder(r Release) *Book {
+// bookOf returns the book that a release belongs to, and nil if there is none.
+func (o *Owner) bookOf(r Release) *Book {
 	if r.Lease == 0 {
 		return o.books[r.Server]
 	}
--- /dev/null
+++ b/internal/place/figowner/owner_test.go
@@ -0,0 +1,207 @@
+package figowner
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/config/figtree"
+	"figtrail.dev/figtrail/internal/core/figtimer"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+// site is one owner with lists and seams of the test.
+type site struct {
+	now     time.Time
+	view    *figview.View
+	servers *figview.Servers
+	pool    figtree.Pool
+	out     bool
+	fresh   bool
+	orders  []Order
+	owner   *Owner
+}
+
+func newSite(incarnation uint64) *site {
+	s := &site{
+		now: testStart, fresh: true, pool: figtree.Pool{ID: "chat", PieceTokens: 2048},
+		view: figview.NewView(5, []figview.Member{{Name: "a", DataCentre: "x"}, {Name: "b", DataCentre: "y"}}),
+		servers: &figview.Servers{Version: 1, All: []figview.Server{
+			{Name: "d1", DataCentre: "x", Pool: "chat", Role: figview.Decode},
+			{Name: "d2", DataCentre: "y", Pool: "chat", Role: figview.Decode},
+			{Name: "d3", DataCentre: "z", Pool: "other", Role: figview.Decode},
+		}},
+	}
+	s.owner = New(Options{
+		Self: "a", Incarnation: incarnation,
+		Clock:         figtimer.Clock{Now: func() time.Time { return s.now }},
+		View:          func() *figview.View { return s.view },
+		Servers:       func() *figview.Servers { return s.servers },
+		Pool:          func(string) (*figtree.Pool, bool) { return &s.pool, true },
+		DataCentreOut: func(string) bool { return s.out },
+		Fresh:         func() bool { return s.fresh },
+		Order: func(_ context.Context, _ figview.Server, o Order) error {
+			s.orders = append(s.orders, o)
+			return nil
+		},
+	})
+	return s
+}
+
+// warm lets the handover pass and shows the owner a warm server.
+func (s *site) warm(fence uint64) {
+	for range 8 {
+		s.now = s.now.Add(500 * time.Millisecond)
+		s.owner.Observe("d1", &Report{
+			StartedAt: testStart.Add(-time.Hour), PiecesTotal: 20, PiecesFree: 20, Fence: fence,
+		}, nil)
+	}
+}
+
+func (s *site) ask(t *testing.T, q *Request) *Reply {
+	t.Helper()
+	q.From = "b"
+	r, err := s.owner.Answer(t.Context(), q)
+	require.NoError(t, err)
+	return r
+}
+
+func (s *site) reserve(t *testing.T, server, id string) Grant {
+	t.Helper()
+	return s.ask(t, &Request{Reserve: []Ask{{Server: server, ID: id, Pieces: 2, Tokens: 4000}}}).Grants[0]
+}
+
+func TestAnswerRefusesWhatTakesNoWork(t *testing.T) {
+	s := newSite(1)
+	require.Equal(t, Broken, s.reserve(t, "d1", "r0").Refusal, "no report yet")
+	s.warm(0)
+	require.Equal(t, Granted, s.reserve(t, "d1", "r1").Refusal)
+	require.Equal(t, NotOwner, s.reserve(t, "d2", "r2").Refusal)
+	require.Equal(t, NotOwner, s.reserve(t, "missing", "r3").Refusal)
+
+	s.out = true
+	require.Equal(t, Leaving, s.reserve(t, "d1", "r4").Refusal, "data centre is out")
+	s.out = false
+	live := s.servers
+	left := figview.Servers{Version: 2, All: slices.Clone(live.All)}
+	left.All[0].State = figview.Leaving
+	s.servers = &left
+	require.Equal(t, Leaving, s.reserve(t, "d1", "r5").Refusal, "server is leaving")
+	// What it runs goes on: the lease of the first request is still there.
+	require.Equal(t, 1, s.owner.Status()[0].Leases)
+
+	s.now = s.now.Add(staleReport + time.Second)
+	s.servers = live
+	require.Equal(t, Broken, s.reserve(t, "d1", "r6").Refusal, "report is old")
+}
+
+func TestAnswerRepeatedAskGetsTheSameLease(t *testing.T) {
+	s := newSite(1)
+	s.warm(0)
+	first := s.reserve(t, "d1", "r1")
+	require.Equal(t, first.Lease, s.reserve(t, "d1", "r1").Lease)
+	require.Equal(t, 1, s.owner.Status()[0].Leases)
+	s.ask(t, &Request{Release: []Release{{Server: "d1", ID: "r1"}}})
+	require.Zero(t, s.owner.Status()[0].Leases)
+}
+
+func TestAnswerKnowsOnlyLeasesOfItsOwnEpochAndTheirHolder(t *testing.T) {
+	s := newSite(7)
+	s.warm(0)
+	n := s.reserve(t, "d1", "r1").Lease
+	require.Empty(t, s.ask(t, &Request{Epoch: 7, Renew: []uint64{n}}).Unknown)
+	require.Equal(t, []uint64{n}, s.ask(t, &Request{Epoch: 6, Renew: []uint64{n}}).Unknown)
+	s.ask(t, &Request{Epoch: 6, Release: []Release{{Lease: n}}})
+	require.Equal(t, 1, s.owner.Status()[0].Leases)
+	_, err := s.owner.Answer(t.Context(), &Request{From: "c", Epoch: 7, Release: []Release{{Lease: n}}})
+	require.NoError(t, err)
+	require.Equal(t, 1, s.owner.Status()[0].Leases)
+	s.ask(t, &Request{Epoch: 7, Release: []Release{{Lease: n}}})
+	require.Zero(t, s.owner.Status()[0].Leases)
+}
+
+// Of keeps a server with the instances of its data centre while there are any.
+func TestOfPrefersTheDataCentre(t *testing.T) {
+	s := newSite(1)
+	for i, want := range []string{"a", "b"} {
+		m, ok := Of(s.view, s.servers.All[i])
+		require.True(t, ok)
+		require.Equal(t, want, m.Name)
+	}
+	_, ok := Of(s.view, s.servers.All[2])
+	require.True(t, ok)
+	_, ok = Of(figview.NewView(1, nil), s.servers.All[2])
+	require.False(t, ok)
+}
+
+func TestOrders(t *testing.T) {
+	tests := []struct {
+		name   string
+		checks bool
+		fresh  bool
+		kind   OrderKind
+		given  bool
+	}{
+		{"checked, fresh", true, true, UnloadModel, true},
+		{"checked, not fresh", true, false, SetRole, true},
+		{"unchecked, harmless, fresh", false, true, LoadAdapter, true},
+		{"unchecked, harmless, not fresh", false, false, LoadAdapter, false},
+		{"unchecked, harmful, fresh", false, true, UnloadModel, false},
+		{"unchecked, role, fresh", false, true, SetRole, false},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			s := newSite(uint64(time.Hour))
+			s.warm(0)
+			s.pool.ChecksFence, s.fresh = x.checks, x.fresh
+			err := s.owner.Order(t.Context(), "d1", x.kind, "m")
+			require.Equal(t, x.given, err == nil)
+			require.Len(t, s.orders, map[bool]int{true: 1}[x.given])
+		})
+	}
+	s := newSite(1)
+	require.Error(t, s.owner.Order(t.Context(), "d2", LoadModel, "m"), "owned by another")
+	s.owner.opts.Order = func(context.Context, figview.Server, Order) error { return errors.New("no") }
+	require.Error(t, s.owner.Order(t.Context(), "d1", LoadModel, "m"))
+}
+
+// Numbers grow with the view first, with the start of the owner next, with each
+// order last, and stop where the server has seen one that this owner can't top.
+func TestFenceOrder(t *testing.T) {
+	number := func(version, start uint64, orders int) uint64 {
+		var f Fence
+		f.Gain(version, start*uint64(time.Second))
+		last := uint64(0)
+		for range orders {
+			n, err := f.Next("d1")
+			require.NoError(t, err)
+			require.Greater(t, n, last)
+			last = n
+		}
+		return last
+	}
+	require.Greater(t, number(6, 1, 1), number(5, 1_000_000, 4000))
+	require.Greater(t, number(5, 3, 1), number(5, 2, 4000))
+
+	var f Fence
+	f.Gain(5, uint64(time.Second))
+	f.Observe(number(6, 1, 1))
+	_, err := f.Next("d1")
+	require.Error(t, err, "an owner by a newer view has given orders")
+	f.Gain(7, uint64(time.Second))
+	_, err = f.Next("d1")
+	require.NoError(t, err)
+}
+
+// A new owner of a server whose number it can't top gives no order.
+func TestOrderStopsBelowAcceptedFence(t *testing.T) {
+	s := newSite(uint64(time.Hour))
+	s.pool.ChecksFence = true
+	s.warm(1 << 62)
+	require.Error(t, s.owner.Order(t.Context(), "d1", LoadModel, "m"))
+	require.Empty(t, s.orders)
+}
--- a/internal/place/figowner/reconcile.go
+++ b/internal/place/figowner/reconcile.go
@@ -50,6 +50,7 @@
 	b.most = [2]int64{b.tokens, b.most[0]}
 	b.match(now.Add(-r.Age), now)
 	b.quota = b.handoverQuota()
+	b.refused = false
 }
 
 // Missed takes the news that a poll failed.
@@ -198,17 +199,39 @@
 	return handoverAsks
 }
 
+// Holder is what an owner knows of an instance that holds leases.
+type Holder struct {
+	// Listed says whether it is on the published list.
+	Listed bool
+	// Heard is when its last message of any kind came.
+	Heard time.Time
+}
+
+// gone says whether an expired lease was given up: by a holder that is no longer
+// listed, that has been silent for too long, or that is heard again and has had
+// the time to renew it.
+func (h Holder) gone(now time.Time, l *Lease) bool {
+	if !h.Listed || now.Sub(l.Heard) >= SilenceLimit {
+		return true
+	}
+	if !h.Heard.After(l.Expires) {
+		return false
+	}
+	if l.suspect.IsZero() {
+		l.suspect = now
+	}
+	return now.Sub(l.suspect) >= UnrenewedGrace && h.Heard.After(l.suspect)
+}
+
 // Sweep ends the leases that were not renewed and returns the IDs of requests to
-// cancel on the server. Listed says whether an instance is on the published list.
-// Requests without a lease are cancelled by a fresh owner only: to another one
+// cancel on the server. Holder returns what is known of an instance. Requests without a lease are cancelled by a fresh owner only: to another one
 // they may be the work of an owner that it doesn't know.
-func (b *Book) Sweep(now time.Time, listed func(name string) bool, fresh bool) []string {
+func (b *Book) Sweep(now time.Time, holder func(name string) Holder, fresh bool) []string {
 	for _, l := range b.leases {
 		if now.Before(l.Expires) {
 			continue
 		}
-		silent := l.seen && listed(l.From)
-		if silent && now.Sub(l.Heard) < SilenceLimit {
+		if l.seen && !holder(l.From).gone(now, l) {
 			continue
 		}
 		b.drop(l)
--- a/internal/place/figowner/reserve.go
+++ b/internal/place/figowner/reserve.go
@@ -19,7 +19,7 @@
 // fresh owner is one whose view is known to be the latest.
 func (b *Book) Reserve(now time.Time, number uint64, from string, a Ask, fresh bool) Grant {
 	if l, ok := b.byID[a.ID]; ok && l.From == from {
-		l.Heard, l.Expires = now, now.Add(LeaseTime)
+		l.renew(now)
 		return b.grant(now, l, a)
 	}
 	if b.Server.Role == figview.Plain {
@@ -59,6 +59,8 @@
 		return b.refusePlain()
 	case b.report == nil || now.Sub(b.reported) > staleReport:
 		return Broken, warmingRetry
+	case b.refused && b.Len() > 0:
+		return Full, warmingRetry
 	case b.Ramp.Cold() && (!fresh || b.handover(now)):
 		return Warming, warmingRetry
 	case !b.Ramp.Allows(b.InProgress(), a.Tokens):
@@ -139,10 +141,15 @@
 	if !ok || l.From != from {
 		return false
 	}
-	l.Heard, l.Expires = now, now.Add(LeaseTime)
+	l.renew(now)
 	return true
 }
 
+func (l *Lease) renew(now time.Time) {
+	l.Heard, l.Expires = now, now.Add(LeaseTime)
+	l.suspect = time.Time{}
+}
+
 // Release ends a lease by number or, if that is zero, by ID. It does nothing if
 // there is none, so that a release may be repeated.
 func (b *Book) Release(now time.Time, from string, r Release) {
@@ -194,6 +201,7 @@
 
 // Fail takes evidence against the server. A breaker that opens restarts the ramp.
 func (b *Book) Fail(now time.Time, e Evidence) {
+	b.refused = b.refused || e == Refused
 	if b.Breaker.Failed(now, e) {
 		b.restart()
 	}
--- a/internal/place/figowner/run.go
+++ b/internal/place/figowner/run.go
@@ -86,11 +86,13 @@
 	} else {
 		b.Observe(now, r)
 	}
-	listed := func(name string) bool {
-		_, ok := o.view.Find(name)
-		return ok
-	}
-	return b.Sweep(now, listed, fresh)
+	return b.Sweep(now, o.holder, fresh)
+}
+
+// holder returns what is known of an instance. The caller holds mu.
+func (o *Owner) holder(name string) Holder {
+	_, listed := o.view.Find(name)
+	return Holder{Listed: listed, Heard: o.heard[name]}
 }
 
 // Order gives an owned server an order with a fencing number. A server of a pool
