--- a/internal/config/figstore/fleet_test.go
+++ b/internal/config/figstore/fleet_test.go
@@ -262,6 +262,7 @@
 	}
 	d.store = figstore.New(figstore.Options{
 		Self: m.Name, Random: random, Platform: s.platform(n, m.Name),
+		Elsewhere: func() time.Time { return d.members.Elsewhere() },
 		Ask: func(ctx context.Context, to figview.Member, q *figstore.Request) (*figstore.Reply, error) {
 			return call(ctx, n, m.Name, to.Name, q, func(p *node, q *figstore.Request) (*figstore.Reply, error) {
 				return p.store.Answer(ctx, q)
--- a/internal/config/figstore/relay.go
+++ b/internal/config/figstore/relay.go
@@ -15,7 +15,7 @@
 	// neighbourCount is how many peers an instance notifies and pulls from.
 	neighbourCount = 4
 	// pullInterval is how often one of them is asked in turn.
-	pullInterval = time.Second
+	pullInterval = 2 * time.Second
 	// bootInterval is how often a new instance asks all of them until it serves.
 	bootInterval = 200 * time.Millisecond
 	// replyBytes bounds the values of one reply, beside its last one.
--- a/internal/config/figstore/role.go
+++ b/internal/config/figstore/role.go
@@ -8,20 +8,23 @@
 )
 
 // lonelyAfter is how long no other instance's read may have been heard of before
-// this one reads the service itself. Up to as much again is added at random.
+// this one reads the service itself. Up to half as much is added at random.
 const lonelyAfter = 2 * time.Second
 
 // reading says whether this instance reads the service now: it is among the
 // readers, or it hasn't heard of any other that the service answers.
 func (s *Store) reading() bool {
+	elsewhere := s.opts.Elsewhere()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.roleNow().reader {
 		return true
 	}
 	last := s.started
-	if s.source.elsewhere.After(last) {
-		last = s.source.elsewhere
+	for _, at := range []time.Time{s.source.elsewhere, elsewhere} {
+		if at.After(last) {
+			last = at
+		}
 	}
 	return s.opts.Clock.Now().Sub(last) > s.patience
 }
--- a/internal/config/figstore/store.go
+++ b/internal/config/figstore/store.go
@@ -50,6 +50,9 @@
 	Platform figplatform.Platform
 	// Seeds holds instances to ask while no list of instances is known.
 	Seeds []figview.Member
+	// Elsewhere returns when the service last answered another instance, as the
+	// beats tell; nil leaves it to the slower word of peers that are asked for changes.
+	Elsewhere func() time.Time
 	// Ask sends a request to a peer.
 	Ask func(ctx context.Context, m figview.Member, q *Request) (*Reply, error)
 }
@@ -100,6 +103,9 @@
 	if o.Random == nil {
 		o.Random = rand.Float64
 	}
+	if o.Elsewhere == nil {
+		o.Elsewhere = func() time.Time { return time.Time{} }
+	}
 	s := &Store{
 		opts:    o,
 		pulls:   figring.New[figview.Member](pullsQueued, figring.DropOldest),
@@ -107,7 +113,7 @@
 		table:   newTable(),
 		started: o.Clock.Now(),
 	}
-	s.patience = lonelyAfter + time.Duration(o.Random()*float64(lonelyAfter))
+	s.patience = lonelyAfter + time.Duration(o.Random()*float64(lonelyAfter)/2)
 	s.tree.Store(s.table.builder.Build())
 	s.view.Store(figview.NewView(0, nil))
 	s.servers.Store(&figview.Servers{})
--- a/internal/fleet/figmember/beat.go
+++ b/internal/fleet/figmember/beat.go
@@ -15,6 +15,8 @@
 	// AgeMillis is how long ago, at most, the service said that no list newer than
 	// View existed; negative for never.
 	AgeMillis int64 `cbor:"5,keyasint"`
+	// Source is the hash of the name of the instance that the service said it to.
+	Source uint64 `cbor:"14,keyasint,omitempty"`
 	// Highest and Digest stand for the sender's published values.
 	Highest uint64 `cbor:"6,keyasint"`
 	Digest  uint64 `cbor:"7,keyasint"`
--- a/internal/fleet/figmember/member.go
+++ b/internal/fleet/figmember/member.go
@@ -118,7 +118,7 @@
 	now := m.opts.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.state.confirm(confirmed, v.Version, v.Version)
+	m.state.confirmHere(confirmed, v.Version)
 	return m.state.fresh(v, now)
 }
 
@@ -137,6 +137,14 @@
 	return c.since, c.ok
 }
 
+// Elsewhere returns when the configuration service last answered another
+// instance, as far as beats have told; zero for never.
+func (m *Membership) Elsewhere() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.elsewhere
+}
+
 // Incarnation returns the number of this process. It can grow when a beat shows
 // that a predecessor had a higher one.
 func (m *Membership) Incarnation() uint64 {
@@ -180,7 +188,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.opts.Clock.Now()
-	m.state.confirm(confirmed, v.Version, v.Version)
+	m.state.confirmHere(confirmed, v.Version)
 	m.state.hold(v.Version, now)
 	b := m.state.beat(name, v.Version, now)
 	b.Highest, b.Digest, b.Draining = highest, digest, m.draining
--- a/internal/fleet/figmember/run.go
+++ b/internal/fleet/figmember/run.go
@@ -11,13 +11,17 @@
 )
 
 const (
-	// beatInterval is how often an instance asks its peers.
+	// beatInterval is how often an instance asks some of its peers.
 	beatInterval = 500 * time.Millisecond
 	// fullMesh is the size of a fleet up to which all ask all.
 	fullMesh = 24
-	// fewPeers is how many peers are asked in a larger fleet; the first of them is
-	// one that reads the configuration service.
-	fewPeers = 3
+	// meshTurns is in how many beats all peers of a small fleet are asked once.
+	meshTurns = 2
+	// readersAsked is how many of the instances that read the configuration service
+	// an instance of a larger fleet asks, one at each beat.
+	readersAsked = 2
+	// otherTurns is how many beats lie between those to another peer.
+	otherTurns = 3
 	// failuresSpared is after how many unanswered beats another peer is asked instead.
 	failuresSpared = 2
 	// spareTime is for how long; up to as much again is added at random.
@@ -28,22 +32,24 @@
 func (m *Membership) Run(ctx context.Context, t *figtimer.Timer) error {
 	var calls sync.WaitGroup
 	defer calls.Wait()
+	turn := 0
 	for range t.Subscribe(ctx, beatInterval) {
-		for _, p := range m.choose() {
+		for _, p := range m.choose(turn) {
 			calls.Go(func() { m.ask(ctx, p) })
 		}
+		turn++
 	}
 	return nil
 }
 
 // choose returns the peers to ask now, and marks them as busy.
-func (m *Membership) choose() []figview.Member {
+func (m *Membership) choose(turn int) []figview.Member {
 	v := m.opts.View()
 	now := m.opts.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var idle []figview.Member
-	for _, p := range m.state.neighbours(v, now) {
+	for _, p := range m.state.neighbours(v, turn, now) {
 		if known := m.state.peer(p.Name); !known.busy {
 			known.busy = true
 			idle = append(idle, p)
@@ -52,44 +58,67 @@
 	return idle
 }
 
-// neighbours returns the peers that this instance asks. In a small fleet these
-// are all; in a larger one a few, which differ from instance to instance.
-func (s *state) neighbours(v *figview.View, now time.Time) []figview.Member {
+// neighbours returns the peers that this instance asks at a turn. In a small
+// fleet they are all of them within two turns; in a larger one a few, which
+// differ from instance to instance.
+func (s *state) neighbours(v *figview.View, turn int, now time.Time) []figview.Member {
 	if len(v.Members) <= fullMesh {
-		return slices.DeleteFunc(slices.Clone(v.Members), func(m figview.Member) bool { return m.Name == s.self })
+		return s.part(v.Members, turn%meshTurns)
 	}
 	if s.ranking.view != v {
 		s.ranking = rank(v, s.self)
 	}
-	near := s.pick(nil, s.ranking.readers, 1, now)
-	return s.pick(near, s.ranking.all, fewPeers, now)
+	var near []figview.Member
+	if readers := s.pick(s.ranking.readers, readersAsked, now); len(readers) > 0 {
+		near = append(near, readers[turn%len(readers)])
+	}
+	if others := s.pick(s.ranking.others, 1, now); turn%otherTurns == 0 && len(others) > 0 {
+		near = append(near, others[0])
+	}
+	return near
+}
+
+// part returns every second of the other members, beginning with one of the first two.
+func (s *state) part(members []figview.Member, first int) []figview.Member {
+	others := slices.DeleteFunc(slices.Clone(members), func(m figview.Member) bool { return m.Name == s.self })
+	var chosen []figview.Member
+	for i := first; i < len(others); i += meshTurns {
+		chosen = append(chosen, others[i])
+	}
+	return chosen
 }
 
-// ranking is the order in which an instance prefers the members of a list.
+// ranking is the order in which an instance prefers the other members of a list.
 type ranking struct {
-	view         *figview.View
-	readers, all []figview.Member
+	view            *figview.View
+	readers, others []figview.Member
 }
 
 func rank(v *figview.View, self string) ranking {
 	key := figview.Key("beat", self)
-	readers := &figview.View{Members: v.Readers()}
-	return ranking{v, readers.Rank(key, ""), v.Rank(key, "")}
+	readers := v.Readers()
+	notSelf := func(m figview.Member) bool { return m.Name == self }
+	notOther := func(m figview.Member) bool { return m.Name == self || slices.Contains(readers, m) }
+	return ranking{
+		view:    v,
+		readers: slices.DeleteFunc((&figview.View{Members: readers}).Rank(key, ""), notSelf),
+		others:  slices.DeleteFunc(v.Rank(key, ""), notOther),
+	}
 }
 
-// pick adds members in their order up to n, leaving out those that don't answer.
-func (s *state) pick(near, ranked []figview.Member, n int, now time.Time) []figview.Member {
+// pick returns the first n members that answer.
+func (s *state) pick(ranked []figview.Member, n int, now time.Time) []figview.Member {
+	picked := make([]figview.Member, 0, n)
 	for _, m := range ranked {
-		if len(near) >= n {
-			break
-		}
 		p := s.peers[m.Name]
-		spared := p != nil && now.Before(p.spared)
-		if m.Name != s.self && !spared && !slices.Contains(near, m) {
-			near = append(near, m)
+		if p != nil && now.Before(p.spared) {
+			continue
+		}
+		if picked = append(picked, m); len(picked) == n {
+			break
 		}
 	}
-	return near
+	return picked
 }
 
 // ask sends one beat and takes in the answer.
--- a/internal/fleet/figmember/state.go
+++ b/internal/fleet/figmember/state.go
@@ -51,8 +51,12 @@
 	acks     map[uint64]*ack
 	sequence uint64
 	newest   uint64
-	// confirmed is when the service said that no list newer than the one held existed.
+	// confirmed is when the service said that no list newer than the one held
+	// existed, source the hash of the name of the instance that it said it to.
 	confirmed time.Time
+	source    uint64
+	// elsewhere is when the service last said anything of the kind to another instance.
+	elsewhere time.Time
 	peers     map[string]*peer
 	ranking   ranking
 }
@@ -104,12 +108,20 @@
 
 // confirm takes in that at a time the service knew no list newer than view. It
 // bears on any list held that is as new.
-func (s *state) confirm(at time.Time, view, held uint64) {
+func (s *state) confirm(at time.Time, view, held, source uint64) {
+	if source != hashOf(s.self) && at.After(s.elsewhere) {
+		s.elsewhere = at
+	}
 	if view <= held && at.After(s.confirmed) {
-		s.confirmed = at
+		s.confirmed, s.source = at, source
 	}
 }
 
+// confirmHere takes in that the service said so to this instance.
+func (s *state) confirmHere(at time.Time, held uint64) {
+	s.confirm(at, held, held, hashOf(s.self))
+}
+
 // beat returns the message to a peer.
 func (s *state) beat(to string, view uint64, now time.Time) *Beat {
 	p := s.peer(to)
@@ -119,6 +131,7 @@
 		View:        view,
 		Newest:      max(s.newest, view),
 		AgeMillis:   -1,
+		Source:      s.source,
 		Rows:        s.rowsAfter(p.acked),
 		Base:        p.acked,
 		Sequence:    s.sequence,
@@ -185,7 +198,7 @@
 		p.heard = sent
 	}
 	if b.AgeMillis >= 0 {
-		s.confirm(sent.Add(-time.Duration(b.AgeMillis)*time.Millisecond), b.View, held)
+		s.confirm(sent.Add(-time.Duration(b.AgeMillis)*time.Millisecond), b.View, held, b.Source)
 	}
 }
 
--- a/internal/fleet/figmember/state_test.go
+++ b/internal/fleet/figmember/state_test.go
@@ -94,39 +94,59 @@
 	return figview.NewView(1, members)
 }
 
-func TestNeighboursAreBounded(t *testing.T) {
-	v := largeView(480)
+// asks returns whom an instance asks in a number of turns, and how often.
+func asks(s *state, v *figview.View, turns int) map[string]int {
 	asked := map[string]int{}
-	readers := map[string]bool{}
-	for _, r := range v.Readers() {
-		readers[r.Name] = true
+	for turn := range turns {
+		for _, m := range s.neighbours(v, turn, epoch) {
+			asked[m.Name]++
+		}
 	}
+	return asked
+}
+
+func TestSmallFleetAsksAll(t *testing.T) {
+	v := largeView(9)
+	asked := asks(newState("i3", 1, DefaultFreshness), v, meshTurns)
+	require.Len(t, asked, 8)
+	require.NotContains(t, asked, "i3")
+}
+
+func TestNeighboursAreBounded(t *testing.T) {
+	const turns = 6
+	v := largeView(480)
+	inward, readers := map[string]int{}, 0
 	for _, m := range v.Members {
-		near := newState(m.Name, 1, DefaultFreshness).neighbours(v, epoch)
-		require.Len(t, near, fewPeers)
-		require.True(t, readers[near[0].Name])
-		for _, p := range near {
-			require.NotEqual(t, m.Name, p.Name)
-			asked[p.Name]++
+		asked := asks(newState(m.Name, 1, DefaultFreshness), v, turns)
+		require.Len(t, asked, readersAsked+1)
+		require.NotContains(t, asked, m.Name)
+		for name, n := range asked {
+			inward[name] += n
 		}
 	}
+	for _, r := range v.Readers() {
+		readers += inward[r.Name]
+	}
+	require.Equal(t, 480*turns, readers)
 	most := 0
-	for _, n := range asked {
+	for _, n := range inward {
 		most = max(most, n)
 	}
-	t.Logf("an instance among 480 asks %d and is asked by at most %d", fewPeers, most)
-	require.Less(t, most, 32)
+	perSecond := float64(most) / turns / beatInterval.Seconds()
+	t.Logf("an instance among 480 is asked %.1f times a second at most", perSecond)
+	require.Less(t, perSecond, 32.0)
 }
 
 func TestSilentNeighbourIsReplaced(t *testing.T) {
 	v := largeView(48)
 	s := newState("i0", 1, DefaultFreshness)
-	first := s.neighbours(v, epoch)
+	first := s.neighbours(v, 1, epoch)
 	for range failuresSpared {
-		s.peer(first[1].Name).fail(epoch, 0)
+		s.peer(first[0].Name).fail(epoch, 0)
 	}
-	require.NotContains(t, s.neighbours(v, epoch), first[1])
-	require.Equal(t, first, s.neighbours(v, epoch.Add(spareTime+time.Millisecond)))
+	require.NotContains(t, s.neighbours(v, 0, epoch), first[0])
+	require.NotContains(t, s.neighbours(v, 1, epoch), first[0])
+	require.Equal(t, first, s.neighbours(v, 1, epoch.Add(spareTime+time.Millisecond)))
 }
 
 func TestBeatSize(t *testing.T) {
