Test that silent neighbours go, stuck callers are cut off and half a send is unknown

Cause: on a scratch copy, three of 61 protections could be taken out without a test noticing: closing the idle neighbours of a silent connection, cutting off a stuck caller at once, and the context of Stream.Next. Change: a test for each, and one for a write that fails half way.

--- a/internal/request/figlife/pump_test.go
+++ b/internal/request/figlife/pump_test.go
@@ -139,6 +139,17 @@
 	})
 }
 
+func TestPumpCutsOffStuckCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const patience = 10 * time.Second
+		b := newBench(4, patience, nil, "ab")
+		b.pace, b.endless = time.Hour, true
+		began := time.Now()
+		require.ErrorIs(t, b.Run(t.Context()), ErrSlowCaller)
+		require.Equal(t, patience, time.Since(began))
+	})
+}
+
 func TestPumpCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(4, time.Second, nil, "ab")
--- a/internal/request/figsend/fail_test.go
+++ b/internal/request/figsend/fail_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -129,18 +130,32 @@
 	kindIs(t, err, KindConnect, NotRun)
 }
 
+// TestSilentConnection makes two kept connections go silent. The call that meets
+// one gives up both.
 func TestSilentConnection(t *testing.T) {
 	for _, up := range []bool{true, false} {
-		server := newRawServer(t, func(int64, *http.Request) string { return ok })
+		var both sync.WaitGroup
+		both.Add(2)
+		server := newRawServer(t, func(run int64, _ *http.Request) string {
+			if run <= 2 {
+				both.Done()
+				both.Wait()
+			}
+			return ok
+		})
 		r := newRelay(t, server.server())
 		s := newSender(t, Options{ReuseLimit: soon, IdleLimit: time.Minute})
 		c := callTo(r.server(), http.MethodGet, true)
-		_, err := s.Do(t.Context(), c)
-		require.NoError(t, err)
+		var calls sync.WaitGroup
+		for range 2 {
+			calls.Go(func() { _, _ = s.Do(t.Context(), c) })
+		}
+		calls.Wait()
+		require.Equal(t, 2, s.host(c.Server.Address).IdleConnsCount())
 
 		r.swallowUp.Store(up)
 		r.swallowDown.Store(!up)
-		_, err = s.Do(t.Context(), c)
+		_, err := s.Do(t.Context(), c)
 		kindIs(t, err, KindSilent, Unknown)
 		require.EqualValues(t, 1, s.Silent.Load())
 		require.Zero(t, s.host(c.Server.Address).ConnsCount(), "connections to a silent server are given up")
@@ -149,10 +164,29 @@
 		r.swallowDown.Store(false)
 		_, err = s.Do(t.Context(), c)
 		require.NoError(t, err)
-		require.EqualValues(t, 2, s.Dials.Load())
+		require.EqualValues(t, 3, s.Dials.Load())
 	}
 }
 
+// halfConn fails a write after half of its bytes.
+type halfConn struct{ net.Conn }
+
+func (c halfConn) Write(p []byte) (int, error) {
+	n, _ := c.Conn.Write(p[:len(p)/2])
+	return n, errors.New("reset")
+}
+
+func TestPartlySentIsUnknown(t *testing.T) {
+	server := newRawServer(t, func(int64, *http.Request) string { return ok })
+	s := newSender(t, Options{AnswerLimit: soon, Dial: func(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+		c, err := dial(ctx, address, limit)
+		return halfConn{c}, err
+	}})
+	_, err := s.Do(t.Context(), callTo(server.server(), http.MethodPost, false))
+	kindIs(t, err, KindCut, Unknown)
+	require.EqualValues(t, 1, s.Sends.Load())
+}
+
 func TestSilentServerOnNewConnection(t *testing.T) {
 	for _, up := range []bool{true, false} {
 		server := newRawServer(t, func(int64, *http.Request) string { return ok })
--- a/internal/request/figsend/stream_test.go
+++ b/internal/request/figsend/stream_test.go
@@ -175,7 +175,7 @@
 			require.NoError(t, err)
 			failed := make(chan error, 1)
 			go func() {
-				_, err := stream.Next(nextCtx, patience)
+				_, err := stream.Next(nextCtx, time.Hour)
 				failed <- err
 			}()
 			closed := <-arrived
