--- a/internal/request/figsend/alloc_test.go
+++ b/internal/request/figsend/alloc_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -123,3 +124,50 @@
 		}
 	}
 }
+
+// TestStreamMemory bounds what an open stream holds while it waits for events,
+// with both ends of its connection.
+func TestStreamMemory(t *testing.T) {
+	const (
+		streams = 200
+		// A quarter of what 5,000 streams in 256 MB leave for each.
+		limit = 12 << 10
+	)
+	server := listen(t, func(c net.Conn) {
+		b := make([]byte, 4096)
+		for {
+			n, err := c.Read(b)
+			if err != nil || bytes.HasSuffix(b[:n], []byte("end")) {
+				break
+			}
+		}
+		_, _ = io.WriteString(c, streamHead+chunked(false, "data: {\"id\":\"r1\"}\n\n"))
+	})
+	s := newSender(t, Options{})
+	open := make([]*Stream, 0, streams)
+	before := heap()
+	for range streams {
+		c := callTo(server.server(), http.MethodPost, false)
+		c.Body = append(make([]byte, 100<<10), "end"...)
+		stream, err := s.Stream(t.Context(), c)
+		require.NoError(t, err)
+		_, err = stream.Next(t.Context(), patience)
+		require.NoError(t, err)
+		open = append(open, stream)
+	}
+	held := heap() - before
+	for _, stream := range open {
+		stream.Close()
+	}
+	require.Less(t, held/streams, int64(limit))
+}
+
+// heap returns the bytes in use after a collection.
+func heap() int64 {
+	var m runtime.MemStats
+	// The second collection empties the pools' victim caches.
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/request/figsend/call.go
+++ b/internal/request/figsend/call.go
@@ -41,13 +41,20 @@
 	MatchEvents bool
 }
 
+// withoutBody returns what a stream needs of its call, so that the rest can be
+// freed while it runs.
+func (c *Call) withoutBody() *Call {
+	return &Call{ID: c.ID, Server: c.Server, Method: c.Method, MatchEvents: c.MatchEvents}
+}
+
 // Answer is a whole answer of a backend server.
 type Answer struct {
 	// Status is the HTTP status code.
 	Status int
 	// Header holds the end-to-end header fields.
 	Header []Header
-	// Body is complete and belongs to the receiver.
+	// Body is complete and belongs to the receiver. It is empty and not nil if
+	// there is none.
 	Body []byte
 	// Connection is the generation of the connection that carried it.
 	Connection uint64
--- a/internal/request/figsend/connection.go
+++ b/internal/request/figsend/connection.go
@@ -14,8 +14,10 @@
 	keepAliveInterval = time.Second
 	// keepAliveCount is how many unanswered probes end a connection.
 	keepAliveCount = 3
-	// unackedLimit is how long sent bytes may stay unacknowledged.
-	unackedLimit = 4 * time.Second
+	// unackedLimit is how long sent bytes may stay unacknowledged, and how long a
+	// server may leave a full connection unread. It also ends a connection whose
+	// probes stay unanswered.
+	unackedLimit = 10 * time.Second
 )
 
 // connection is one TCP connection to a backend server. One goroutine reads
--- a/internal/request/figsend/do.go
+++ b/internal/request/figsend/do.go
@@ -54,7 +54,12 @@
 // body reads the body to its proved end.
 func (x *exchange) body() (*Answer, *Failure) {
 	r := x.response
-	answer := &Answer{Status: r.StatusCode(), Header: endToEnd(&r.Header), Connection: x.conn.generation}
+	answer := &Answer{
+		Status:     r.StatusCode(),
+		Header:     endToEnd(&r.Header),
+		Body:       []byte{},
+		Connection: x.conn.generation,
+	}
 	if bodiless(x.call.Method, answer.Status) {
 		return answer, nil
 	}
@@ -70,7 +75,9 @@
 			return nil, x.failure("answer", err)
 		}
 	}
-	answer.Body = r.SwapBody(nil)
+	if b := r.SwapBody(nil); len(b) > 0 {
+		answer.Body = b
+	}
 	return answer, nil
 }
 
--- a/internal/request/figsend/fail_test.go
+++ b/internal/request/figsend/fail_test.go
@@ -59,6 +59,7 @@
 			if tt.status != 0 {
 				require.NoError(t, err)
 				require.Equal(t, tt.status, answer.Status)
+				require.NotNil(t, answer.Body)
 				return
 			}
 			require.Nil(t, answer)
--- a/internal/request/figsend/stream.go
+++ b/internal/request/figsend/stream.go
@@ -12,6 +12,14 @@
 	"github.com/tidwall/gjson"
 )
 
+const (
+	// streamBuffer is the size of a stream's read buffer, in bytes. An instance
+	// holds thousands of streams.
+	streamBuffer = 2 << 10
+	// lineBuffer is the size of the buffer in which lines are found, in bytes.
+	lineBuffer = 512
+)
+
 var (
 	errNoMarker = errors.New("the stream ended without its end marker")
 	errClosed   = errors.New("the stream is closed")
@@ -55,6 +63,7 @@
 	if !bytes.HasPrefix(r.Header.ContentType(), []byte("text/event-stream")) {
 		return x.plain()
 	}
+	x.call = x.call.withoutBody()
 	t := &Stream{
 		Status:     r.StatusCode(),
 		Header:     endToEnd(&r.Header),
@@ -64,15 +73,25 @@
 		framed:     r.Header.ContentLength() > lengthUnknown,
 	}
 	r.StreamBody = true
-	if err := r.ReadBody(x.reader, 0); err != nil {
+	if err := r.ReadBody(x.smallReader(), 0); err != nil {
 		f := x.failure("stream", err)
 		x.finish(false)
 		return nil, f
 	}
-	t.events.lines = bufio.NewReader(r.BodyStream())
+	t.events.lines = bufio.NewReaderSize(r.BodyStream(), lineBuffer)
 	return t, nil
 }
 
+// smallReader exchanges the reader of the header for one that a stream can keep.
+func (x *exchange) smallReader() *bufio.Reader {
+	rest, _ := x.reader.Peek(x.reader.Buffered())
+	source := io.MultiReader(bytes.NewReader(bytes.Clone(rest)), x.conn)
+	x.reader.Reset(nil)
+	readers.Put(x.reader)
+	x.reader = nil
+	return bufio.NewReaderSize(source, streamBuffer)
+}
+
 // plain reads an answer that is not a stream.
 func (x *exchange) plain() (*Stream, error) {
 	answer, f := x.body()
--- a/internal/request/figsend/watch.go
+++ b/internal/request/figsend/watch.go
@@ -91,10 +91,3 @@
 	defer w.mu.Unlock()
 	return maps.Clone(w.watched)
 }
-
-// ListenConfig returns the settings for a listener whose accepted connections
-// are probed when quiet and ended when their bytes stay unacknowledged, so that
-// a caller that has silently gone is noticed within seconds.
-func ListenConfig() net.ListenConfig {
-	return net.ListenConfig{KeepAliveConfig: keepAlive(), Control: limitUnacked}
-}
--- a/internal/request/figsend/watch_test.go
+++ b/internal/request/figsend/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -70,6 +71,25 @@
 	require.Equal(t, "next", string(b))
 }
 
+func TestLimitWrites(t *testing.T) {
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := LimitWrites(n, soon)
+	t.Cleanup(func() { _ = l.Close() })
+	caller, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	// The caller reads nothing, so that a write blocks when all buffers are full.
+	for err == nil {
+		_, err = accepted.Write(make([]byte, 1<<20))
+	}
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.Equal(t, peekQuiet, peek(accepted))
+	require.NoError(t, caller.Close())
+	require.Eventually(t, func() bool { return peek(accepted) == peekClosed }, patience, time.Millisecond)
+}
+
 func TestCallerWatchRuns(t *testing.T) {
 	caller, accepted := callerPair(t)
 	ctx, cancel := context.WithCancel(t.Context())
