Count models as resident, leave out data centres from the choice, measure sizes

Change: the catalogue holds only servers that take work. Tests cover unreachable owners, lost replies, leases that move, retries, leaving, prefix affinity, late requests, and the cost of a decision by fleet size. The comparison has a sixth policy: two choices by queue lengths that answers carried.

--- a/internal/place/figfake/policy.go
+++ b/internal/place/figfake/policy.go
@@ -39,12 +39,21 @@
 		}
 		return a
 	})}
+	// Carried takes the one of two random ones that had the shorter queue when it
+	// last answered a request of the same instance.
+	Carried = Policy{Name: "carried", prepare: byPick(func(r *runner, _ figview.Role, all []*Engine) *Engine {
+		a, b := all[r.rng.IntN(len(all))], all[r.rng.IntN(len(all))]
+		if r.carried[carriedKey{r.entry, b.Name}] < r.carried[carriedKey{r.entry, a.Name}] {
+			return b
+		}
+		return a
+	})}
 	// Ours drives figplace and figowner.
 	Ours = Policy{Name: "figtrail", prepare: prepareOurs}
 )
 
 // Policies holds all policies in the order of the table.
-var Policies = []Policy{Random, RoundRobin, LeastLoaded, TwoChoices, Ours}
+var Policies = []Policy{Random, RoundRobin, LeastLoaded, TwoChoices, Carried, Ours}
 
 // reportedLoad is the load in the last report: work that waits, then memory.
 func reportedLoad(e *Engine) float64 {
@@ -74,6 +83,7 @@
 func byPick(pick func(r *runner, role figview.Role, all []*Engine) *Engine) func(r *runner) func(c *call) {
 	return func(r *runner) func(c *call) {
 		return func(c *call) {
+			r.entry = c.entry
 			roles := []figview.Role{figview.Prefill, figview.Decode}
 			if c.Plain {
 				roles = []figview.Role{figview.Plain}
@@ -91,6 +101,17 @@
 	}
 }
 
+// carriedKey names what an instance knows of a server.
+type carriedKey struct {
+	entry  int
+	server string
+}
+
+// carry notes the queue of a server on an answer to an instance.
+func (r *runner) carry(c *call, e *Engine) {
+	r.carried[carriedKey{c.entry, e.Name}] = len(e.queue) + len(e.held)
+}
+
 // take notes the server that was chosen for a role.
 func (c *call) take(e *Engine) {
 	if e.Role == figview.Prefill {
--- a/internal/place/figfake/run.go
+++ b/internal/place/figfake/run.go
@@ -54,6 +54,10 @@
 	calls   map[*call]struct{}
 	suspect map[string]time.Duration
 	turn    map[figview.Role]int
+	// carried holds the queue lengths that answers carried, entry the instance
+	// that places now.
+	carried map[carriedKey]int
+	entry   int
 	place   func(c *call)
 	tally   tally
 }
@@ -68,6 +72,7 @@
 		calls:   map[*call]struct{}{},
 		suspect: map[string]time.Duration{},
 		turn:    map[figview.Role]int{},
+		carried: map[carriedKey]int{},
 	}
 	for _, x := range r.servers {
 		r.engines[x.Name] = NewEngine(r.Sim, x, d.Spec)
@@ -204,6 +209,7 @@
 				r.again(c, c.prefill, o)
 				return
 			}
+			r.carry(c, c.prefill)
 			if c.prefills != nil {
 				c.prefills(tokens, r.now-began)
 			}
@@ -238,6 +244,7 @@
 }
 
 func (r *runner) answered(c *call, tokens int64) {
+	r.carry(c, c.decode)
 	if c.progress != nil {
 		c.progress(tokens)
 	}
--- a/internal/place/figowner/book.go
+++ b/internal/place/figowner/book.go
@@ -90,9 +90,13 @@
 	gained   time.Time
 	reported time.Time
 	report   *Report
-	resident []uint64
-	misses   int
-	quota    int64
+	resident []uint32
+	// wanted is an adapter that a placed request needs and that isn't resident;
+	// ordered is when the last one was ordered.
+	wanted  string
+	ordered time.Time
+	misses  int
+	quota   int64
 	// refused is set from the server's own refusal until its next report.
 	refused  bool
 	leases   map[uint64]*Lease
--- a/internal/place/figowner/load.go
+++ b/internal/place/figowner/load.go
@@ -13,7 +13,7 @@
 		QueueTokens:     b.InProgress(),
 		TokensPerSecond: int64(b.Speed.Or(defaultSpeed)),
 		LinkKilobytes:   int64(b.Link.Or(defaultLink) / 1000),
-		Adapters:        b.resident,
+		Resident:        b.resident,
 	}
 	if b.Ramp.Cold() {
 		l.FreePieces = min(l.FreePieces, max(0, b.Ramp.Limit-l.QueueTokens)/b.PieceTokens)
--- a/internal/place/figowner/message.go
+++ b/internal/place/figowner/message.go
@@ -151,8 +151,8 @@
 	LinkKilobytes int64 `cbor:"6,keyasint,omitempty"`
 	// Closed says that no ask would be granted now, whatever its size.
 	Closed bool `cbor:"7,keyasint,omitempty"`
-	// Adapters holds the hashes of resident adapters and models.
-	Adapters []uint64 `cbor:"8,keyasint,omitempty"`
+	// Resident holds the hashes of resident models and adapters, from ResidentHash.
+	Resident []uint32 `cbor:"8,keyasint,omitempty"`
 }
 
 // Reply answers a Request.
--- a/internal/place/figowner/reconcile.go
+++ b/internal/place/figowner/reconcile.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"figtrail.dev/figtrail/internal/fleet/figview"
 )
 
@@ -264,14 +262,3 @@
 	}
 	return best
 }
-
-func residents(r *Report) []uint64 {
-	hashes := make([]uint64, 0, len(r.Models)+len(r.Adapters))
-	for _, n := range r.Models {
-		hashes = append(hashes, xxhash.Sum64String(n))
-	}
-	for _, n := range r.Adapters {
-		hashes = append(hashes, xxhash.Sum64String(n))
-	}
-	return hashes
-}
--- a/internal/place/figowner/reserve.go
+++ b/internal/place/figowner/reserve.go
@@ -36,6 +36,7 @@
 		Expires: now.Add(LeaseTime), Heard: now,
 		starts: now.Add(time.Duration(a.AfterMillis) * time.Millisecond),
 	}
+	b.want(a.Adapter)
 	queue := b.InProgress()
 	b.add(l)
 	b.quota -= max(1, a.Pieces)
--- a/internal/place/figowner/run.go
+++ b/internal/place/figowner/run.go
@@ -61,6 +61,23 @@
 		_ = o.opts.Cancel(c, s, id)
 		stop()
 	}
+	if name, ok := o.wanted(s.Name); ok {
+		c, stop := context.WithTimeout(ctx, pollTimeout)
+		// Without the order the engine loads the adapter with the first request.
+		_ = o.Order(c, s.Name, LoadAdapter, name)
+		stop()
+	}
+}
+
+// wanted returns an adapter that a server should load.
+func (o *Owner) wanted(server string) (string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	b, ok := o.books[server]
+	if !ok {
+		return "", false
+	}
+	return b.Wanted(o.opts.Clock.Now())
 }
 
 func (o *Owner) polled(server string) {
--- a/internal/place/figplace/catalogue.go
+++ b/internal/place/figplace/catalogue.go
@@ -41,14 +41,15 @@
 	server figview.Server
 }
 
-func newCatalogue(v *figview.View, s *figview.Servers) *catalogue {
+// newCatalogue leaves out servers that are leaving or in a data centre that is out.
+func newCatalogue(v *figview.View, s *figview.Servers, out map[string]bool) *catalogue {
 	c := &catalogue{
 		view: v, servers: s,
 		groups: map[groupKey]*group{},
 		owners: map[string]figview.Member{},
 	}
 	for _, x := range s.All {
-		if x.State == figview.Live {
+		if x.State == figview.Live && !out[x.DataCentre] {
 			c.add(x)
 		}
 	}
--- a/internal/place/figplace/choose.go
+++ b/internal/place/figplace/choose.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/place/figowner"
 )
 
 const (
@@ -25,7 +26,8 @@
 	// in the data centre and in the region, as a part of its memory.
 	crossLoad  = 0.1
 	regionLoad = 0.3
-	// missingTime and missingLoad are the cost of an adapter that isn't resident.
+	// missingTime and missingLoad are the cost of a model or adapter that isn't
+	// resident.
 	missingTime = 300 * time.Millisecond
 	missingLoad = 0.3
 	// unknownLoad is assumed of a decode server that nothing is known of.
@@ -129,7 +131,7 @@
 
 // consider scores one server. It returns false if the server can't be asked now.
 func (s *search) consider(x figview.Server) (candidate, bool) {
-	if slices.Contains(s.request.Avoid, x.Name) || s.dataCentreOut(x.DataCentre) {
+	if slices.Contains(s.request.Avoid, x.Name) {
 		return candidate{}, false
 	}
 	owner, ok := s.cat.owner(x)
@@ -212,10 +214,16 @@
 	return cross
 }
 
-// missing says whether the server is known not to have the request's adapter.
+// missing says whether the server is known not to have the request's model or
+// adapter. A server that reports nothing resident is not known to lack anything.
 func (s *search) missing(r *row) bool {
-	if s.request.Adapter == "" || !r.known(s.now) {
+	if !r.known(s.now) || len(r.load.Resident) == 0 {
 		return false
 	}
-	return !slices.Contains(r.load.Adapters, xxhash.Sum64String(s.request.Adapter))
+	for _, name := range []string{s.request.Model, s.request.Adapter} {
+		if name != "" && !slices.Contains(r.load.Resident, figowner.ResidentHash(name)) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/place/figplace/fleet_test.go
+++ b/internal/place/figplace/fleet_test.go
@@ -28,11 +28,23 @@
 	owners  map[string]*figowner.Owner
 	placers map[string]*Placer
 	down    map[string]bool
+	// lost makes the replies of owners get lost.
+	lost    bool
 	sent    []*figowner.Request
 	replies []*figowner.Reply
 }
 
 func newFleet(members, servers int) *fleet {
+	f := newLists(members, servers)
+	for i, m := range f.view.Members {
+		f.owners[m.Name] = f.newOwner(m.Name)
+		f.placers[m.Name] = f.newPlacer(m, uint64(i))
+	}
+	return f
+}
+
+// newLists returns a fleet with lists and no instances.
+func newLists(members, servers int) *fleet {
 	f := &fleet{now: start, owners: map[string]*figowner.Owner{}, placers: map[string]*Placer{}, down: map[string]bool{}}
 	centres := []string{"a", "b", "c"}
 	f.tree = figtree.New(1, figtree.Contents{
@@ -56,13 +68,13 @@
 			Name: fmt.Sprintf("server%04d", i), DataCentre: centres[i/5%3], Pool: "chat", Role: role,
 		})
 	}
-	for i, m := range list {
-		f.owners[m.Name] = f.newOwner(m.Name)
-		f.placers[m.Name] = f.newPlacer(m, uint64(i))
-	}
 	return f
 }
 
+func (f *fleet) getView() *figview.View       { return f.view }
+func (f *fleet) getServers() *figview.Servers { return f.servers }
+func (f *fleet) getTree() *figtree.Tree       { return f.tree }
+
 func (f *fleet) clock() figtimer.Clock {
 	return figtimer.Clock{Now: func() time.Time { return f.now }}
 }
@@ -70,8 +82,7 @@
 func (f *fleet) newOwner(name string) *figowner.Owner {
 	return figowner.New(figowner.Options{
 		Self: name, Incarnation: 7, Clock: f.clock(),
-		View:          func() *figview.View { return f.view },
-		Servers:       func() *figview.Servers { return f.servers },
+		View: f.getView, Servers: f.getServers,
 		Pool:          func(id string) (*figtree.Pool, bool) { return f.tree.Pool(id) },
 		DataCentreOut: func(name string) bool { return f.tree.DataCentreOut(name) },
 		Fresh:         func() bool { return true },
@@ -81,11 +92,8 @@
 func (f *fleet) newPlacer(m figview.Member, seed uint64) *Placer {
 	return New(Options{
 		Self: m.Name, DataCentre: m.DataCentre, Clock: f.clock(),
-		Random:  rand.New(rand.NewPCG(seed, 1)).Uint64,
-		View:    func() *figview.View { return f.view },
-		Servers: func() *figview.Servers { return f.servers },
-		Tree:    func() *figtree.Tree { return f.tree },
-		Ask:     f.ask,
+		Random: rand.New(rand.NewPCG(seed, 1)).Uint64,
+		View:   f.getView, Servers: f.getServers, Tree: f.getTree, Ask: f.ask,
 	})
 }
 
@@ -95,6 +103,9 @@
 	}
 	r, err := f.owners[m.Name].Answer(ctx, q)
 	f.sent, f.replies = append(f.sent, q), append(f.replies, r)
+	if f.lost {
+		return nil, errors.New("reply lost")
+	}
 	return r, err
 }
 
--- a/internal/place/figplace/lease.go
+++ b/internal/place/figplace/lease.go
@@ -105,7 +105,7 @@
 	}
 	l.ended = true
 	p.unhold(l)
-	p.table.row(l.server.Name).placed(-l.ask.Pieces, 0)
+	p.table.row(l.server.Name).freed += l.ask.Pieces
 	r := l.release()
 	r.Tokens, r.TookMillis = tokens, took.Milliseconds()
 	r.ended = p.opts.Clock.Now()
--- /dev/null
+++ b/internal/place/figplace/place_test.go
@@ -0,0 +1,265 @@
+package figplace
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/config/figtree"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/place/figowner"
+)
+
+// place places a request that must find room.
+func (f *fleet) place(t *testing.T, entry, id string) *Placement {
+	t.Helper()
+	x, err := f.placers[entry].Place(t.Context(), request(id))
+	require.NoError(t, err)
+	return x
+}
+
+// pass lets time go by with reports and renewals.
+func (f *fleet) pass(t *testing.T, d time.Duration) {
+	t.Helper()
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.report(nil)
+		for _, m := range f.view.Members {
+			f.placers[m.Name].Flush(t.Context())
+		}
+	}
+}
+
+// Servers whose owner can't be reached get no work; the others do. With no owner
+// left the request is refused and nothing stays held.
+func TestPlaceWithUnreachableOwners(t *testing.T) {
+	f := newFleet(3, 30)
+	f.warm()
+	p := f.placers["entry000"]
+	f.down["entry001"] = true
+	for i := range 20 {
+		x, err := p.Place(t.Context(), request(fmt.Sprint("r", i)))
+		require.NoError(t, err)
+		for _, s := range []figview.Server{x.Prefill, x.Decode} {
+			m, _ := figowner.Of(f.view, s)
+			require.NotEqual(t, "entry001", m.Name)
+		}
+		x.Release()
+		f.now = f.now.Add(50 * time.Millisecond)
+	}
+	for n := range f.owners {
+		f.down[n] = true
+	}
+	var full *NoRoom
+	_, err := p.Place(t.Context(), request("none"))
+	require.ErrorAs(t, err, &full)
+	require.Positive(t, full.RetryAfter)
+
+	clear(f.down)
+	f.pass(t, 2*time.Second)
+	require.Zero(t, f.held())
+}
+
+// A reply that is lost leaves no room held: the ask is released by name.
+func TestPlaceReleasesAfterLostReply(t *testing.T) {
+	f := newFleet(3, 10)
+	f.warm()
+	f.lost = true
+	_, err := f.placers["entry000"].Place(t.Context(), request("r1"))
+	require.Error(t, err)
+	require.Positive(t, f.held())
+	f.lost = false
+	f.pass(t, time.Second)
+	require.Zero(t, f.held())
+}
+
+// When the owner of a server changes, the holder tells the new one, and work that
+// has ended meanwhile is released there.
+func TestLeasesMoveToNewOwner(t *testing.T) {
+	f := newFleet(6, 10)
+	f.warm()
+	stays, ends := f.place(t, "entry000", "r1"), f.place(t, "entry000", "r2")
+	old, _ := figowner.Of(f.view, stays.Decode)
+	left := []figview.Member{}
+	for _, m := range f.view.Members {
+		if m.Name != old.Name || m.Name == "entry000" {
+			left = append(left, m)
+		}
+	}
+	if old.Name == "entry000" {
+		left = left[1:]
+	}
+	f.view = figview.NewView(2, left)
+	ends.Release()
+	f.placers["entry000"].Flush(t.Context())
+	f.pass(t, 2*time.Second)
+	require.True(t, stays.Holds())
+	held := 0
+	for _, m := range f.view.Members {
+		for _, s := range f.owners[m.Name].Status() {
+			held += s.Leases
+		}
+	}
+	require.Equal(t, 2, held, "prefill and decode of the request that stays")
+}
+
+// A process that was paused for longer than a lease doesn't count on it.
+func TestHoldsEndsWithoutRenewal(t *testing.T) {
+	f := newFleet(3, 10)
+	f.warm()
+	x := f.place(t, "entry000", "r1")
+	f.pass(t, 10*time.Second)
+	require.True(t, x.Holds())
+	f.now = f.now.Add(figowner.LeaseTime)
+	require.False(t, x.Holds())
+}
+
+// Retries have a budget, avoid the server that failed, and leave it alone for a while.
+func TestRetries(t *testing.T) {
+	f := newFleet(3, 20)
+	f.warm()
+	p := f.placers["entry000"]
+	x := f.place(t, "entry000", "r1")
+	failed := x.Decode.Name
+	x.Fail(failed, figowner.Unreachable)
+	x.Release()
+	for i := range 5 {
+		y := f.place(t, "entry000", fmt.Sprint("other", i))
+		require.NotEqual(t, failed, y.Decode.Name)
+		y.Release()
+	}
+	r := request("retry")
+	r.Avoid = []string{failed}
+	granted := 0
+	for range 100 {
+		y, err := p.Place(t.Context(), r)
+		if err != nil {
+			continue
+		}
+		granted++
+		require.NotEqual(t, failed, y.Decode.Name)
+		y.Release()
+	}
+	require.Equal(t, retryStock, granted)
+}
+
+// A caller's fault changes nothing for a server.
+func TestCallerErrorIsNoEvidence(t *testing.T) {
+	f := newFleet(3, 5)
+	f.warm()
+	x := f.place(t, "entry000", "r1")
+	for range 10 {
+		x.Fail(x.Decode.Name, figowner.CallerError)
+	}
+	x.Release()
+	f.placers["entry000"].Flush(t.Context())
+	for _, q := range f.sent {
+		require.Empty(t, q.Failures)
+	}
+	y := f.place(t, "entry000", "r2")
+	y.Fail(y.Decode.Name, figowner.ServerError)
+	f.placers["entry000"].Flush(t.Context())
+	require.Len(t, f.sent[len(f.sent)-1].Failures, 1)
+}
+
+// Leaving servers and data centres that are out get no new work from the moment
+// that an instance knows, and get it again when they are back.
+func TestLeavingGetsNoWork(t *testing.T) {
+	tests := []struct {
+		name  string
+		leave func(f *fleet)
+	}{
+		{"data centre out", func(f *fleet) {
+			f.tree = figtree.New(2, figtree.Contents{Pools: f.tree.Pools(), DataCentres: []figtree.DataCentre{
+				{Name: "a", Region: "r", Out: true}, {Name: "b", Region: "r"}, {Name: "c", Region: "r"},
+			}})
+		}},
+		{"servers leaving", func(f *fleet) {
+			s := &figview.Servers{Version: 2}
+			for _, x := range f.servers.All {
+				if x.DataCentre == "a" {
+					x.State = figview.Leaving
+				}
+				s.All = append(s.All, x)
+			}
+			f.servers = s
+		}},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			f := newFleet(3, 30)
+			f.warm()
+			require.Equal(t, "a", f.place(t, "entry000", "near").Decode.DataCentre)
+			tree, servers := f.tree, f.servers
+			x.leave(f)
+			for i := range 20 {
+				y := f.place(t, "entry000", fmt.Sprint("r", i))
+				require.NotEqual(t, "a", y.Prefill.DataCentre)
+				require.NotEqual(t, "a", y.Decode.DataCentre)
+				y.Release()
+			}
+			f.tree, f.servers = tree, servers
+			f.pass(t, 5*time.Second)
+			require.Equal(t, "a", f.place(t, "entry000", "back").Decode.DataCentre)
+		})
+	}
+}
+
+// Prompts with one prefix go to one prefill server while its queue is short, and
+// to others when it isn't.
+func TestPrefixAffinityCannotOverload(t *testing.T) {
+	f := newFleet(3, 40)
+	f.warm()
+	r := request("r")
+	r.Prefix = PrefixHashes(make([]byte, 8*PrefixBlock))
+	used := map[string]int{}
+	for i := range 24 {
+		r.ID = fmt.Sprint("r", i)
+		x, err := f.placers["entry000"].Place(t.Context(), r)
+		require.NoError(t, err)
+		used[x.Prefill.Name]++
+		if i < 8 {
+			x.PrefillDone(200, 20*time.Millisecond)
+			f.placers["entry000"].Flush(t.Context())
+			require.Len(t, used, 1, "idle server with the prefix")
+		}
+	}
+	require.Greater(t, len(used), 2)
+	for _, m := range f.view.Members {
+		for _, s := range f.owners[m.Name].Status() {
+			require.LessOrEqual(t, s.InProgress, int64(2*unknownSpeed))
+		}
+	}
+}
+
+// A request that has waited past its target is refused without a message; one that
+// insists is placed.
+func TestPlaceTooLate(t *testing.T) {
+	f := newFleet(3, 10)
+	f.warm()
+	r := request("r")
+	r.Arrived = f.now.Add(-3 * time.Second)
+	var full *NoRoom
+	_, err := f.placers["entry000"].Place(t.Context(), r)
+	require.ErrorAs(t, err, &full)
+	require.True(t, full.TooLate)
+	require.Empty(t, f.sent)
+	r.Arrived = time.Time{}
+	_, err = f.placers["entry000"].Place(t.Context(), r)
+	require.NoError(t, err)
+}
+
+func TestPrefixHashes(t *testing.T) {
+	prompt := make([]byte, 5*PrefixBlock+10)
+	a := PrefixHashes(prompt)
+	require.Len(t, a, 5)
+	prompt[3*PrefixBlock] = 1
+	b := PrefixHashes(prompt)
+	require.Equal(t, a[:3], b[:3])
+	require.NotEqual(t, a[3], b[3])
+	require.NotEqual(t, a[4], b[4])
+	require.Empty(t, PrefixHashes(prompt[:PrefixBlock-1]))
+	require.Len(t, PrefixHashes(make([]byte, 100*PrefixBlock)), prefixBlocks)
+}
--- a/internal/place/figplace/placer.go
+++ b/internal/place/figplace/placer.go
@@ -1,6 +1,7 @@
 package figplace
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,28 +68,32 @@
 	if v == nil || s == nil {
 		return nil
 	}
-	if p.cat == nil || p.cat.view != v || p.cat.servers != s {
-		p.cat = newCatalogue(v, s)
+	changed := p.declare(p.opts.Tree())
+	if p.cat == nil || p.cat.view != v || p.cat.servers != s || changed {
+		p.cat = newCatalogue(v, s, p.out)
 		p.table.prune(v, s)
 	}
-	if t := p.opts.Tree(); t != nil && t != p.tree {
-		p.declare(t)
-	}
 	return p.cat
 }
 
-func (p *Placer) declare(t *figtree.Tree) {
+// declare takes the declarations in force and says whether other data centres are
+// out than before.
+func (p *Placer) declare(t *figtree.Tree) bool {
+	if t == nil || t == p.tree {
+		return false
+	}
 	p.tree = t
-	p.out = map[string]bool{}
+	out := map[string]bool{}
 	p.regions = map[string]string{}
 	for _, d := range t.DataCentres {
-		p.out[d.Name] = d.Out
+		out[d.Name] = d.Out
 		p.regions[d.Name] = d.Region
 	}
+	changed := !maps.Equal(out, p.out)
+	p.out = out
+	return changed
 }
 
-func (p *Placer) dataCentreOut(name string) bool { return p.out[name] }
-
 func (p *Placer) region(dataCentre string) string { return p.regions[dataCentre] }
 
 // pool returns a declared pool, and an empty one if there is none.
--- /dev/null
+++ b/internal/place/figplace/size_test.go
@@ -0,0 +1,173 @@
+package figplace
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/place/figowner"
+)
+
+// size is a size of the fleet.
+type size struct{ servers, members int }
+
+var sizes = []size{{10, 9}, {100, 45}, {3800, 480}}
+
+func (s size) String() string { return fmt.Sprint(s.servers, " servers, ", s.members, " members") }
+
+// counter stands for all owners: it grants everything and counts what is sent.
+type counter struct {
+	*fleet
+	messages, bytes int
+	lease           uint64
+}
+
+func newCounter(s size) *counter {
+	return &counter{fleet: newLists(s.members, s.servers)}
+}
+
+func (c *counter) placer() *Placer {
+	m := c.view.Members[0]
+	return New(Options{
+		Self: m.Name, DataCentre: m.DataCentre, Clock: c.clock(), Random: rand.New(rand.NewPCG(1, 2)).Uint64,
+		View: c.getView, Servers: c.getServers, Tree: c.getTree, Ask: c.answer,
+	})
+}
+
+func (c *counter) answer(_ context.Context, _ figview.Member, q *figowner.Request) (*figowner.Reply, error) {
+	r := &figowner.Reply{Epoch: 1 << 60}
+	for _, a := range q.Reserve {
+		c.lease++
+		r.Grants = append(r.Grants, figowner.Grant{Lease: c.lease, ReadyMillis: 200})
+		r.Loads = append(r.Loads, figowner.Load{
+			Server: a.Server, FreePieces: 20, TotalPieces: 56, QueueTokens: 3000, TokensPerSecond: 20000, LinkKilobytes: 8e6,
+		})
+	}
+	c.messages += 2
+	for _, m := range []any{q, r} {
+		b, err := cbor.Marshal(m)
+		if err != nil {
+			return nil, err
+		}
+		c.bytes += len(b)
+	}
+	return r, nil
+}
+
+func uuid(i int) string { return fmt.Sprintf("%08x-0000-4000-8000-000000000000", i) }
+
+// The cost of a decision doesn't grow with the fleet: neither messages nor bytes
+// nor allocations.
+func TestDecisionCostDoesNotGrow(t *testing.T) {
+	var least []float64
+	for _, s := range sizes {
+		c := newCounter(s)
+		p := c.placer()
+		i := 0
+		one := func() {
+			i++
+			r := request(uuid(i))
+			r.Prefix = []uint64{uint64(i % 50), uint64(i)}
+			x, err := p.Place(t.Context(), r)
+			require.NoError(t, err)
+			x.PrefillDone(1500, 100*time.Millisecond)
+			x.Release()
+			c.now = c.now.Add(43 * time.Millisecond)
+		}
+		// The first look at each server works out its owner, once for each list.
+		for range 3 * s.servers {
+			one()
+		}
+		c.messages, c.bytes = 0, 0
+		const runs = 500
+		allocations := testing.AllocsPerRun(runs, one)
+		got := []float64{float64(c.messages) / (runs + 1), float64(c.bytes) / (runs + 1), allocations}
+		t.Logf("%v: %.1f messages, %.0f bytes, %.0f allocations", s, got[0], got[1], got[2])
+		if least == nil {
+			least = got
+		}
+		for k := range got {
+			require.LessOrEqual(t, got[k], 1.25*least[k])
+		}
+	}
+}
+
+// TestControlBytes measures what one instance sends and receives for placement at
+// a steady rate: reservations, releases and renewals.
+func TestControlBytes(t *testing.T) {
+	const (
+		rate   = 23
+		stay   = 7 * time.Second
+		length = 60 * time.Second
+	)
+	for _, s := range sizes {
+		c := newCounter(s)
+		p := c.placer()
+		var running []*Placement
+		var ends []time.Time
+		n := 0
+		for c.now.Sub(start) < length {
+			c.now = c.now.Add(time.Second / rate)
+			n++
+			x, err := p.Place(t.Context(), request(uuid(n)))
+			require.NoError(t, err)
+			x.PrefillDone(1500, 100*time.Millisecond)
+			running, ends = append(running, x), append(ends, c.now.Add(stay))
+			for len(ends) > 0 && !c.now.Before(ends[0]) {
+				running[0].Release()
+				running, ends = running[1:], ends[1:]
+			}
+			p.Flush(t.Context())
+		}
+		t.Logf("%v: %.0f messages and %.0f bytes a second, %.1f and %.0f for each request", s,
+			float64(c.messages)/length.Seconds(), float64(c.bytes)/length.Seconds(),
+			float64(c.messages)/float64(n), float64(c.bytes)/float64(n))
+		require.Positive(t, c.bytes)
+	}
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(s.String(), func(b *testing.B) {
+			c := newCounter(s)
+			p := c.placer()
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				x, err := p.Place(b.Context(), request(uuid(i)))
+				require.NoError(b, err)
+				x.PrefillDone(1500, 100*time.Millisecond)
+				x.Release()
+				c.now = c.now.Add(43 * time.Millisecond)
+			}
+			b.ReportMetric(float64(c.messages)/float64(b.N), "messages/op")
+			b.ReportMetric(float64(c.bytes)/float64(b.N), "bytes/op")
+		})
+	}
+}
+
+// BenchmarkListChange measures what a new list costs an instance, once.
+func BenchmarkListChange(b *testing.B) {
+	for _, s := range sizes {
+		c := newCounter(s)
+		b.Run("placer/"+s.String(), func(b *testing.B) {
+			for b.Loop() {
+				newCatalogue(c.view, c.servers, nil)
+			}
+		})
+		b.Run("owner/"+s.String(), func(b *testing.B) {
+			o := c.newOwner(c.view.Members[0].Name)
+			for b.Loop() {
+				c.view = figview.NewView(c.view.Version+1, c.view.Members)
+				o.Observe("none", nil, nil)
+			}
+		})
+	}
+}
--- a/internal/place/figplace/table.go
+++ b/internal/place/figplace/table.go
@@ -22,8 +22,8 @@
 type row struct {
 	load figowner.Load
 	at   time.Time
-	// pieces and tokens are what was placed here since the load index came.
-	pieces, tokens int64
+	// freed is the memory that was released here since the load index came.
+	freed int64
 	// shut is until when the server gets nothing from here.
 	shut time.Time
 	// full is the least number of pieces that was refused, and until when.
@@ -56,30 +56,23 @@
 	for _, l := range loads {
 		r := t.row(l.Server)
 		r.load, r.at = l, now
-		r.pieces, r.tokens = 0, 0
+		r.freed = 0
 		if l.Closed {
 			r.shut = later(r.shut, now.Add(closedLife))
 		}
 	}
 }
 
-// placed notes a grant. It comes after learn, whose index includes the grant
-// when it came on the same reply.
-func (r *row) placed(pieces, tokens int64) {
-	r.pieces += pieces
-	r.tokens += tokens
-}
-
 // known says whether the load index is recent enough to be believed.
 func (r *row) known(now time.Time) bool { return !r.at.IsZero() && now.Sub(r.at) < rowLife }
 
 // free returns the estimated free pieces.
-func (r *row) free() int64 { return max(0, r.load.FreePieces-r.pieces) }
+func (r *row) free() int64 { return min(r.load.TotalPieces, r.load.FreePieces+r.freed) }
 
 // queue returns the estimated prefill work left, in tokens.
 func (r *row) queue(now time.Time) int64 {
 	worked := int64(now.Sub(r.at).Seconds() * float64(r.load.TokensPerSecond))
-	return max(0, r.load.QueueTokens+r.tokens-worked)
+	return max(0, r.load.QueueTokens-worked)
 }
 
 // silent notes that an owner didn't answer.
