--- a/internal/config/figstore/message.go
+++ b/internal/config/figstore/message.go
@@ -20,6 +20,8 @@
 	// Buckets holds the digests of the asker's values by bucket; it is sent to find
 	// differences that Highest doesn't show.
 	Buckets []uint64 `cbor:"5,keyasint,omitempty"`
+	// First is the first bucket to compare.
+	First int `cbor:"8,keyasint,omitempty"`
 	// Instances and Servers are the revisions of the asker's lists.
 	Instances uint64 `cbor:"6,keyasint"`
 	Servers   uint64 `cbor:"7,keyasint"`
@@ -34,6 +36,8 @@
 	Digest  uint64 `cbor:"3,keyasint"`
 	// More says that another Request would bring more values.
 	More bool `cbor:"4,keyasint,omitempty"`
+	// Next is the bucket to go on with after a comparison; zero at its end.
+	Next int `cbor:"10,keyasint,omitempty"`
 	// Values holds values that the asker lacks.
 	Values []Value `cbor:"5,keyasint,omitempty"`
 	// Instances and Servers hold the changes of the lists, nil if the asker has them.
--- a/internal/config/figstore/relay.go
+++ b/internal/config/figstore/relay.go
@@ -22,8 +22,6 @@
 	replyBytes = 1 << 20
 	// bucketsInterval is the least time between two comparisons by bucket.
 	bucketsInterval = 2 * time.Second
-	// pullRounds bounds the requests of one pull.
-	pullRounds = 4096
 )
 
 // spreadOut picks up to n members, one of each data centre before a second of any.
@@ -66,7 +64,7 @@
 	switch {
 	case q.Digest == r.Digest:
 	case q.Buckets != nil:
-		values, r.More = s.table.differing(q.Buckets, replyBytes)
+		values, r.Next = s.table.differing(q.Buckets, q.First, replyBytes)
 	default:
 		values, r.More = s.table.after(q.Highest, replyBytes)
 	}
@@ -139,45 +137,65 @@
 	}
 }
 
-// pull takes in what m has and this instance lacks.
+// pull takes in what m has and this instance lacks: first what is newer than the
+// highest version here, then, if that leaves a difference, bucket by bucket.
 func (s *Store) pull(ctx context.Context, m figview.Member) error {
-	buckets := false
-	for range pullRounds {
-		q := s.request(buckets)
-		asked := s.opts.Clock.Now()
-		r, err := s.opts.Ask(ctx, m, q)
-		s.countPull(m, r, err)
-		if err != nil {
+	for {
+		r, got, err := s.exchange(ctx, m, s.request())
+		if err != nil || got.same {
 			return err
 		}
-		same := s.take(r, asked)
-		switch {
-		case same:
-			return nil
-		case r.More:
-		case buckets || !s.mayCompare():
-			return nil
-		default:
-			buckets = true
+		if !r.More || !got.changed {
+			break
 		}
 	}
-	return nil
+	if !s.mayCompare() {
+		return nil
+	}
+	for first := 0; ; {
+		q := s.request()
+		q.First = first
+		q.Buckets = s.bucketDigests()
+		r, got, err := s.exchange(ctx, m, q)
+		if err != nil || got.same || r.Next <= first {
+			return err
+		}
+		first = r.Next
+	}
+}
+
+// gain is what a reply has brought.
+type gain struct {
+	// same says that both have the same values now, changed that some were new.
+	same, changed bool
+}
+
+func (s *Store) exchange(ctx context.Context, m figview.Member, q *Request) (*Reply, gain, error) {
+	asked := s.opts.Clock.Now()
+	r, err := s.opts.Ask(ctx, m, q)
+	s.countPull(m, r, err)
+	if err != nil {
+		return nil, gain{}, err
+	}
+	return r, s.take(r, asked), nil
 }
 
-func (s *Store) request(buckets bool) *Request {
+func (s *Store) request() *Request {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	q := &Request{
+	return &Request{
 		From:      s.opts.Self,
 		Highest:   s.table.highest,
 		Digest:    s.table.digest(),
 		Instances: s.instances.revision,
 		Servers:   s.serverList.revision,
 	}
-	if buckets {
-		q.Buckets = slices.Clone(s.table.buckets[:])
-	}
-	return q
+}
+
+func (s *Store) bucketDigests() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.table.buckets[:])
 }
 
 // mayCompare says whether it is time for a comparison by bucket.
@@ -192,8 +210,8 @@
 	return true
 }
 
-// take brings a reply into force. It returns true if both now have the same values.
-func (s *Store) take(r *Reply, asked time.Time) bool {
+// take brings a reply into force.
+func (s *Store) take(r *Reply, asked time.Time) gain {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	values := make([]figplatform.Value, 0, len(r.Values))
@@ -211,7 +229,7 @@
 		s.source.heard(asked, r)
 	}
 	s.spread(changed)
-	return r.Digest == s.table.digest()
+	return gain{same: r.Digest == s.table.digest(), changed: changed}
 }
 
 // offer takes in values. The caller holds the lock.
@@ -237,7 +255,7 @@
 		var calls sync.WaitGroup
 		for _, m := range s.neighbours() {
 			calls.Go(func() {
-				q := s.request(false)
+				q := s.request()
 				q.Notify = true
 				_, _ = s.opts.Ask(ctx, m, q)
 			})
--- a/internal/config/figstore/values.go
+++ b/internal/config/figstore/values.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 
@@ -126,47 +127,59 @@
 
 // after returns the values with a version above since, lowest first, up to limit
 // bytes and at least one, and whether there are more.
-func (t *table) after(since uint64, limit int) ([]figplatform.Value, bool) {
+func (t *table) after(since uint64, limit int) (values []figplatform.Value, more bool) {
 	if t.highest <= since {
 		return nil, false
 	}
-	return t.pick(limit, func(_ string, e *entry) bool { return e.latest.Version > since })
-}
-
-// differing returns the values of the buckets that differ from another
-// instance's, in the manner of after.
-func (t *table) differing(buckets []uint64, limit int) ([]figplatform.Value, bool) {
-	return t.pick(limit, func(path string, _ *entry) bool {
-		b := bucketOf(path)
-		return b >= uint64(len(buckets)) || t.buckets[b] != buckets[b]
-	})
-}
-
-func (t *table) pick(limit int, wanted func(string, *entry) bool) ([]figplatform.Value, bool) {
 	var picked []*entry
-	for path, e := range t.entries {
-		if wanted(path, e) {
+	for _, e := range t.entries {
+		if e.latest.Version > since {
 			picked = append(picked, e)
 		}
 	}
-	slices.SortFunc(picked, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(a.latest.Version, b.latest.Version), cmp.Compare(a.latest.Path, b.latest.Path))
-	})
-	var values []figplatform.Value
+	slices.SortFunc(picked, func(a, b *entry) int { return cmp.Compare(a.latest.Version, b.latest.Version) })
 	for _, e := range picked {
 		if limit <= 0 {
 			return values, true
 		}
-		values = append(values, e.latest)
-		limit -= len(e.latest.Path) + len(e.latest.Text)
-		if e.good.Version != 0 && e.good != e.latest {
-			values = append(values, e.good)
-			limit -= len(e.good.Path) + len(e.good.Text)
-		}
+		values, limit = e.appendTo(values, limit)
 	}
 	return values, false
 }
 
+// differing returns the values of the buckets from first on that differ from
+// another instance's, whole buckets up to limit bytes and at least one, and the
+// bucket to go on with; zero if there is none.
+func (t *table) differing(buckets []uint64, first, limit int) (values []figplatform.Value, next int) {
+	inBucket := map[int][]*entry{}
+	for path, e := range t.entries {
+		b := int(bucketOf(path))
+		if b >= first && (b >= len(buckets) || t.buckets[b] != buckets[b]) {
+			inBucket[b] = append(inBucket[b], e)
+		}
+	}
+	for _, b := range slices.Sorted(maps.Keys(inBucket)) {
+		if limit <= 0 {
+			return values, b
+		}
+		for _, e := range inBucket[b] {
+			values, limit = e.appendTo(values, limit)
+		}
+	}
+	return values, 0
+}
+
+// appendTo adds the values of the entry and takes their bytes off limit.
+func (e *entry) appendTo(values []figplatform.Value, limit int) ([]figplatform.Value, int) {
+	values = append(values, e.latest)
+	limit -= len(e.latest.Path) + len(e.latest.Text)
+	if e.good.Version != 0 && e.good != e.latest {
+		values = append(values, e.good)
+		limit -= len(e.good.Path) + len(e.good.Text)
+	}
+	return values, limit
+}
+
 // refused returns the faults of the values whose latest version is not in force.
 func (t *table) refused() []figtree.Fault {
 	var faults []figtree.Fault
--- /dev/null
+++ b/internal/config/figstore/values_test.go
@@ -0,0 +1,204 @@
+package figstore
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"figtrail.dev/figtrail/internal/config/figplatform"
+)
+
+func document(rate int) string {
+	return fmt.Sprintf("accounts: [{name: n, tokensPerSecond: %d}]\n", rate)
+}
+
+// drawHistory draws the values that a service has given: at most one per path
+// and version, some of which don't parse or are deletions.
+func drawHistory(t *rapid.T) []figplatform.Value {
+	var values []figplatform.Value
+	for version := range rapid.Uint64Range(1, 30).Draw(t, "versions") {
+		v := figplatform.Value{
+			Path:    rapid.SampledFrom([]string{"a/x", "a/y", "b/x"}).Draw(t, "path"),
+			Version: version + 1,
+		}
+		switch rapid.IntRange(0, 4).Draw(t, "kind") {
+		case 0:
+			v.Deleted = true
+		case 1:
+			v.Text = "accounts: {"
+		default:
+			v.Text = document(int(version + 1))
+		}
+		values = append(values, v)
+	}
+	return values
+}
+
+// expected returns what must be in force: of each path the highest version that parses.
+func expected(history []figplatform.Value) map[string]int64 {
+	rates := map[string]int64{}
+	for _, v := range history {
+		id := v.Path[:1] + "/n"
+		if v.Path == "a/y" {
+			continue
+		}
+		switch {
+		case v.Deleted:
+			delete(rates, id)
+		case strings.HasPrefix(v.Text, "accounts: ["):
+			rates[id] = int64(v.Version)
+		}
+	}
+	return rates
+}
+
+func inForce(t *table) map[string]int64 {
+	rates := map[string]int64{}
+	for id, a := range t.builder.Build().Accounts() {
+		rates[id] = a.TokensPerSecond
+	}
+	return rates
+}
+
+// Whatever the order and the number of times in which values arrive, the highest
+// version of each path that parses is in force in the end, on all alike, and no
+// account's version ever goes back on the way.
+func TestHighestVersionWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := slices.DeleteFunc(drawHistory(t), func(v figplatform.Value) bool { return v.Path == "a/y" })
+		arrivals := rapid.Permutation(append(slices.Clone(history), history...)).Draw(t, "order")
+		one, highest := newTable(), map[string]int64{}
+		for _, v := range arrivals {
+			one.offer(v)
+			for id, rate := range inForce(one) {
+				require.GreaterOrEqual(t, rate, highest[id])
+				highest[id] = rate
+			}
+		}
+		require.Equal(t, expected(history), inForce(one))
+		other := newTable()
+		for _, v := range rapid.Permutation(history).Draw(t, "other order") {
+			other.offer(v)
+		}
+		require.Equal(t, one.digest(), other.digest())
+		require.Equal(t, one.highest, other.highest)
+	})
+}
+
+// carry lets one table take from another what a relay would bring, by the
+// highest version first and by buckets then.
+func carry(from, to *table) {
+	for more := true; more; {
+		var values []figplatform.Value
+		values, more = from.after(to.highest, 60)
+		for _, v := range values {
+			to.offer(v)
+		}
+	}
+	for first := 0; to.digest() != from.digest(); {
+		values, next := from.differing(to.buckets[:], first, 60)
+		for _, v := range values {
+			to.offer(v)
+		}
+		if next <= first {
+			return
+		}
+		first = next
+	}
+}
+
+// Tables that have seen different parts of a history hold the same after both
+// have taken from each other, stale as either may be.
+func TestRelayConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := drawHistory(t)
+		one, other := newTable(), newTable()
+		for _, v := range history {
+			if rapid.Bool().Draw(t, "one") {
+				one.offer(v)
+			}
+			if rapid.Bool().Draw(t, "other") {
+				other.offer(v)
+			}
+		}
+		carry(one, other)
+		carry(other, one)
+		carry(one, other)
+		require.Equal(t, one.digest(), other.digest())
+		require.Equal(t, inForce(one), inForce(other))
+		require.Equal(t, slices.Sorted(maps.Keys(one.entries)), slices.Sorted(maps.Keys(other.entries)))
+	})
+}
+
+// A service that lost its last writes gives other values under the same versions;
+// all settle on the same one.
+func TestEqualVersions(t *testing.T) {
+	first := figplatform.Value{Path: "a/x", Version: 7, Text: document(1)}
+	second := figplatform.Value{Path: "a/x", Version: 7, Text: document(2)}
+	one, other := newTable(), newTable()
+	one.offer(first)
+	one.offer(second)
+	other.offer(second)
+	other.offer(first)
+	require.Equal(t, inForce(one), inForce(other))
+	require.Equal(t, one.digest(), other.digest())
+}
+
+func TestRefusedAlone(t *testing.T) {
+	one := newTable()
+	one.offer(figplatform.Value{Path: "a/x", Version: 1, Text: document(1)})
+	one.offer(figplatform.Value{Path: "b/x", Version: 2, Text: document(2)})
+	one.offer(figplatform.Value{Path: "a/x", Version: 3, Text: "accounts: {"})
+	one.offer(figplatform.Value{Path: "b/x", Version: 4, Text: document(4)})
+	require.Equal(t, map[string]int64{"a/n": 1, "b/n": 4}, inForce(one))
+	faults := one.refused()
+	require.Len(t, faults, 1)
+	require.Equal(t, "a/x", faults[0].Path)
+	require.Equal(t, 1, faults[0].Line)
+	one.offer(figplatform.Value{Path: "a/x", Version: 5, Text: document(5)})
+	require.Empty(t, one.refused())
+}
+
+func TestListTellsChanges(t *testing.T) {
+	var one, other list[string]
+	add := func(revision uint64, name string, gone bool) {
+		require.True(t, one.apply(revision, false, []change[string]{{name, name, gone}}))
+	}
+	catchUp := func() {
+		rows, all := one.after(other.revision)
+		other.apply(one.revision, all, rows)
+		require.Equal(t, one.present(), other.present())
+	}
+	add(1, "a", false)
+	add(2, "b", false)
+	catchUp()
+	add(3, "a", true)
+	rows, all := one.after(2)
+	require.False(t, all)
+	require.Len(t, rows, 1)
+	catchUp()
+	require.False(t, one.apply(3, false, []change[string]{{"c", "c", false}}))
+	for i := range uint64(goneKept + 50) {
+		add(4+i, fmt.Sprint("x", i), true)
+	}
+	_, all = one.after(3)
+	require.True(t, all)
+	catchUp()
+	require.LessOrEqual(t, len(one.rows), goneKept+1)
+}
+
+// A whole list takes out the rows that it lacks.
+func TestWholeListReplaces(t *testing.T) {
+	var l list[string]
+	l.apply(5, true, []change[string]{{"a", "a", false}, {"b", "b", false}})
+	l.apply(9, true, []change[string]{{"b", "b", false}, {"c", "c", false}})
+	require.Equal(t, []string{"b", "c"}, l.present())
+	rows, all := l.after(5)
+	require.False(t, all)
+	require.Contains(t, rows, change[string]{"a", "a", true})
+}
