Bring about the failures that the store and the beats are meant for

A fleet of 25 to 64 was not fresh while the service was away, as nobody heard a majority. Above 64 this stays open: see docs/design/fleet.md.

--- a/internal/config/figstore/fleet_test.go
+++ b/internal/config/figstore/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -39,6 +40,8 @@
 	listed    uint64
 	reads     int
 	down      bool
+	// replicas holds what some instances see in the service's place.
+	replicas map[string]*service
 }
 
 func newService() *service {
@@ -47,9 +50,37 @@
 		values:    map[string]figplatform.Value{},
 		instances: map[string]figplatform.Instance{},
 		changedAt: map[string]uint64{},
+		replicas:  map[string]*service{},
 	}
 }
 
+// copy returns a service that stands still at the present state.
+func (s *service) copy() *service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := newService()
+	c.revision, c.listed = s.revision, s.listed
+	c.values, c.instances, c.changedAt = maps.Clone(s.values), maps.Clone(s.instances), maps.Clone(s.changedAt)
+	return c
+}
+
+// show lets an instance see another service in this one's place.
+func (s *service) show(name string, other *service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replicas[name] = other
+}
+
+// at returns what an instance sees.
+func (s *service) at(name string) *service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.replicas[name]; r != nil {
+		return r
+	}
+	return s
+}
+
 func (s *service) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -132,19 +163,21 @@
 			if err := reach(ctx); err != nil {
 				return nil, err
 			}
-			if err := s.wait(ctx, after, wait, func() uint64 { return s.revision }); err != nil {
+			at := s.at(self)
+			if err := at.wait(ctx, after, wait, func() uint64 { return at.revision }); err != nil {
 				return nil, err
 			}
-			return s.valuesAfter(after), n.pass(ctx, self, "service", readTimeout)
+			return at.valuesAfter(after), n.pass(ctx, self, "service", readTimeout)
 		},
 		Instances: func(ctx context.Context, after uint64, wait time.Duration) (*figplatform.Instances, error) {
 			if err := reach(ctx); err != nil {
 				return nil, err
 			}
-			if err := s.wait(ctx, after, wait, func() uint64 { return s.listed }); err != nil {
+			at := s.at(self)
+			if err := at.wait(ctx, after, wait, func() uint64 { return at.listed }); err != nil {
 				return nil, err
 			}
-			return s.instancesAfter(after), n.pass(ctx, self, "service", readTimeout)
+			return at.instancesAfter(after), n.pass(ctx, self, "service", readTimeout)
 		},
 		Servers: func(ctx context.Context, after uint64, wait time.Duration) (*figplatform.Servers, error) {
 			if err := reach(ctx); err != nil {
@@ -250,7 +283,9 @@
 }
 
 // start runs a node; the incarnation must grow with each start of a name.
-func start(ctx context.Context, n *network, s *service, m figview.Member, incarnation uint64) *node {
+func start(
+	ctx context.Context, n *network, s *service, m figview.Member, incarnation uint64, seeds ...figview.Member,
+) *node {
 	d := &node{Member: m}
 	r := rand.New(rand.NewPCG(incarnation, figview.Key(m.Name)))
 	var mu sync.Mutex
@@ -260,7 +295,7 @@
 		return r.Float64()
 	}
 	d.store = figstore.New(figstore.Options{
-		Self: m.Name, Random: random, Platform: s.platform(n, m.Name),
+		Self: m.Name, Random: random, Platform: s.platform(n, m.Name), Seeds: seeds,
 		Elsewhere: func() time.Time { return d.members.Elsewhere() },
 		Ask: func(ctx context.Context, to figview.Member, q *figstore.Request) (*figstore.Reply, error) {
 			return call(ctx, n, m.Name, to.Name, q, func(p *node, q *figstore.Request) (*figstore.Reply, error) {
--- a/internal/fleet/figmember/run.go
+++ b/internal/fleet/figmember/run.go
@@ -17,6 +17,13 @@
 	fullMesh = 24
 	// meshTurns is in how many beats all peers of a small fleet are asked once.
 	meshTurns = 2
+	// outageMesh is the size up to which all ask all while nobody is told by the
+	// configuration service that the list is the latest: then a majority must be heard.
+	outageMesh = 64
+	// outageAfter is how old the latest word of the service is by then, and
+	// outageRepeat the least time between two beats to the same peer.
+	outageAfter  = 1250 * time.Millisecond
+	outageRepeat = 800 * time.Millisecond
 	// readersAsked is how many of the instances that read the configuration service
 	// an instance of a larger fleet asks, one at each beat.
 	readersAsked = 2
@@ -65,6 +72,9 @@
 	if len(v.Members) <= fullMesh {
 		return s.part(v.Members, turn%meshTurns)
 	}
+	if len(v.Members) <= outageMesh && now.Sub(s.confirmed) > outageAfter {
+		return s.unheard(v.Members, now)
+	}
 	if s.ranking.view != v {
 		s.ranking = rank(v, s.self)
 	}
@@ -88,6 +98,18 @@
 	return chosen
 }
 
+// unheard returns the other members that have not been heard just now.
+func (s *state) unheard(members []figview.Member, now time.Time) []figview.Member {
+	var quiet []figview.Member
+	for _, m := range members {
+		p := s.peers[m.Name]
+		if m.Name != s.self && (p == nil || now.Sub(p.heard) >= outageRepeat) {
+			quiet = append(quiet, m)
+		}
+	}
+	return quiet
+}
+
 // ranking is the order in which an instance prefers the other members of a list.
 type ranking struct {
 	view            *figview.View
--- a/internal/fleet/figmember/state_test.go
+++ b/internal/fleet/figmember/state_test.go
@@ -98,6 +98,7 @@
 func asks(s *state, v *figview.View, turns int) map[string]int {
 	asked := map[string]int{}
 	for turn := range turns {
+		s.confirmHere(epoch, v.Version)
 		for _, m := range s.neighbours(v, turn, epoch) {
 			asked[m.Name]++
 		}
@@ -140,6 +141,7 @@
 func TestSilentNeighbourIsReplaced(t *testing.T) {
 	v := largeView(48)
 	s := newState("i0", 1, DefaultFreshness)
+	s.confirmHere(epoch.Add(spareTime), v.Version)
 	first := s.neighbours(v, 1, epoch)
 	for range failuresSpared {
 		s.peer(first[0].Name).fail(epoch, 0)
@@ -149,6 +151,24 @@
 	require.Equal(t, first, s.neighbours(v, 1, epoch.Add(spareTime+time.Millisecond)))
 }
 
+// In an outage of the service a fleet of middle size has all ask all, once each
+// second, and a large one doesn't.
+func TestOutageMesh(t *testing.T) {
+	v := largeView(45)
+	s := newState("i0", 1, DefaultFreshness)
+	s.confirmHere(epoch, v.Version)
+	require.Len(t, s.neighbours(v, 1, epoch.Add(outageAfter)), 1)
+	now := epoch.Add(outageAfter + 1)
+	quiet := s.neighbours(v, 1, now)
+	require.Len(t, quiet, 44)
+	for _, m := range quiet {
+		s.peer(m.Name).heard = now
+	}
+	require.Empty(t, s.neighbours(v, 2, now.Add(beatInterval)))
+	require.Len(t, s.neighbours(v, 3, now.Add(2*beatInterval)), 44)
+	require.LessOrEqual(t, len(s.neighbours(largeView(480), 0, now)), 2)
+}
+
 func TestBeatSize(t *testing.T) {
 	a, b := newState("instance-one", 1_764_820_000_000, DefaultFreshness), newState("instance-two", 1_764_820_000_001, DefaultFreshness)
 	exchange(a, b, 9, epoch)
