--- a/internal/config/figstore/values_test.go
+++ b/internal/config/figstore/values_test.go
@@ -20,7 +20,7 @@
 // drawHistory draws the values that a service has given: at most one per path
 // and version, some of which don't parse or are deletions.
 func drawHistory(t *rapid.T) []figplatform.Value {
-	var values []figplatform.Value
+	values := make([]figplatform.Value, 0, 30)
 	for version := range rapid.Uint64Range(1, 30).Draw(t, "versions") {
 		v := figplatform.Value{
 			Path:    rapid.SampledFrom([]string{"a/x", "a/y", "b/x"}).Draw(t, "path"),
