Find a key's secret part behind underscores, and fuzz the rewriting of bodies

Cause: secrets are base64 with underscores, so the part after the last one could be short, and then only the whole key was looked for. Change: the secret is what follows the second underscore.

--- a/internal/engine/figengine/rewrite_test.go
+++ b/internal/engine/figengine/rewrite_test.go
@@ -71,6 +71,31 @@
 	})
 }
 
+// FuzzRewrite checks that whatever body is taken comes out as an object with each
+// of figtrail's fields once, and the others unchanged.
+func FuzzRewrite(f *testing.F) {
+	f.Add([]byte(`{"model":"m","stream":true,"kv_transfer_p\u0061rams":{"a":[1]},"max_tokens":3}`))
+	f.Add([]byte(`{"a":1,"a":2}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		w := rewrite{stream: true, maxTokens: 7, transfer: json.RawMessage(`{"b":2}`)}
+		out, err := w.apply(body)
+		if err != nil {
+			return
+		}
+		var before, after map[string]json.RawMessage
+		require.NoError(t, json.Unmarshal(body, &before))
+		require.NoError(t, json.Unmarshal(out, &after))
+		require.Equal(t, "true", string(after["stream"]))
+		require.Equal(t, "7", string(after["max_tokens"]))
+		require.Equal(t, `{"b":2}`, string(after["kv_transfer_params"]))
+		for name, value := range before {
+			if !w.drops(name) {
+				require.Equal(t, string(value), string(after[name]))
+			}
+		}
+	})
+}
+
 func TestRewriteCopiesLargeBodyTwice(t *testing.T) {
 	body := []byte(`{"model":"m","prompt":"` + strings.Repeat("word ", 200_000) + `","stream":true}`)
 	w := rewrite{stream: true, maxTokens: 100, transfer: json.RawMessage(`{"a":1}`)}
--- a/internal/request/figsend/header.go
+++ b/internal/request/figsend/header.go
@@ -45,11 +45,16 @@
 	errHeader = errors.New("a header field is not valid")
 )
 
-// secretOf returns the part of a key that must not be sent: what follows the
-// last underscore, if that is long enough, else all of it.
+// keyParts is the number of parts of a key: a mark, the public part and the
+// secret part, which may hold underscores itself.
+const keyParts = 3
+
+// secretOf returns the part of a key that must not be sent: its secret part, if
+// that is long enough, else all of it.
 func secretOf(key string) string {
-	if i := strings.LastIndexByte(key, '_'); i >= 0 && len(key)-i-1 >= secretPartMin {
-		return key[i+1:]
+	parts := strings.SplitN(key, "_", keyParts)
+	if secret := parts[len(parts)-1]; len(parts) == keyParts && len(secret) >= secretPartMin {
+		return secret
 	}
 	return key
 }
--- a/internal/request/figsend/header_test.go
+++ b/internal/request/figsend/header_test.go
@@ -51,6 +51,7 @@
 
 func TestSecretOf(t *testing.T) {
 	require.Equal(t, "0123456789abcdef", secretOf("ft_k1_0123456789abcdef"))
+	require.Equal(t, "0123_56789_bcdef_hi", secretOf("ft_k1_0123_56789_bcdef_hi"))
 	require.Equal(t, "ft_k1_short", secretOf("ft_k1_short"))
 	require.Equal(t, "plain", secretOf("plain"))
 	require.Empty(t, secretOf(""))
--- a/internal/request/figsend/watch_test.go
+++ b/internal/request/figsend/watch_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"figtrail.dev/figtrail/internal/core/figtimer"
 )
@@ -102,3 +103,39 @@
 	<-ctx.Done()
 	require.ErrorIs(t, <-ended, context.Canceled)
 }
+
+// TestCallerWatchUnderServer has the HTTP server's handler wait for a caller that
+// leaves. Both kinds of listener are tried.
+func TestCallerWatchUnderServer(t *testing.T) {
+	for _, limited := range []bool{false, true} {
+		var l net.Listener
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		if limited {
+			l = LimitWrites(l, patience)
+		}
+		w := NewCallerWatch()
+		waiting, gone := make(chan struct{}), make(chan struct{})
+		server := fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) {
+			left := make(chan struct{})
+			defer w.Add(c.Conn(), func() { close(left) })()
+			close(waiting)
+			<-left
+			close(gone)
+		}}
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(l) }()
+		caller, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		<-waiting
+		w.Check()
+		require.Equal(t, 1, w.Len())
+		require.NoError(t, caller.Close())
+		require.Eventually(t, func() bool { w.Check(); return w.Len() == 0 }, patience, time.Millisecond)
+		<-gone
+		require.NoError(t, server.Shutdown())
+		require.NoError(t, <-served)
+	}
+}
