--- a/internal/config/figstore/message.go
+++ b/internal/config/figstore/message.go
@@ -56,6 +56,8 @@
 	Version uint64 `cbor:"2,keyasint"`
 	Text    string `cbor:"3,keyasint,omitempty"`
 	Deleted bool   `cbor:"4,keyasint,omitempty"`
+	// Packed holds a long text in the form of DEFLATE in the place of Text.
+	Packed []byte `cbor:"5,keyasint,omitempty"`
 }
 
 // InstanceChanges holds changes of the list of instances up to a revision.
@@ -97,7 +99,7 @@
 func travelling(values []figplatform.Value) []Value {
 	out := make([]Value, 0, len(values))
 	for _, v := range values {
-		out = append(out, Value{Path: v.Path, Version: v.Version, Text: v.Text, Deleted: v.Deleted})
+		out = append(out, pack(v))
 	}
 	return out
 }
--- a/internal/config/figstore/relay.go
+++ b/internal/config/figstore/relay.go
@@ -215,8 +215,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	values := make([]figplatform.Value, 0, len(r.Values))
-	for _, v := range r.Values {
-		values = append(values, figplatform.Value{Path: v.Path, Version: v.Version, Text: v.Text, Deleted: v.Deleted})
+	for _, one := range r.Values {
+		v, err := unpack(one)
+		if err != nil {
+			s.counts.Ignored++
+			continue
+		}
+		values = append(values, v)
 	}
 	changed := s.offer(values)
 	if c := r.Instances; c != nil {
