--- a/internal/config/figstore/fault_test.go
+++ b/internal/config/figstore/fault_test.go
@@ -234,3 +234,26 @@
 		t.Logf("bytes a second and node of 45 while the service is away: %.0f", perNode)
 	})
 }
+
+// With every reader cut off from the service, others take over, and few of them.
+func TestReadersCutOff(t *testing.T) {
+	for _, size := range []int{9, 45} {
+		fleetOf(t, size, func(t *testing.T, n *network, s *service, nodes []*node) {
+			readers := nodes[0].store.View().Readers()
+			for _, r := range readers {
+				n.setCut(r.Name, "service", true)
+			}
+			<-time.After(20 * time.Second)
+			before := s.readCount()
+			<-time.After(20 * time.Second)
+			perSecond := float64(s.readCount()-before) / 20
+			for i := range 10 {
+				s.publish("team/accounts", rate(i+1))
+				until(t, 5*time.Second, func() bool { return all(nodes, has(int64(i+1))) })
+			}
+			require.True(t, all(nodes, ready))
+			t.Logf("reads a second of %d with all %d readers cut off: %.1f", size, len(readers), perSecond)
+			require.Less(t, perSecond, 4*float64(size))
+		})
+	}
+}
