Tell an unproved server from one in a cold start

Change: only a known cold start waits for the handover; a warm server is granted within the share and the ramp. Conclusion: service goes on through an owner change.

--- a/internal/place/figowner/book.go
+++ b/internal/place/figowner/book.go
@@ -25,8 +25,8 @@
 	// HandoverTime is how long a new owner holds back, so that an earlier one
 	// has noticed: longer than the freshness bound of the view.
 	HandoverTime = 3 * time.Second
-	// handoverShare divides the reported room that may be granted on each report
-	// when another owner may be granting too.
+	// handoverShare divides the free memory that may be granted without showing in
+	// a report when another owner may be granting too.
 	handoverShare = 4
 	// staleReport is the age of the last report from which a server that
 	// reports gets no new work.
@@ -66,6 +66,13 @@
 	cancelAt time.Time
 }
 
+// ending is when a lease was released. Result says that it was a prefill whose
+// result waits for its decode server; the server drops it by itself.
+type ending struct {
+	at     time.Time
+	result bool
+}
+
 // Book holds the reservations of one backend server.
 type Book struct {
 	// Server is the server as last listed.
@@ -96,13 +103,16 @@
 	wanted  string
 	ordered time.Time
 	misses  int
-	quota   int64
+	// asks counts grants since the last report.
+	asks int
+	// unproved says that the ramp is for lack of knowledge and not for a cold start.
+	unproved bool
 	// refused is set from the server's own refusal until its next report.
 	refused  bool
 	leases   map[uint64]*Lease
 	byID     map[string]*Lease
 	strays   map[string]*stray
-	released map[string]time.Time
+	released map[string]ending
 	pieces   int64
 	tokens   int64
 	linkFree time.Time
@@ -111,7 +121,8 @@
 	// one before it, which a report may show late.
 	strangers int64
 	most      [2]int64
-	lastDone  time.Time
+	prefills  prefills
+	steps     steps
 }
 
 // NewBook returns the book of a server gained at now. The pool may be nil.
@@ -128,7 +139,7 @@
 		leases:        map[uint64]*Lease{},
 		byID:          map[string]*Lease{},
 		strays:        map[string]*stray{},
-		released:      map[string]time.Time{},
+		released:      map[string]ending{},
 	}
 }
 
@@ -154,11 +165,14 @@
 
 // InProgress returns the tokens of work on the server that isn't done.
 func (b *Book) InProgress() int64 {
-	n := b.tokens
+	n := b.tokens + b.strangers
+	if b.Server.Role == figview.Prefill {
+		return n
+	}
 	for _, s := range b.strays {
 		n += s.pieces * b.PieceTokens
 	}
-	return n + b.strangers
+	return n
 }
 
 // Total returns the server's memory in pieces, and zero if it isn't known.
--- a/internal/place/figowner/load.go
+++ b/internal/place/figowner/load.go
@@ -57,7 +57,7 @@
 		InProgress: b.InProgress(),
 		RampLimit:  b.Ramp.Limit,
 		RampFull:   b.Ramp.Full,
-		Cold:       b.Ramp.Cold(),
+		Cold:       b.coldStart(),
 		Broken:     b.Breaker.Open(now),
 		Handover:   b.handover(now),
 	}
--- /dev/null
+++ b/internal/place/figowner/prefill_test.go
@@ -0,0 +1,98 @@
+package figowner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/config/figtree"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+// newPrefill returns the book of a warm prefill server and the time.
+func newPrefill() (*Book, time.Time) {
+	now := testStart
+	b := NewBook(figview.Server{Name: "p", Role: figview.Prefill}, &figtree.Pool{PieceTokens: 2048}, now)
+	now = now.Add(HandoverTime)
+	b.Observe(now, &Report{StartedAt: testStart.Add(-time.Hour), PiecesTotal: 50, PiecesFree: 50})
+	return b, now
+}
+
+func prefillAsk(id string, tokens int64) Ask {
+	return Ask{Server: "p", ID: id, Tokens: tokens, MaxWaitMillis: 500}
+}
+
+// A result that waits for its decode server is neither work nor left over.
+func TestPrefillResultIsNotCancelled(t *testing.T) {
+	b, now := newPrefill()
+	g := b.Reserve(now, 1, "a", prefillAsk("r1", 4000), true)
+	require.Equal(t, Granted, g.Refusal)
+	b.Release(now, "a", Release{Lease: 1, Tokens: 4000, TookMillis: 200})
+	listed := func(string) Holder { return Holder{Listed: true, Heard: now} }
+	for range 6 {
+		now = now.Add(500 * time.Millisecond)
+		b.Observe(now, &Report{
+			StartedAt: testStart.Add(-time.Hour), PiecesTotal: 50, PiecesFree: 48,
+			Running: []Running{{ID: "r1", Pieces: 2}},
+		})
+		require.Empty(t, b.Sweep(now, listed, true))
+		require.Zero(t, b.InProgress())
+	}
+}
+
+// A prefill that was given up is cancelled.
+func TestAbandonedPrefillIsCancelled(t *testing.T) {
+	b, now := newPrefill()
+	b.Reserve(now, 1, "a", prefillAsk("r1", 4000), true)
+	b.Release(now, "a", Release{Lease: 1})
+	cancelled := make([]string, 0, 4)
+	for range 4 {
+		now = now.Add(500 * time.Millisecond)
+		b.Observe(now, &Report{StartedAt: testStart.Add(-time.Hour), Running: []Running{{ID: "r1", Pieces: 2}}})
+		cancelled = append(cancelled, b.Sweep(now, func(string) Holder { return Holder{Listed: true} }, true)...)
+	}
+	require.Contains(t, cancelled, "r1")
+}
+
+// The queue is bounded by what the asker may wait, and grows by strangers that a
+// report shows beyond the own leases, at once or late.
+func TestPrefillQueue(t *testing.T) {
+	b, now := newPrefill()
+	b.Ramp.Progress(1e9)
+	granted := 0
+	for i := range 50 {
+		if b.Reserve(now, uint64(i+1), "a", prefillAsk(fmt.Sprint("r", i), 1000), true).Refusal == Granted {
+			granted++
+		}
+	}
+	// Half a second at the speed that is assumed at first, and one more.
+	require.Equal(t, defaultSpeed/2/1000+1, granted)
+
+	own := b.InProgress()
+	b.Observe(now, &Report{StartedAt: testStart.Add(-time.Hour), QueueTokens: own})
+	require.Equal(t, own, b.InProgress(), "the report shows the own leases")
+	for i := range 50 {
+		b.Release(now, "a", Release{Lease: uint64(i + 1), Tokens: 1000, TookMillis: 50})
+	}
+	b.Observe(now, &Report{StartedAt: testStart.Add(-time.Hour), QueueTokens: own})
+	require.Zero(t, b.InProgress(), "the report is from before they ended")
+	b.Observe(now, &Report{StartedAt: testStart.Add(-time.Hour), QueueTokens: own})
+	b.Observe(now, &Report{StartedAt: testStart.Add(-time.Hour), QueueTokens: own})
+	require.Equal(t, own, b.InProgress(), "others put it there")
+}
+
+// Prefills that end together count as one sample.
+func TestPrefillSpeed(t *testing.T) {
+	b, now := newPrefill()
+	for i := range 60 {
+		if i%3 == 0 {
+			now = now.Add(150 * time.Millisecond)
+		}
+		id := fmt.Sprint("r", i)
+		b.Reserve(now, uint64(i+1), "a", prefillAsk(id, 1000), true)
+		b.Release(now, "a", Release{Lease: uint64(i + 1), Tokens: 1000, TookMillis: 150})
+	}
+	require.InDelta(t, 20000, b.Speed.Value, 2000)
+}
--- a/internal/place/figowner/reconcile.go
+++ b/internal/place/figowner/reconcile.go
@@ -30,6 +30,7 @@
 func (b *Book) Observe(now time.Time, r *Report) {
 	first := b.report == nil
 	restarted := !first && !r.StartedAt.Equal(b.report.StartedAt)
+	taken := now.Add(-r.Age)
 	b.misses = 0
 	b.report, b.reported = r, now
 	b.resident = residents(r)
@@ -38,16 +39,17 @@
 	switch {
 	case restarted:
 		b.forget()
+		b.steps = steps{}
 		b.restart()
 	case first:
 		b.begin(now)
-	case b.measure(r):
+	case b.measureSteps(r, taken):
 		b.restart()
 	}
 	b.strangers = max(0, r.QueueTokens-max(b.most[0], b.most[1]))
 	b.most = [2]int64{b.tokens, b.most[0]}
-	b.match(now.Add(-r.Age), now)
-	b.quota = b.handoverQuota()
+	b.match(taken, now)
+	b.asks = 0
 	b.refused = false
 }
 
@@ -68,14 +70,22 @@
 		return
 	}
 	b.Ramp.Progress(float64(max(b.Ramp.Full/warmShare, 2*b.reportedWork())))
+	b.unproved = true
 }
 
+// coldStart says whether the server is known to be in a cold start, rather than
+// merely unproved to this owner.
+func (b *Book) coldStart() bool { return b.Ramp.Cold() && !b.unproved }
+
 // reportedWork returns the tokens of work that the report shows.
 func (b *Book) reportedWork() int64 {
 	if b.Server.Role == figview.Plain {
 		return int64(len(b.report.Running))
 	}
 	n := b.report.QueueTokens
+	if b.Server.Role == figview.Prefill {
+		return n
+	}
 	for _, x := range b.report.Running {
 		n += x.Pieces * b.PieceTokens
 	}
@@ -91,6 +101,7 @@
 
 // restart begins the ramp anew.
 func (b *Book) restart() {
+	b.unproved = false
 	total := b.Total()
 	switch b.Server.Role {
 	case figview.Plain:
@@ -103,37 +114,6 @@
 	}
 }
 
-// measure takes the speed from a report and says whether it was lost. The speed
-// of a decode server is that of one request that generates.
-func (b *Book) measure(r *Report) bool {
-	if b.Server.Role != figview.Decode {
-		busy := len(r.Running) > 0 || r.QueueTokens > 0
-		return busy && r.TokensPerSecond > 0 && b.Ramp.LostSpeed(r.TokensPerSecond)
-	}
-	active := generating(r)
-	if active == 0 || r.TokensPerSecond <= 0 {
-		return false
-	}
-	speed := r.TokensPerSecond / float64(active)
-	lost := b.Ramp.LostSpeed(speed)
-	proved := b.Ramp.Limit >= b.Ramp.Full/warmShare
-	if proved && !lost {
-		b.Batch.Add(active, seconds(1/speed))
-	}
-	return lost
-}
-
-// generating returns the number of requests that have generated a token.
-func generating(r *Report) int {
-	n := 0
-	for _, x := range r.Running {
-		if x.Tokens > 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // match compares what the server reports, as of taken, with the live leases.
 func (b *Book) match(taken, now time.Time) {
 	listed := make(map[string]bool, len(b.report.Running))
@@ -151,8 +131,8 @@
 			delete(b.strays, id)
 		}
 	}
-	for id, at := range b.released {
-		if !listed[id] && taken.After(at) {
+	for id, e := range b.released {
+		if !listed[id] && taken.After(e.at) {
 			delete(b.released, id)
 		}
 	}
@@ -172,8 +152,8 @@
 
 // sight notes a running request that has no live lease.
 func (b *Book) sight(x Running, taken, now time.Time) {
-	at, released := b.released[x.ID]
-	if released && !taken.After(at) {
+	e, released := b.released[x.ID]
+	if released && !taken.After(e.at) {
 		return
 	}
 	s, ok := b.strays[x.ID]
@@ -182,19 +162,10 @@
 		b.strays[x.ID] = s
 	}
 	s.pieces = x.Pieces
-	if released {
-		s.cancelAt = at.Add(ReleaseGrace)
-		delete(b.released, x.ID)
-	}
-}
-
-// handoverQuota returns what may be granted until the next report while another
-// owner may be granting too.
-func (b *Book) handoverQuota() int64 {
-	if b.Server.Role == figview.Decode {
-		return max(1, b.Free()/handoverShare)
+	if released && !e.result {
+		s.cancelAt = e.at.Add(ReleaseGrace)
 	}
-	return handoverAsks
+	delete(b.released, x.ID)
 }
 
 // Holder is what an owner knows of an instance that holds leases.
--- a/internal/place/figowner/reserve.go
+++ b/internal/place/figowner/reserve.go
@@ -39,7 +39,7 @@
 	b.want(a.Adapter)
 	queue := b.InProgress()
 	b.add(l)
-	b.quota -= max(1, a.Pieces)
+	b.asks++
 	g := b.grant(now, l, a)
 	if b.Server.Role == figview.Prefill {
 		g.ReadyMillis = millis(b.duration(queue + a.Tokens))
@@ -62,11 +62,11 @@
 		return Broken, warmingRetry
 	case b.refused && b.Len() > 0:
 		return Full, warmingRetry
-	case b.Ramp.Cold() && (!fresh || b.handover(now)):
+	case b.coldStart() && (!fresh || b.handover(now)):
 		return Warming, warmingRetry
 	case !b.Ramp.Allows(b.InProgress(), a.Tokens):
 		return Warming, warmingRetry
-	case (!fresh || b.handover(now)) && b.quota < max(1, a.Pieces):
+	case (!fresh || b.handover(now)) && b.beyondShare(a):
 		return Full, warmingRetry
 	}
 	if b.Server.Role == figview.Prefill {
@@ -75,6 +75,22 @@
 	return b.refuseMemory(now, a)
 }
 
+// beyondShare says whether an ask goes beyond what may be granted while another
+// owner may be granting too: a part of the free memory until the grants show in a
+// report, which the other one sees as well. One request is always granted.
+func (b *Book) beyondShare(a Ask) bool {
+	if b.Server.Role != figview.Decode {
+		return b.asks >= handoverAsks
+	}
+	unseen := int64(0)
+	for _, l := range b.leases {
+		if !l.seen {
+			unseen += l.Pieces
+		}
+	}
+	return unseen > 0 && unseen+a.Pieces > b.Free()/handoverShare
+}
+
 func (b *Book) refusePlain() (Refusal, time.Duration) {
 	if b.Len() >= defaultPlainCalls {
 		return Full, retryFloor
@@ -162,7 +178,7 @@
 		return
 	}
 	b.drop(l)
-	b.released[l.ID] = now
+	b.released[l.ID] = ending{at: now, result: b.Server.Role == figview.Prefill && r.Tokens > 0}
 	if r.Tokens <= 0 {
 		b.freeLink(l)
 		return
@@ -190,16 +206,6 @@
 	}
 }
 
-// measurePrefill corrects the speed by a finished prefill. Work that queued
-// behind another is counted from the end of that one.
-func (b *Book) measurePrefill(now time.Time, r Release) {
-	done := now.Add(-time.Duration(r.AgoMillis) * time.Millisecond)
-	start := done.Add(-time.Duration(r.TookMillis) * time.Millisecond)
-	busy := done.Sub(later(start, b.lastDone))
-	b.lastDone = later(done, b.lastDone)
-	b.Speed.Add(r.Tokens, busy)
-}
-
 // Fail takes evidence against the server. A breaker that opens restarts the ramp.
 func (b *Book) Fail(now time.Time, e Evidence) {
 	b.refused = b.refused || e == Refused
--- /dev/null
+++ b/internal/place/figowner/speed.go
@@ -0,0 +1,80 @@
+package figowner
+
+import "time"
+
+const (
+	// prefillWindow is the busy time that makes up one sample of the prefill speed,
+	// so that prefills that end together count as one.
+	prefillWindow = 100 * time.Millisecond
+	// prefillSample is the mean size from which a sample can show lost speed, in
+	// tokens; shorter prompts are slow by their fixed cost.
+	prefillSample = 512
+	// stepsWindow is the least time between two reports that are compared.
+	stepsWindow = 100 * time.Millisecond
+)
+
+// prefills gathers finished prefills until they make up a sample.
+type prefills struct {
+	lastDone time.Time
+	busy     time.Duration
+	tokens   int64
+	count    int64
+}
+
+// measurePrefill corrects the speed by a finished prefill. Work that queued behind
+// another is counted from the end of that one. Lost speed restarts the ramp.
+func (b *Book) measurePrefill(now time.Time, r Release) {
+	p := &b.prefills
+	done := now.Add(-time.Duration(r.AgoMillis) * time.Millisecond)
+	begun := done.Add(-time.Duration(r.TookMillis) * time.Millisecond)
+	p.busy += max(0, done.Sub(later(begun, p.lastDone)))
+	p.lastDone = later(done, p.lastDone)
+	p.tokens += r.Tokens
+	p.count++
+	if p.busy < prefillWindow {
+		return
+	}
+	speed := float64(p.tokens) / p.busy.Seconds()
+	long := p.tokens >= prefillSample*p.count
+	*p = prefills{lastDone: p.lastDone}
+	b.Speed.Rate(speed)
+	if long && b.Ramp.LostSpeed(speed) {
+		b.restart()
+	}
+}
+
+// steps is what the last report showed of the running decodes.
+type steps struct {
+	taken  time.Time
+	tokens map[string]int64
+}
+
+// measureSteps compares a report with the one before it: the requests that were
+// generating show the step time and the size of the batch. It says whether the
+// speed was lost. Reported averages aren't used, since each engine takes them over
+// a time of its own.
+func (b *Book) measureSteps(r *Report, taken time.Time) bool {
+	before := b.steps
+	passed := taken.Sub(before.taken)
+	if passed < stepsWindow {
+		return false
+	}
+	b.steps = steps{taken: taken, tokens: make(map[string]int64, len(r.Running))}
+	active, generated := 0, int64(0)
+	for _, x := range r.Running {
+		b.steps.tokens[x.ID] = x.Tokens
+		if had := before.tokens[x.ID]; had > 0 {
+			active++
+			generated += max(0, x.Tokens-had)
+		}
+	}
+	if active == 0 {
+		return false
+	}
+	speed := float64(generated) / float64(active) / passed.Seconds()
+	lost := b.Ramp.LostSpeed(speed)
+	if generated > 0 && !lost && b.Ramp.Limit >= b.Ramp.Full/warmShare {
+		b.Batch.Add(active, seconds(1/speed))
+	}
+	return lost
+}
