--- a/internal/edge/figfront/front.go
+++ b/internal/edge/figfront/front.go
@@ -111,6 +111,7 @@
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.server = &fasthttp.Server{
 		Handler:                       f.handle,
+		Logger:                        logger{},
 		ErrorHandler:                  f.handleError,
 		Name:                          "figtrail",
 		NoDefaultServerHeader:         true,
