Refuse documents with empty entries instead of ending the instance

The fuzz target of Parse found that a null account, pool or key in a document ended the process, that is all instances at once.

A new instance settles only after asking the neighbours of a list it knows.

--- a/internal/config/figstore/relay.go
+++ b/internal/config/figstore/relay.go
@@ -106,11 +106,14 @@
 
 // pullAll asks every neighbour, as a new instance does before it serves.
 func (s *Store) pullAll(ctx context.Context) {
-	near := s.neighbours()
-	for _, m := range near {
+	// Before the list is known, there are seeds at best, and they may give it.
+	listed := s.View().Version > 0
+	for _, m := range s.neighbours() {
 		_ = s.pull(ctx, m)
 	}
-	s.settleBoot(near)
+	if listed {
+		s.settleBoot()
+	}
 }
 
 // Nudge tells the store what a peer said it has: the highest version and the
@@ -173,7 +176,7 @@
 func (s *Store) exchange(ctx context.Context, m figview.Member, q *Request) (*Reply, gain, error) {
 	asked := s.opts.Clock.Now()
 	r, err := s.opts.Ask(ctx, m, q)
-	s.countPull(m, r, err)
+	s.countPull(r, err)
 	if err != nil {
 		return nil, gain{}, err
 	}
@@ -269,12 +272,13 @@
 	}
 }
 
-func (s *Store) countPull(m figview.Member, r *Reply, err error) {
+func (s *Store) countPull(r *Reply, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Pulls++
 	if err != nil {
 		s.counts.PullFailures++
+		return
 	}
-	s.boot.asked(m.Name, r)
+	s.synced = s.synced || (r.Ready && !r.More)
 }
--- a/internal/config/figstore/role.go
+++ b/internal/config/figstore/role.go
@@ -57,38 +57,12 @@
 	return s.roleNow().neighbours
 }
 
-// boot keeps what a new instance has learned from its peers.
-type boot struct {
-	tried  map[string]bool
-	synced bool
-}
-
-// asked notes a peer's answer, or nil for none.
-func (b *boot) asked(name string, r *Reply) {
-	if b.tried == nil {
-		b.tried = map[string]bool{}
-	}
-	b.tried[name] = true
-	if r != nil && r.Ready && !r.More {
-		b.synced = true
-	}
-}
-
-// settleBoot makes the instance ready once each neighbour has been asked and
-// either one that serves has given all that it has, or the service has.
-func (s *Store) settleBoot(near []figview.Member) {
-	if s.Ready() {
-		return
-	}
+// settleBoot makes the instance ready once a peer that serves has given all that
+// it has, or the service has. The caller has asked all neighbours before.
+func (s *Store) settleBoot() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.View().Version == 0 || (!s.boot.synced && !s.source.valuesComplete) {
-		return
-	}
-	for _, m := range near {
-		if !s.boot.tried[m.Name] {
-			return
-		}
+	if s.synced || s.source.valuesComplete {
+		s.ready.Store(true)
 	}
-	s.ready.Store(true)
 }
--- a/internal/config/figstore/store.go
+++ b/internal/config/figstore/store.go
@@ -76,9 +76,10 @@
 	instances   list[figview.Member]
 	serverList  list[figview.Server]
 	source      source
-	boot        boot
 	role        role
 	subscribers []chan struct{}
+	// synced says that a peer that serves has given all that it has.
+	synced      bool
 	lastBuckets time.Time
 	counts      Counts
 }
--- a/internal/config/figtree/parse.go
+++ b/internal/config/figtree/parse.go
@@ -21,8 +21,7 @@
 // documents; the Builder checks the rest.
 func Parse(docPath string, text []byte) (*Document, []Fault) {
 	d := &Document{}
-	err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(d)
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err := decode(text, d); err != nil {
 		return nil, []Fault{yamlFault(docPath, err)}
 	}
 	d.Path, d.Dir = docPath, dirOf(docPath)
@@ -34,6 +33,32 @@
 	return d, nil
 }
 
+// decode returns an error also where the library panics: one bad document must
+// not end an instance.
+func decode(text []byte, d *Document) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = errors.Newf("text can't be decoded: %v", r)
+		}
+	}()
+	decoder := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict())
+	if err := decoder.Decode(d); err != nil {
+		return unlessEnd(err)
+	}
+	var rest any
+	if err := decoder.Decode(&rest); err != nil {
+		return unlessEnd(err)
+	}
+	return errors.New("text has more than one document")
+}
+
+func unlessEnd(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
 func dirOf(docPath string) string {
 	dir := path.Dir(docPath)
 	if dir == "." {
@@ -154,6 +179,10 @@
 func (c *checker) pools() {
 	seen := map[string]bool{}
 	for _, p := range c.doc.Pools {
+		if p == nil {
+			c.fault(0, "a pool is empty")
+			continue
+		}
 		c.name("pool", p.Name, seen)
 		c.atLeast("pieceTokens", 1, p.PieceTokens)
 		c.atLeast("promptLimit", 1, p.PromptLimit)
@@ -185,6 +214,10 @@
 func (c *checker) accounts() {
 	seen, keys := map[string]bool{}, map[string]bool{}
 	for _, a := range c.doc.Accounts {
+		if a == nil {
+			c.fault(0, "an account is empty")
+			continue
+		}
 		c.name("account", a.Name, seen)
 		c.atLeast("tokensPerSecond", 0, a.TokensPerSecond)
 		c.atLeast("burst", 0, a.Burst)
@@ -193,6 +226,10 @@
 		c.atLeast("outputLimit", 1, a.OutputLimit)
 		a.doc, a.id = c.doc, idIn(c.doc.Dir, a.Name.Value)
 		for _, k := range a.Keys {
+			if k == nil {
+				c.fault(a.Name.Line, "a key of account "+a.Name.Value+" is empty")
+				continue
+			}
 			k.account = a
 			c.key(k, keys)
 		}
--- a/internal/config/figtree/parse_test.go
+++ b/internal/config/figtree/parse_test.go
@@ -29,6 +29,11 @@
 		{"salt", "a", "accounts:\n  - name: x\n    keys:\n      - id: k\n        salt: 00\n        hash: 00\n", 5, "salt"},
 		{"hash", "a", "accounts:\n  - name: x\n    keys:\n      - id: k\n        salt: 0011223344556677\n        hash: zz\n", 6, "hash"},
 		{"duration", "a", "pools:\n  - name: x\n    stallLimit: -1s\n", 3, "stallLimit"},
+		{"empty account", "a", "accounts: [null]\n", 0, "an account is empty"},
+		{"empty pool", "a", "pools: [null]\n", 0, "a pool is empty"},
+		{"empty key", "a", "accounts:\n  - name: x\n    keys: [null]\n", 2, "key of account x is empty"},
+		{"two documents", "a", "accounts: []\n---\naccounts: []\n", 0, "more than one document"},
+		{"section twice", "a", "accounts: []\naccounts: []\n", 2, "already defined"},
 		{"subtree", "a", "subtrees:\n  ../b:\n    burst: 1\n", 0, "not a path"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/fleet/figmember/state_test.go
+++ b/internal/fleet/figmember/state_test.go
@@ -184,3 +184,14 @@
 	require.Less(t, len(steady), 120)
 	require.Less(t, len(whole), 480*24)
 }
+
+// What the service said to this instance is no sign of another one that reads,
+// also when a peer repeats it.
+func TestOwnWordIsNotElsewhere(t *testing.T) {
+	a, b := newState("a", 1, DefaultFreshness), newState("b", 1, DefaultFreshness)
+	a.confirmHere(epoch, 1)
+	exchange(b, a, 1, epoch)
+	exchange(a, b, 1, epoch)
+	require.True(t, a.elsewhere.IsZero())
+	require.Equal(t, epoch.Add(-time.Millisecond), b.elsewhere)
+}
