--- a/internal/place/figowner/book.go
+++ b/internal/place/figowner/book.go
@@ -105,6 +105,7 @@
 	misses  int
 	// asks counts grants since the last report.
 	asks int
+	away bool
 	// unproved says that the ramp is for lack of knowledge and not for a cold start.
 	unproved bool
 	// refused is set from the server's own refusal until its next report.
--- a/internal/place/figowner/machine_test.go
+++ b/internal/place/figowner/machine_test.go
@@ -341,6 +341,24 @@
 	require.Equal(t, int64(3), m.book.Pieces())
 }
 
+// Memory that the server reports as taken, by requests or by nothing that it lists,
+// is not granted by an owner that knows no lease for it.
+func TestUnknownWorkHoldsMemory(t *testing.T) {
+	m := newMachine()
+	b := m.newBook()
+	b.Observe(m.now, &Report{
+		StartedAt: m.started, PiecesTotal: machinePieces, PiecesFree: machinePieces - 15,
+		Running: []Running{{ID: "x", Pieces: 6}, {ID: "y", Pieces: 4}},
+	})
+	require.Equal(t, int64(machinePieces-15), b.Free())
+	m.now = m.now.Add(HandoverTime)
+	ask := func(id string, pieces int64) Refusal {
+		return b.Reserve(m.now, uint64(pieces), "a", Ask{ID: id, Pieces: pieces, Tokens: 1}, true).Refusal
+	}
+	require.Equal(t, Full, ask("r1", machinePieces-14))
+	require.Equal(t, Granted, ask("r2", machinePieces-15))
+}
+
 // Two owners that both grant, to instances that don't agree either, never exceed the
 // memory by more than a part of it: the newer one holds back until its grants show
 // in the reports, which the older one sees too.
--- a/internal/place/figowner/owner.go
+++ b/internal/place/figowner/owner.go
@@ -152,13 +152,20 @@
 	if !ok {
 		return Grant{Refusal: NotOwner, RetryMillis: millis(retryFloor)}
 	}
-	if !a.Held && o.opts.DataCentreOut(b.Server.DataCentre) {
+	if o.away(b) && !a.Held {
 		return Grant{Refusal: Leaving, RetryMillis: millis(retryCeiling)}
 	}
 	o.next++
 	return b.Reserve(now, o.next, from, a, fresh)
 }
 
+// away says whether a server takes no new work, and tells its book.
+func (o *Owner) away(b *Book) bool {
+	away := b.Server.State == figview.Leaving || o.opts.DataCentreOut(b.Server.DataCentre)
+	b.Away(away)
+	return away
+}
+
 func (o *Owner) renew(now time.Time, number uint64, from string) bool {
 	for _, b := range o.books {
 		if b.Renew(now, number, from) {
@@ -181,7 +188,7 @@
 	loads := make([]Load, 0, len(books))
 	for _, b := range books {
 		l := b.Load(now, fresh)
-		l.Closed = l.Closed || o.opts.DataCentreOut(b.Server.DataCentre)
+		l.Closed = l.Closed || b.away
 		loads = append(loads, l)
 	}
 	return loads
--- a/internal/place/figowner/owner_test.go
+++ b/internal/place/figowner/owner_test.go
@@ -99,6 +99,23 @@
 	require.Equal(t, Broken, s.reserve(t, "d1", "r6").Refusal, "report is old")
 }
 
+// A server that comes back, running on, gets its work by a ramp.
+func TestReturnIsARamp(t *testing.T) {
+	s := newSite(1)
+	s.warm(0)
+	s.owner.books["d1"].Ramp.Progress(1e9)
+	before := s.owner.Status()[0]
+	require.Equal(t, before.RampFull, before.RampLimit)
+	s.out = true
+	s.warm(0)
+	require.Equal(t, Leaving, s.reserve(t, "d1", "r1").Refusal)
+	s.out = false
+	s.warm(0)
+	require.Equal(t, rampPieces*int64(2048), s.owner.Status()[0].RampLimit)
+	require.Equal(t, Granted, s.reserve(t, "d1", "r2").Refusal)
+	require.Equal(t, Warming, s.reserve(t, "d1", "r3").Refusal)
+}
+
 func TestAnswerRepeatedAskGetsTheSameLease(t *testing.T) {
 	s := newSite(1)
 	s.warm(0)
--- a/internal/place/figowner/reconcile.go
+++ b/internal/place/figowner/reconcile.go
@@ -73,6 +73,19 @@
 	b.unproved = true
 }
 
+// Away says whether the server takes no new work for now, because it is leaving or
+// its data centre is out. Its return is a ramp, from twice what it still carries.
+func (b *Book) Away(away bool) {
+	returned := b.away && !away
+	b.away = away
+	if !returned || b.report == nil {
+		return
+	}
+	b.restart()
+	b.Ramp.Progress(float64(2 * b.reportedWork()))
+	b.unproved = true
+}
+
 // coldStart says whether the server is known to be in a cold start, rather than
 // merely unproved to this owner.
 func (b *Book) coldStart() bool { return b.Ramp.Cold() && !b.unproved }
--- a/internal/place/figowner/run.go
+++ b/internal/place/figowner/run.go
@@ -98,6 +98,7 @@
 	if !ok {
 		return nil
 	}
+	o.away(b)
 	if err != nil || r == nil {
 		b.Missed(now)
 	} else {
