Know silence within an answer from a cut, and a success without a stream too

Cause: the library hides a timeout that it meets inside a chunk's frame, so that a silent connection was taken for a cut one there (seen as a failing test of stalled streams). A trial with 20 callers against engines with faults got one empty 200: an engine torn down before its first token ended the call with an empty success, and the adapter passed it on. Answers also carried the request id twice. Change: the connection remembers that a read met a limit; a success that is no stream is a failed decode; the echoed id is not passed on.

--- a/internal/engine/figengine/openai.go
+++ b/internal/engine/figengine/openai.go
@@ -82,11 +82,26 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.Answer != nil && resultGone(s.Answer) {
-		s.Close()
+	if s.Answer == nil {
+		return s, nil
+	}
+	return judge(c, s)
+}
+
+// judge looks at an answer to a decode call that is no stream. An error of the
+// engine is an answer. A success without a stream holds no tokens, so it can't
+// be one.
+func judge(c *figsend.Call, s *figsend.Stream) (*figsend.Stream, error) {
+	switch {
+	case resultGone(s.Answer):
 		return nil, refusal(c, "decode", s.Answer)
+	case s.Answer.Status < fasthttp.StatusMultipleChoices:
+		return nil, &figsend.Failure{
+			Kind: figsend.KindCut, Err: figerror.New("decode", c.Server.Name, "the answer is not a stream"),
+		}
+	default:
+		return s, nil
 	}
-	return s, nil
 }
 
 // call returns the send of a prompt with its body rewritten.
@@ -121,7 +136,7 @@
 	transfer := gjson.GetBytes(body, "kv_transfer_params")
 	if !gjson.ValidBytes(body) || !transfer.IsObject() {
 		return nil, &figsend.Failure{
-			Err: figerror.New("prefill", c.Server.Name, "the answer has no transfer parameters"),
+			Kind: figsend.KindCut, Err: figerror.New("prefill", c.Server.Name, "the answer has no transfer parameters"),
 		}
 	}
 	return &PrefillResult{
--- a/internal/engine/figengine/openai_test.go
+++ b/internal/engine/figengine/openai_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -166,6 +168,19 @@
 	}
 }
 
+// TestSuccessWithoutStream has an engine end a decode call with an empty success,
+// as one does that is torn down before its first token.
+func TestSuccessWithoutStream(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(server.Close)
+	e, _ := newAdapter(t)
+	to := figview.Server{Name: "d", Address: server.Listener.Addr().String()}
+	_, err := e.Decode(t.Context(), to, newPrompt("r1"), nil)
+	requireKind(t, err, figsend.KindCut, figsend.Unknown)
+	_, err = e.Prefill(t.Context(), to, newPrompt("r1"))
+	requireKind(t, err, figsend.KindCut, figsend.Unknown)
+}
+
 func TestEngineErrorIsAnAnswer(t *testing.T) {
 	_, decoder := startEngine(t, figstand.EngineOptions{Role: "decode"})
 	e, _ := newAdapter(t)
--- a/internal/request/figsend/connection.go
+++ b/internal/request/figsend/connection.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -38,6 +41,9 @@
 	until time.Time
 	// pause bounds one read. Zero leaves until alone.
 	pause time.Duration
+	// timedOut says that the last read met a limit. The library's errors don't
+	// always tell.
+	timedOut bool
 }
 
 // Write counts what the kernel takes, so that a failed send can say whether a
@@ -57,7 +63,9 @@
 	if err := c.SetReadDeadline(until); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	c.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
+	return n, err
 }
 
 // earlier returns the earlier of two deadlines, of which zero means none.
--- a/internal/request/figsend/exchange.go
+++ b/internal/request/figsend/exchange.go
@@ -194,7 +194,7 @@
 		return contextKind(x.ctx)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return KindTooLarge
-	case !errors.As(err, &timeout) || !timeout.Timeout():
+	case !x.conn.timedOut && !(errors.As(err, &timeout) && timeout.Timeout()):
 		return KindCut
 	case !x.deadline.IsZero() && !x.sender.opts.Clock.Now().Before(x.deadline):
 		return KindDeadline
--- a/internal/request/figsend/fail_test.go
+++ b/internal/request/figsend/fail_test.go
@@ -183,6 +183,20 @@
 	require.EqualValues(t, 1, s.Sends.Load())
 }
 
+// TestSilentWithinAnswer has a server stop at every byte of a chunked answer.
+func TestSilentWithinAnswer(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n"
+	s := newSender(t, Options{AnswerLimit: soon / 10, ProgressLimit: soon / 10})
+	for n := range len(answer) {
+		server := listen(t, func(c net.Conn) {
+			_, _ = http.ReadRequest(newReader(c))
+			_, _ = c.Write([]byte(answer[:n]))
+		})
+		_, err := s.Do(t.Context(), callTo(server.server(), http.MethodGet, false))
+		kindIs(t, err, KindSilent, Unknown)
+	}
+}
+
 func TestSilentServerOnNewConnection(t *testing.T) {
 	for _, d := range []figstand.Direction{figstand.ToServer, figstand.ToClient} {
 		server := newRawServer(t, func(int64, *http.Request) string { return ok })
--- a/internal/request/figsend/header.go
+++ b/internal/request/figsend/header.go
@@ -9,8 +9,12 @@
 	"github.com/valyala/fasthttp"
 )
 
-// requestIDHeader carries the request id in both directions.
-const requestIDHeader = "X-Request-Id"
+const (
+	// requestIDHeader carries the request id in both directions.
+	requestIDHeader = "X-Request-Id"
+	// requestIDName is its name in lower case.
+	requestIDName = "x-request-id"
+)
 
 // secretPartMin is the shortest last part of a key that is searched for on its
 // own, in bytes. Shorter ones could occur by chance.
@@ -145,7 +149,7 @@
 	declared := named(c.Header)
 	for _, f := range c.Header {
 		name := strings.ToLower(f.Name)
-		if hopByHop[name] || credentials[name] || declared[name] || name == "x-request-id" {
+		if hopByHop[name] || credentials[name] || declared[name] || name == requestIDName {
 			continue
 		}
 		if secret != "" && (strings.Contains(f.Value, secret) || strings.Contains(f.Name, secret)) {
@@ -169,7 +173,8 @@
 	return nil
 }
 
-// endToEnd returns the fields of an answer without the hop-by-hop ones.
+// endToEnd returns the fields of an answer without the hop-by-hop ones and the
+// request id, which whoever answers the caller sets.
 func endToEnd(h *fasthttp.ResponseHeader) []Header {
 	fields := make([]Header, 0, h.Len())
 	for name, value := range h.All() {
@@ -179,7 +184,7 @@
 	kept := fields[:0]
 	for _, f := range fields {
 		name := strings.ToLower(f.Name)
-		if !hopByHop[name] && !declared[name] {
+		if !hopByHop[name] && !declared[name] && name != requestIDName {
 			kept = append(kept, f)
 		}
 	}
--- a/internal/request/figsend/header_test.go
+++ b/internal/request/figsend/header_test.go
@@ -12,7 +12,7 @@
 	got := make(chan *http.Request, 1)
 	server := newRawServer(t, func(_ int64, q *http.Request) string {
 		got <- q
-		return "HTTP/1.1 200 OK\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\nKeep-Alive: 3\r\nContent-Length: 0\r\n\r\n"
+		return "HTTP/1.1 200 OK\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\nX-Request-Id: r1\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\nKeep-Alive: 3\r\nContent-Length: 0\r\n\r\n"
 	})
 	c := callTo(server.server(), http.MethodPost, false)
 	c.Secret = key
