--- a/internal/request/figsend/exchange.go
+++ b/internal/request/figsend/exchange.go
@@ -3,7 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -188,13 +188,12 @@
 }
 
 func (x *exchange) kind(err error) Kind {
-	var timeout net.Error
 	switch {
 	case x.ctx.Err() != nil:
 		return contextKind(x.ctx)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return KindTooLarge
-	case !x.conn.timedOut && !(errors.As(err, &timeout) && timeout.Timeout()):
+	case !x.timedOut(err):
 		return KindCut
 	case !x.deadline.IsZero() && !x.sender.opts.Clock.Now().Before(x.deadline):
 		return KindDeadline
@@ -203,6 +202,10 @@
 	}
 }
 
+func (x *exchange) timedOut(err error) bool {
+	return x.conn.timedOut || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // finish ends the exchange. A connection is kept only if the context never
 // reached for it and nothing unread is left on it.
 func (x *exchange) finish(reuse bool) {
