Pace the telling of new owners, and test the duties under a virtual clock

Cause: a lease whose new owner didn't know of its ownership yet was told every 50 ms; Run of both sides had no test. Change: a try every 250 ms. Tests let one server or one owner fall silent and check that the others are polled and renewed. Conclusion: one silent peer delays no other.

--- /dev/null
+++ b/internal/place/figowner/run_test.go
@@ -0,0 +1,67 @@
+package figowner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/core/figtimer"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+// A server that doesn't answer polls keeps no other server from being polled, and
+// what is left over on that one is cancelled, again until it is gone.
+func TestRunPollsEachServerByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(1)
+		s.servers.All = append(s.servers.All, figview.Server{Name: "d0", DataCentre: "x", Pool: "chat", Role: figview.Decode})
+		var mu sync.Mutex
+		polls, cancels := map[string]int{}, 0
+		began := time.Now().Add(-time.Hour)
+		opts := s.owner.opts
+		opts.Clock = figtimer.System()
+		opts.Load = func(ctx context.Context, x figview.Server) (*Report, error) {
+			mu.Lock()
+			polls[x.Name]++
+			deaf := cancels < 3
+			mu.Unlock()
+			if x.Name == "d0" {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			r := &Report{StartedAt: began, PiecesTotal: 20, PiecesFree: 18}
+			if deaf {
+				r.Running = []Running{{ID: "stranger", Pieces: 2}}
+			}
+			return r, nil
+		}
+		opts.Cancel = func(_ context.Context, _ figview.Server, id string) error {
+			mu.Lock()
+			defer mu.Unlock()
+			require.Equal(t, "stranger", id)
+			cancels++
+			return nil
+		}
+		o := New(opts)
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error)
+		timer := figtimer.New(opts.Clock)
+		go func() { ended <- o.Run(ctx, timer) }()
+		require.NoError(t, timer.Sleep(t.Context(), StrangerGrace+10*time.Second))
+		mu.Lock()
+		require.GreaterOrEqual(t, polls["d1"], 38)
+		require.GreaterOrEqual(t, polls["d0"], 9)
+		require.Equal(t, 3, cancels)
+		mu.Unlock()
+		for _, x := range o.Status() {
+			require.Equal(t, x.Server == "d0", x.Broken, x.Server)
+			require.Zero(t, x.Strays)
+		}
+		stop()
+		require.NoError(t, <-ended)
+	})
+}
--- a/internal/place/figplace/lease.go
+++ b/internal/place/figplace/lease.go
@@ -26,7 +26,17 @@
 	ask    figowner.Ask
 	// renewed is when the last renewal that succeeded was asked for.
 	renewed time.Time
-	ended   bool
+	// tried is when a new owner was last told of it.
+	tried time.Time
+	ended bool
+}
+
+// due says whether l must be renewed, or told to a new owner, now.
+func (l *lease) due(now time.Time) bool {
+	if l.number == 0 {
+		return now.Sub(l.tried) >= adoptInterval
+	}
+	return now.Sub(l.renewed) >= renewInterval
 }
 
 // askFor asks the owner of c for room. The lease is nil if there is none.
--- a/internal/place/figplace/run.go
+++ b/internal/place/figplace/run.go
@@ -19,6 +19,8 @@
 	// renewInterval is the time between two renewals of a lease; two of them may
 	// get lost before it expires.
 	renewInterval = time.Second
+	// adoptInterval is the time between two tries to tell a new owner of a lease.
+	adoptInterval = 250 * time.Millisecond
 	// duties bounds the owners that are written to at the same time.
 	duties = 16
 )
@@ -97,9 +99,10 @@
 	}
 	for name, leases := range p.held {
 		for l := range leases {
-			if now.Sub(l.renewed) < renewInterval && l.number != 0 {
+			if !l.due(now) {
 				continue
 			}
+			l.tried = now
 			if b := at(name); b != nil {
 				b.add(l)
 			}
--- /dev/null
+++ b/internal/place/figplace/run_test.go
@@ -0,0 +1,62 @@
+package figplace
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/core/figtimer"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/place/figowner"
+)
+
+// Run renews leases at all owners though one of them doesn't answer, and ends with
+// its context.
+func TestRunRenewsBesideSilentOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCounter(size{servers: 30, members: 3})
+		var silent atomic.Pointer[string]
+		p := c.placer()
+		p.opts.Clock = figtimer.System()
+		p.opts.Ask = func(ctx context.Context, m figview.Member, q *figowner.Request) (*figowner.Reply, error) {
+			if s := silent.Load(); s != nil && *s == m.Name {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return c.answer(ctx, m, q)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error)
+		timer := figtimer.New(p.opts.Clock)
+		go func() { ended <- p.Run(ctx, timer) }()
+		byOwner := map[string][]*Placement{}
+		for i := range 30 {
+			x, err := p.Place(t.Context(), request(uuid(i)))
+			require.NoError(t, err)
+			m, _ := figowner.Of(c.view, x.Decode)
+			byOwner[m.Name] = append(byOwner[m.Name], x)
+		}
+		require.Len(t, byOwner, 3)
+		name := "entry001"
+		silent.Store(&name)
+		require.NoError(t, timer.Sleep(t.Context(), 2*figowner.LeaseTime))
+		for owner, all := range byOwner {
+			for _, x := range all {
+				require.Equal(t, owner != name, x.Holds(), owner)
+			}
+		}
+		silent.Store(nil)
+		require.NoError(t, timer.Sleep(t.Context(), 2*time.Second))
+		for _, x := range byOwner[name] {
+			require.True(t, x.Holds())
+		}
+		stop()
+		require.NoError(t, <-ended)
+	})
+}
