--- a/internal/app/figdemo/declare.go
+++ b/internal/app/figdemo/declare.go
@@ -4,12 +4,17 @@
 	"encoding/hex"
 	"fmt"
 	"strings"
+	"time"
 
+	"figtrail.dev/figtrail/internal/app/figfleet"
 	"figtrail.dev/figtrail/internal/limit/figkey"
 	"figtrail.dev/figtrail/internal/stand/figload"
+	"figtrail.dev/figtrail/internal/stand/figstand"
 )
 
 const (
+	// pieceTokens is the size of a piece of engine memory.
+	pieceTokens = 2048
 	// modelName is the model that callers name.
 	modelName = "summary"
 	// excess is how many times its rate the greedy account sends.
@@ -22,6 +27,39 @@
 	withdrawn = "withdrawn"
 )
 
+// dataCentres are those of the demo, one instance in each.
+var dataCentres = []string{"ost", "west", "nord"}
+
+// plan returns the fleet of the demo.
+func plan(documents map[string]string) figfleet.Plan {
+	return figfleet.Plan{
+		DataCentres: dataCentres,
+		Documents:   documents,
+		Engines: []figfleet.EnginePlan{{
+			Pool:    "language",
+			Prefill: 2,
+			Decode:  3,
+			Options: figstand.EngineOptions{
+				Models:        []string{modelName},
+				Pieces:        40,
+				PieceTokens:   pieceTokens,
+				Batch:         20,
+				PrefillRate:   40_000,
+				TokenInterval: 8 * time.Millisecond,
+				ResultLife:    800 * time.Millisecond,
+				ReportLag:     200 * time.Millisecond,
+				ChecksFence:   true,
+			},
+		}},
+		Plains: []figfleet.PlainPlan{{
+			Pool:    "ledger",
+			Count:   1,
+			Options: figstand.PlainOptions{ServiceTime: 2 * time.Millisecond, Batch: 64},
+		}},
+		Instances: len(dataCentres),
+	}
+}
+
 // client is one client account of the demo.
 type client struct {
 	name                    string
--- a/internal/app/figdemo/demo.go
+++ b/internal/app/figdemo/demo.go
@@ -21,6 +21,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"figtrail.dev/figtrail/internal/app/figfleet"
+	"figtrail.dev/figtrail/internal/core/figtimer"
 	"figtrail.dev/figtrail/internal/limit/figbudget"
 	"figtrail.dev/figtrail/internal/stand/figload"
 )
@@ -58,7 +60,7 @@
 		say = io.Discard
 	}
 	fmt.Fprintln(say, "starting stand-ins and three instances")
-	f, err := startFleet(ctx, documents)
+	f, err := figfleet.Start(ctx, plan(documents))
 	if err != nil {
 		return err
 	}
@@ -66,7 +68,7 @@
 	if err == nil && o.Keep {
 		keep(ctx, f, clients, w)
 	}
-	if err = errors.CombineErrors(err, f.close()); err != nil {
+	if err = errors.CombineErrors(err, f.Close()); err != nil {
 		return err
 	}
 	if len(broken) > 0 {
@@ -76,20 +78,21 @@
 }
 
 // run shows one answer, sends the load and checks the promises.
-func run(ctx context.Context, o Options, f *fleet, clients []*client, say, w io.Writer) ([]string, error) {
+func run(ctx context.Context, o Options, f *figfleet.Fleet, clients []*client, say, w io.Writer) ([]string, error) {
 	fmt.Fprintln(say, "one streamed answer:")
-	if err := showStream(ctx, f.callers()[0], clients[0].key.Text, say); err != nil {
+	if err := showStream(ctx, f.Callers()[0], clients[0].key.Text, say); err != nil {
 		return nil, err
 	}
-	stop := showProgress(ctx, f.timer, o.Duration, say)
-	p := &probe{fleet: f, client: clientNamed(clients, withdrawn)}
+	t := figtimer.New(figtimer.System())
+	stop := showProgress(ctx, t, o.Duration, say)
+	p := &probe{Fleet: f, timer: t, client: clientNamed(clients, withdrawn)}
 	withdrawnAt := p.start(ctx, o.Duration/2)
 	report, err := figload.Run(ctx, options(o, f, clients))
 	stop()
 	if err != nil {
 		return nil, err
 	}
-	broken := check(ctx, f, clients, report)
+	broken := check(ctx, f, t, clients, report)
 	broken = append(broken, p.check(<-withdrawnAt)...)
 	if o.JSON {
 		return broken, json.NewEncoder(w).Encode(result{Load: report, Broken: broken})
@@ -103,9 +106,9 @@
 	return broken, nil
 }
 
-func options(o Options, f *fleet, clients []*client) figload.Options {
+func options(o Options, f *figfleet.Fleet, clients []*client) figload.Options {
 	lo := figload.Options{
-		Targets:       f.callers(),
+		Targets:       f.Callers(),
 		Duration:      o.Duration,
 		Seed:          o.Seed,
 		FirstToken:    firstToken,
@@ -130,11 +133,11 @@
 }
 
 // keep prints lines for curl and waits until ctx ends.
-func keep(ctx context.Context, f *fleet, clients []*client, w io.Writer) {
+func keep(ctx context.Context, f *figfleet.Fleet, clients []*client, w io.Writer) {
 	fmt.Fprintf(w, "still running; interrupt to end. Try:\n"+
 		"  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n"+
 		"    -d '{\"model\":%q,\"stream\":true,\"max_tokens\":20,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n"+
 		"  curl http://%s/status\n",
-		f.callers()[0], clients[0].key.Text, modelName, f.instances[0].AdminAddress())
+		f.Callers()[0], clients[0].key.Text, modelName, f.Instances[0].AdminAddress())
 	<-ctx.Done()
 }
--- a/internal/app/figdemo/promise.go
+++ b/internal/app/figdemo/promise.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"figtrail.dev/figtrail/internal/app/figfleet"
+	"figtrail.dev/figtrail/internal/core/figtimer"
 	"figtrail.dev/figtrail/internal/stand/figload"
 )
 
@@ -25,7 +27,7 @@
 )
 
 // check returns the promises that the run broke.
-func check(ctx context.Context, f *fleet, clients []*client, r *figload.Report) []string {
+func check(ctx context.Context, f *figfleet.Fleet, t *figtimer.Timer, clients []*client, r *figload.Report) []string {
 	var broken []string
 	add := func(format string, args ...any) { broken = append(broken, fmt.Sprintf(format, args...)) }
 	for _, a := range r.Accounts {
@@ -43,9 +45,9 @@
 		}
 	}
 	broken = append(broken, checkRates(clients, r)...)
-	broken = append(broken, r.CheckRefunds(func(body string) int { return f.ledger.Run(body).Calls })...)
+	broken = append(broken, r.CheckRefunds(f.Runs)...)
 	broken = append(broken, checkKeys(f, clients)...)
-	if held := waitForMemory(ctx, f); held > 0 {
+	if held := waitForMemory(ctx, f, t); held > 0 {
 		add("%d pieces of engine memory are held by requests that are gone", held)
 	}
 	return broken
@@ -65,14 +67,10 @@
 }
 
 // checkKeys looks for keys in all that reached a backend server.
-func checkKeys(f *fleet, clients []*client) []string {
+func checkKeys(f *figfleet.Fleet, clients []*client) []string {
 	var broken []string
 	for _, c := range clients {
-		saw := f.ledger.Saw(c.key.Text)
-		for _, e := range f.engines {
-			saw = saw || e.Saw(c.key.Text)
-		}
-		if saw {
+		if f.Saw(c.key.Text) {
 			broken = append(broken, c.name+": a backend server saw the key")
 		}
 	}
@@ -81,15 +79,12 @@
 
 // waitForMemory waits until the engines hold nothing, and returns what they hold
 // at the limit.
-func waitForMemory(ctx context.Context, f *fleet) int {
+func waitForMemory(ctx context.Context, f *figfleet.Fleet, t *figtimer.Timer) int {
 	ctx, cancel := context.WithTimeout(ctx, memoryLimit)
 	defer cancel()
 	for {
-		held := 0
-		for _, e := range f.engines {
-			held += e.Held()
-		}
-		if held == 0 || f.timer.Sleep(ctx, settleInterval) != nil {
+		held := f.Held()
+		if held == 0 || t.Sleep(ctx, settleInterval) != nil {
 			return held
 		}
 	}
@@ -97,7 +92,9 @@
 
 // probe withdraws a key on the way and measures how long it goes on working.
 type probe struct {
-	fleet  *fleet
+	*figfleet.Fleet
+
+	timer  *figtimer.Timer
 	client *client
 }
 
@@ -106,19 +103,19 @@
 func (p *probe) start(ctx context.Context, after time.Duration) <-chan time.Duration {
 	worked := make(chan time.Duration, 1)
 	go func() {
-		if p.fleet.timer.Sleep(ctx, after) != nil {
+		if p.timer.Sleep(ctx, after) != nil {
 			worked <- 0
 			return
 		}
-		p.fleet.platform.Publish(p.client.path(), p.client.document(true))
-		begun := p.fleet.timer.Now()
+		p.Platform.Publish(p.client.path(), p.client.document(true))
+		begun := p.timer.Now()
 		ctx, cancel := context.WithTimeout(ctx, 2*withdrawLimit)
 		defer cancel()
-		for _, address := range p.fleet.callers() {
-			for p.works(ctx, address) && p.fleet.timer.Sleep(ctx, settleInterval) == nil {
+		for _, address := range p.Callers() {
+			for p.works(ctx, address) && p.timer.Sleep(ctx, settleInterval) == nil {
 			}
 		}
-		worked <- p.fleet.timer.Now().Sub(begun)
+		worked <- p.timer.Now().Sub(begun)
 	}()
 	return worked
 }
--- /dev/null
+++ b/internal/app/figfleet/fleet.go
@@ -0,0 +1,296 @@
+// Package figfleet runs a small fleet in one process on loopback: the stand-ins
+// of the platform, of model engines and plain services, and real instances that
+// talk to each other. The demo, the load benchmarks and end-to-end tests use it.
+//
+// # Usage
+//
+//	f, err := figfleet.Start(ctx, figfleet.Plan{
+//		DataCentres: []string{"ost", "west"},
+//		Documents:   map[string]string{"base": declarations},
+//		Engines:     []figfleet.EnginePlan{{Pool: "language", Prefill: 2, Decode: 3, Options: options}},
+//		Plains:      []figfleet.PlainPlan{{Pool: "ledger", Count: 1}},
+//		Instances:   3,
+//	})
+//	defer f.Close()
+//	addresses := f.Callers()
+//
+// Servers and instances are dealt out to the data centres in turn. Start returns
+// when every instance is ready.
+package figfleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"figtrail.dev/figtrail/internal/app/figserve"
+	"figtrail.dev/figtrail/internal/core/figerror"
+	"figtrail.dev/figtrail/internal/core/figtimer"
+	"figtrail.dev/figtrail/internal/stand/figstand"
+)
+
+const (
+	// readyLimit bounds the wait until all instances are ready.
+	readyLimit = 15 * time.Second
+	// readyInterval is how often readiness is looked up.
+	readyInterval = 20 * time.Millisecond
+	// anyAddress lets the system choose a free port.
+	anyAddress = "127.0.0.1:0"
+)
+
+// Plan says what a fleet consists of.
+type Plan struct {
+	// DataCentres holds the names of the data centres.
+	DataCentres []string
+	// Documents holds the published declarations by path, Dir a directory of more.
+	Documents map[string]string
+	Dir       string
+	// Engines and Plains hold the backend servers of each pool.
+	Engines []EnginePlan
+	Plains  []PlainPlan
+	// Instances is the number of instances.
+	Instances int
+	// Settings changes the settings of each instance; nil keeps them.
+	Settings func(*figserve.Settings)
+}
+
+// EnginePlan is a pool of model engines.
+type EnginePlan struct {
+	// Pool is the ID of the pool.
+	Pool string
+	// Prefill and Decode count the servers of each role.
+	Prefill, Decode int
+	// Options holds what all of them have in common.
+	Options figstand.EngineOptions
+}
+
+// PlainPlan is a pool of plain servers.
+type PlainPlan struct {
+	// Pool is the ID of the pool.
+	Pool string
+	// Count is the number of servers.
+	Count int
+	// Options holds what all of them have in common.
+	Options figstand.PlainOptions
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	// Platform publishes declarations and lists.
+	Platform *figstand.Platform
+	// Engines and Plains are the backend servers, in the order of the plan.
+	Engines []*figstand.Engine
+	Plains  []*figstand.Plain
+	// Instances are the running instances.
+	Instances []*figserve.Instance
+
+	plan   Plan
+	timer  *figtimer.Timer
+	ctx    context.Context
+	cancel context.CancelFunc
+	ended  []chan error
+	listed int
+}
+
+// Start starts the stand-ins and the instances.
+func Start(ctx context.Context, p Plan) (*Fleet, error) {
+	f := &Fleet{plan: p, timer: figtimer.New(figtimer.System())}
+	f.ctx, f.cancel = context.WithCancel(ctx)
+	for _, step := range []func() error{f.startPlatform, f.startEngines, f.startPlains, f.startInstances, f.waitReady} {
+		if err := step(); err != nil {
+			return nil, errors.CombineErrors(err, f.Close())
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) startPlatform() error {
+	var err error
+	if f.Platform, err = figstand.StartPlatform(figstand.PlatformOptions{}); err != nil {
+		return err
+	}
+	for path, text := range f.plan.Documents {
+		f.Platform.Publish(path, text)
+	}
+	if f.plan.Dir == "" {
+		return nil
+	}
+	_, err = f.Platform.PublishDir(f.plan.Dir)
+	return err
+}
+
+func (f *Fleet) startEngines() error {
+	for _, p := range f.plan.Engines {
+		for n := range p.Prefill + p.Decode {
+			o := p.Options
+			o.Role = "prefill"
+			if n >= p.Prefill {
+				o.Role = "decode"
+			}
+			o.Name = fmt.Sprintf("%s-%s-%d", p.Pool, o.Role, n)
+			e, err := figstand.StartEngine(o)
+			if err != nil {
+				return err
+			}
+			f.Engines = append(f.Engines, e)
+			f.list(o.Name, e.Address(), p.Pool, o.Role)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startPlains() error {
+	for _, p := range f.plan.Plains {
+		for n := range p.Count {
+			o := p.Options
+			o.Name = fmt.Sprintf("%s-%d", p.Pool, n)
+			s, err := figstand.StartPlain(o)
+			if err != nil {
+				return err
+			}
+			f.Plains = append(f.Plains, s)
+			f.list(o.Name, s.Address(), p.Pool, "plain")
+		}
+	}
+	return nil
+}
+
+// list publishes a backend server in the next data centre.
+func (f *Fleet) list(name, address, pool, role string) {
+	f.Platform.SetServer(figstand.ServerRow{
+		Name:       name,
+		Address:    address,
+		DataCentre: f.plan.DataCentres[f.listed%len(f.plan.DataCentres)],
+		Pool:       pool,
+		Role:       role,
+		State:      "live",
+		StartedAt:  f.timer.Now().Format(time.RFC3339Nano),
+	})
+	f.listed++
+}
+
+func (f *Fleet) startInstances() error {
+	for n := range f.plan.Instances {
+		s := figserve.Defaults()
+		s.Name = fmt.Sprintf("instance-%d", n+1)
+		s.DataCentre = f.plan.DataCentres[n%len(f.plan.DataCentres)]
+		s.Listen, s.PeerListen, s.AdminListen = anyAddress, anyAddress, anyAddress
+		s.Platform = f.Platform.Address()
+		if f.plan.Settings != nil {
+			f.plan.Settings(&s)
+		}
+		i, err := figserve.New(s)
+		if err != nil {
+			return err
+		}
+		f.Instances = append(f.Instances, i)
+		f.List(i, "live")
+		done := make(chan error, 1)
+		f.ended = append(f.ended, done)
+		go func() { done <- i.Run(f.ctx) }()
+	}
+	return nil
+}
+
+// List publishes an instance with a state: live, leaving or gone.
+func (f *Fleet) List(i *figserve.Instance, state string) {
+	f.Platform.SetInstance(figstand.InstanceRow{
+		Name:       i.Name,
+		Address:    i.PeerAddress(),
+		DataCentre: i.DataCentre,
+		State:      state,
+	})
+}
+
+func (f *Fleet) waitReady() error {
+	ctx, cancel := context.WithTimeout(f.ctx, readyLimit)
+	defer cancel()
+	for _, i := range f.Instances {
+		for !isReady(ctx, i.AdminAddress()) {
+			if f.timer.Sleep(ctx, readyInterval) != nil {
+				return figerror.New("start", i.Name, "not ready in time")
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, admin string) bool {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return false
+	}
+	_ = a.Body.Close()
+	return a.StatusCode == http.StatusOK
+}
+
+// Callers returns the addresses for callers.
+func (f *Fleet) Callers() []string {
+	all := make([]string, 0, len(f.Instances))
+	for _, i := range f.Instances {
+		all = append(all, i.CallerAddress())
+	}
+	return all
+}
+
+// Held returns the pieces of engine memory in use.
+func (f *Fleet) Held() int {
+	held := 0
+	for _, e := range f.Engines {
+		held += e.Held()
+	}
+	return held
+}
+
+// Saw says whether a text reached a backend server in a header or a path.
+func (f *Fleet) Saw(text string) bool {
+	for _, e := range f.Engines {
+		if e.Saw(text) {
+			return true
+		}
+	}
+	for _, p := range f.Plains {
+		if p.Saw(text) {
+			return true
+		}
+	}
+	return false
+}
+
+// Runs returns how often a call with this body ran on the plain servers.
+func (f *Fleet) Runs(body string) int {
+	runs := 0
+	for _, p := range f.Plains {
+		runs += p.Run(body).Calls
+	}
+	return runs
+}
+
+// Close ends the instances and then the stand-ins. It returns the first error
+// that an instance ended with.
+func (f *Fleet) Close() error {
+	f.cancel()
+	var first error
+	for _, done := range f.ended {
+		if err := <-done; err != nil && first == nil {
+			first = err
+		}
+	}
+	for _, e := range f.Engines {
+		_ = e.Close()
+	}
+	for _, p := range f.Plains {
+		_ = p.Close()
+	}
+	if f.Platform != nil {
+		_ = f.Platform.Close()
+	}
+	return first
+}
--- a/internal/edge/figfront/reply.go
+++ b/internal/edge/figfront/reply.go
@@ -71,7 +71,9 @@
 	}
 	stop := f.opts.Watch(c.Conn(), func() { cancel(figflow.ErrCallerLeft) })
 	accepted := f.opts.Workers.Go(func() {
+		defer cancel(nil)
 		defer stop()
+		defer x.abandon(q.ID)
 		f.opts.Run(ctx, q, x.reply())
 	})
 	if !accepted {
@@ -83,13 +85,11 @@
 	b := <-x.began
 	if b.refusal != nil {
 		f.refuse(c, b.refusal)
-		cancel(nil)
 		return
 	}
 	writeHeader(c, b)
 	if !b.stream {
 		c.Response.SetBodyRaw(b.body)
-		cancel(nil)
 		return
 	}
 	c.SetBodyStream(x, -1)
@@ -102,6 +102,16 @@
 	}
 }
 
+// abandon answers a request whose flow ended without a beginning, as one that
+// panicked; after a beginning nobody reads it.
+func (x *exchange) abandon(id string) {
+	r := &figlife.Result{ID: id, Outcome: figlife.OutcomeUnknown, Cause: figlife.Cause{Reason: figlife.Internal}}
+	select {
+	case x.began <- begin{refusal: r}:
+	default:
+	}
+}
+
 // reply is the flow's side of the exchange.
 func (x *exchange) reply() *figflow.Reply {
 	return &figflow.Reply{
--- a/internal/request/figflow/model.go
+++ b/internal/request/figflow/model.go
@@ -95,11 +95,7 @@
 	if a.Status >= 500 {
 		return x.failed(p, p.Decode.Name, errEngine)
 	}
-	if x.life.FirstByte() {
-		x.reply.Begin(a.Status, a.Header, a.Body)
-	}
-	x.life.End(figlife.Cause{Reason: figlife.Done})
-	return ended, nil
+	return ended, x.answer(a.Status, a.Header, a.Body)
 }
 
 func cutReason(err error) figlife.Reason {
--- a/internal/request/figflow/plain.go
+++ b/internal/request/figflow/plain.go
@@ -44,9 +44,5 @@
 	if x.Idempotent && answer.Status >= fasthttp.StatusBadGateway && answer.Status <= fasthttp.StatusGatewayTimeout {
 		p.Fail(p.Decode.Name, figowner.ServerError)
 	}
-	if x.life.FirstByte() {
-		x.reply.Begin(answer.Status, answer.Header, answer.Body)
-	}
-	x.life.End(figlife.Cause{Reason: figlife.Done})
-	return ended, nil
+	return ended, x.answer(answer.Status, answer.Header, answer.Body)
 }
--- a/internal/request/figflow/relay.go
+++ b/internal/request/figflow/relay.go
@@ -113,11 +113,18 @@
 	if err != nil {
 		return err
 	}
+	return x.answer(fasthttp.StatusOK, []figsend.Header{
+		{Name: fasthttp.HeaderContentType, Value: "application/json"},
+	}, body)
+}
+
+// answer gives the caller a whole answer. The request ends before, so that a
+// caller that leaves as soon as it has the answer doesn't count as gone.
+func (x *run) answer(status int, header []figsend.Header, body []byte) error {
 	if !x.life.FirstByte() {
 		return errEnded
 	}
-	x.reply.Begin(fasthttp.StatusOK, []figsend.Header{
-		{Name: fasthttp.HeaderContentType, Value: "application/json"},
-	}, body)
+	x.life.End(figlife.Cause{Reason: figlife.Done})
+	x.reply.Begin(status, header, body)
 	return nil
 }
