--- a/internal/fleet/figmember/fresh_test.go
+++ b/internal/fleet/figmember/fresh_test.go
@@ -56,6 +56,11 @@
 				s.answered(b, epoch, epoch.Add(400*time.Millisecond), view)
 			}
 		}, DefaultFreshness + 200*time.Millisecond, false},
+		{"a majority, one of them by a dead process's late beat", func(s *state) {
+			hear(s, "b", view, 0)
+			s.answered(&Beat{From: "c", Incarnation: 2, View: view - 1, AgeMillis: -1}, epoch, epoch, view)
+			s.receive(&Beat{From: "c", Incarnation: 1, View: view}, epoch)
+		}, 0, false},
 		{"not listed ones don't count", func(s *state) { hear(s, "x", view, 0); hear(s, "y", view, 0) }, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/fleet/figmember/state.go
+++ b/internal/fleet/figmember/state.go
@@ -167,7 +167,7 @@
 	}
 	p := s.peer(b.From)
 	if b.Incarnation != p.incarnation {
-		p.incarnation, p.seen, p.view, p.heard = b.Incarnation, 0, 0, time.Time{}
+		p.incarnation, p.seen, p.view = b.Incarnation, 0, 0
 	}
 	p.view = max(p.view, b.View)
 	p.draining = b.Draining
