--- a/internal/config/figstore/converge_test.go
+++ b/internal/config/figstore/converge_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -59,21 +58,13 @@
 // A change is in force everywhere within two seconds at the 99th percentile,
 // with one of the readers cut off from the service.
 func TestChangeInForceWithReaderCutOff(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n, s := newNetwork(), newService()
-		s.publish("pools", "pools: [{name: p, models: [m]}]\n")
-		s.publish("team/accounts", rate(0))
-		nodes := startFleet(t.Context(), n, s, 9)
-		defer stopAll(nodes)
-		until(t, 10*time.Second, func() bool { return all(nodes, ready) })
+	fleetOf(t, 9, func(t *testing.T, n *network, s *service, nodes []*node) {
 		reader := nodes[0].store.View().Readers()[0].Name
 		n.setCut(reader, "service", true)
 		times := make([]time.Duration, 0, 200)
 		for i := range 200 {
 			s.publish("team/accounts", rate(i+1))
-			times = append(times, until(t, 10*time.Second, func() bool {
-				return all(nodes, func(d *node) bool { return d.rate() == int64(i+1) })
-			}))
+			times = append(times, until(t, 10*time.Second, func() bool { return all(nodes, has(int64(i+1))) }))
 			<-time.After(time.Duration(i*37%400) * time.Millisecond)
 		}
 		slices.Sort(times)
@@ -85,11 +76,7 @@
 
 // All instances hold a new list, and know of each other that they do.
 func TestAllAckAndStayFresh(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n, s := newNetwork(), newService()
-		nodes := startFleet(t.Context(), n, s, 9)
-		defer stopAll(nodes)
-		until(t, 10*time.Second, func() bool { return all(nodes, ready) })
+	fleetOf(t, 9, func(t *testing.T, _ *network, s *service, nodes []*node) {
 		v := s.list(figview.Member{Name: memberName(8), DataCentre: "dc2"}, true)
 		left := nodes[:8]
 		until(t, 5*time.Second, func() bool {
@@ -104,20 +91,16 @@
 // With the service away for an hour, all keep serving, say so, and stay fresh by
 // hearing each other; its return is noticed.
 func TestServiceDownForAnHour(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n, s := newNetwork(), newService()
-		s.publish("pools", "pools: [{name: p, models: [m]}]\n")
+	fleetOf(t, 9, func(t *testing.T, _ *network, s *service, nodes []*node) {
 		s.publish("team/accounts", rate(5))
-		nodes := startFleet(t.Context(), n, s, 9)
-		defer stopAll(nodes)
-		until(t, 10*time.Second, func() bool { return all(nodes, ready) })
+		until(t, 5*time.Second, func() bool { return all(nodes, has(5)) })
 		s.setDown(true)
 		<-time.After(10 * time.Second)
 		before := s.readCount()
 		for range 60 {
 			<-time.After(time.Minute)
 			require.True(t, all(nodes, ready))
-			require.True(t, all(nodes, func(d *node) bool { return d.rate() == 5 }))
+			require.True(t, all(nodes, has(5)))
 			require.True(t, all(nodes, func(d *node) bool { return d.store.Status().Service == "unreachable" }))
 		}
 		perSecond := float64(s.readCount()-before) / 3600
@@ -125,9 +108,7 @@
 		require.Less(t, perSecond, 27.0)
 		s.setDown(false)
 		s.publish("team/accounts", rate(6))
-		took := until(t, 15*time.Second, func() bool {
-			return all(nodes, func(d *node) bool { return d.rate() == 6 })
-		})
+		took := until(t, 15*time.Second, func() bool { return all(nodes, has(6)) })
 		t.Logf("in force %v after the service's return", took)
 	})
 }
--- a/internal/config/figstore/fleet_test.go
+++ b/internal/config/figstore/fleet_test.go
@@ -151,39 +151,42 @@
 	}
 }
 
-func (s *service) platform(n *network, self string) figplatform.Platform {
-	reach := func(ctx context.Context) error {
-		if err := n.pass(ctx, self, "service", readTimeout); err != nil {
-			return err
-		}
-		return s.begin()
+// read takes one read to its end and returns what the reader sees.
+func (s *service) read(
+	ctx context.Context, n *network, self string, after uint64, wait time.Duration, current func(*service) uint64,
+) (*service, error) {
+	if err := n.pass(ctx, self, "service", readTimeout); err != nil {
+		return nil, err
+	}
+	if err := s.begin(); err != nil {
+		return nil, err
 	}
+	at := s.at(self)
+	if err := at.wait(ctx, after, wait, func() uint64 { return current(at) }); err != nil {
+		return nil, err
+	}
+	return at, n.pass(ctx, self, "service", readTimeout)
+}
+
+func (s *service) platform(n *network, self string) figplatform.Platform {
 	return figplatform.Platform{
 		Values: func(ctx context.Context, after uint64, wait time.Duration) (*figplatform.Values, error) {
-			if err := reach(ctx); err != nil {
-				return nil, err
-			}
-			at := s.at(self)
-			if err := at.wait(ctx, after, wait, func() uint64 { return at.revision }); err != nil {
+			at, err := s.read(ctx, n, self, after, wait, func(s *service) uint64 { return s.revision })
+			if err != nil {
 				return nil, err
 			}
-			return at.valuesAfter(after), n.pass(ctx, self, "service", readTimeout)
+			return at.valuesAfter(after), nil
 		},
 		Instances: func(ctx context.Context, after uint64, wait time.Duration) (*figplatform.Instances, error) {
-			if err := reach(ctx); err != nil {
-				return nil, err
-			}
-			at := s.at(self)
-			if err := at.wait(ctx, after, wait, func() uint64 { return at.listed }); err != nil {
+			at, err := s.read(ctx, n, self, after, wait, func(s *service) uint64 { return s.listed })
+			if err != nil {
 				return nil, err
 			}
-			return at.instancesAfter(after), n.pass(ctx, self, "service", readTimeout)
+			return at.instancesAfter(after), nil
 		},
 		Servers: func(ctx context.Context, after uint64, wait time.Duration) (*figplatform.Servers, error) {
-			if err := reach(ctx); err != nil {
-				return nil, err
-			}
-			return &figplatform.Servers{}, s.wait(ctx, after, wait, func() uint64 { return 0 })
+			_, err := s.read(ctx, n, self, after, wait, func(*service) uint64 { return 0 })
+			return &figplatform.Servers{}, err
 		},
 	}
 }
@@ -325,16 +328,18 @@
 
 func memberName(i int) string { return fmt.Sprintf("i%03d", i) }
 
+func memberOf(i int) figview.Member {
+	return figview.Member{Name: memberName(i), Address: "10.0.0.1:7000", DataCentre: fmt.Sprint("dc", i%3)}
+}
+
 // startFleet lists and starts count instances in three data centres.
 func startFleet(ctx context.Context, n *network, s *service, count int) []*node {
 	nodes := make([]*node, 0, count)
 	for i := range count {
-		m := figview.Member{Name: memberName(i), Address: "10.0.0.1:7000", DataCentre: fmt.Sprint("dc", i%3)}
-		s.list(m, false)
+		s.list(memberOf(i), false)
 	}
 	for i := range count {
-		m := figview.Member{Name: memberName(i), Address: "10.0.0.1:7000", DataCentre: fmt.Sprint("dc", i%3)}
-		nodes = append(nodes, start(ctx, n, s, m, 1))
+		nodes = append(nodes, start(ctx, n, s, memberOf(i), 1))
 	}
 	return nodes
 }
--- /dev/null
+++ b/internal/config/figstore/loopback_test.go
@@ -0,0 +1,104 @@
+package figstore_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/config/figplatform"
+	"figtrail.dev/figtrail/internal/config/figstore"
+	"figtrail.dev/figtrail/internal/core/figtimer"
+	"figtrail.dev/figtrail/internal/fleet/figmember"
+	"figtrail.dev/figtrail/internal/fleet/figpeer"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/stand/figstand"
+)
+
+// listen starts a node's store and membership over TCP and HTTP.
+func listen(ctx context.Context, b *testing.B, l net.Listener, m figview.Member, platform string) *node {
+	d := &node{Member: m}
+	h, c := figpeer.NewHandlers(), figpeer.NewClient(figpeer.ClientOptions{})
+	b.Cleanup(func() { _ = c.Close() })
+	d.store = figstore.New(figstore.Options{
+		Self: m.Name, Platform: figplatform.HTTP(platform),
+		Elsewhere: func() time.Time { return d.members.Elsewhere() },
+		Ask: func(ctx context.Context, to figview.Member, q *figstore.Request) (*figstore.Reply, error) {
+			return figpeer.Call[figstore.Request, figstore.Reply](ctx, c, to, "config", q)
+		},
+	})
+	d.members = figmember.New(figmember.Options{
+		Self: m, Incarnation: 1, View: d.store.View, Confirmed: d.store.Confirmed, Digest: d.store.Digest,
+		Heard: func(from figview.Member, q *figmember.Beat) { d.store.Nudge(from, q.Highest, q.Digest, q.View) },
+		Ask: func(ctx context.Context, to figview.Member, q *figmember.Beat) (*figmember.Beat, error) {
+			return figpeer.Call[figmember.Beat, figmember.Beat](ctx, c, to, "beat", q)
+		},
+	})
+	figpeer.Handle(h, "config", d.store.Answer)
+	figpeer.Handle(h, "beat", d.members.Answer)
+	t := figtimer.New(figtimer.System())
+	d.done.Go(func() { _ = h.Serve(ctx, l) })
+	d.done.Go(func() { _ = d.store.Run(ctx, t) })
+	d.done.Go(func() { _ = d.members.Run(ctx, t) })
+	return d
+}
+
+// BenchmarkPublicationToForce takes the time from the publication of a change
+// until it is in force in nine instances, over HTTP and TCP on loopback, with one
+// reader cut off from the service.
+func BenchmarkPublicationToForce(b *testing.B) {
+	stand, err := figstand.StartPlatform(figstand.PlatformOptions{})
+	require.NoError(b, err)
+	cut, err := stand.StartReader(figstand.ReaderOptions{})
+	require.NoError(b, err)
+	defer func() { _ = stand.Close() }()
+	stand.Publish("pools", "pools: [{name: p, models: [m]}]\n")
+	stand.Publish("team/accounts", rate(0))
+	ctx, cancel := context.WithCancel(context.Background())
+
+	const size = 9
+	listeners, members := make([]net.Listener, size), make([]figview.Member, size)
+	for i := range size {
+		listeners[i], err = net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(b, err)
+		members[i] = figview.Member{Name: memberName(i), Address: listeners[i].Addr().String(), DataCentre: fmt.Sprint("dc", i%3)}
+		stand.SetInstance(figstand.InstanceRow{
+			Name: members[i].Name, Address: members[i].Address, DataCentre: members[i].DataCentre, State: "live",
+		})
+	}
+	reader := figview.NewView(1, members).Readers()[0]
+	nodes := make([]*node, 0, size)
+	for i, m := range members {
+		address := stand.Address()
+		if m.Name == reader.Name {
+			address = cut.Address()
+		}
+		nodes = append(nodes, listen(ctx, b, listeners[i], m, address))
+	}
+	wait := func(condition func(*node) bool) {
+		for !all(nodes, condition) {
+			<-time.After(100 * time.Microsecond)
+		}
+	}
+	wait(ready)
+	cut.Silent(true)
+	var times []time.Duration
+	for b.Loop() {
+		n := len(times) + 1
+		began := time.Now()
+		stand.Publish("team/accounts", rate(n))
+		wait(has(int64(n)))
+		times = append(times, time.Since(began))
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds())/1000, "p99-ms")
+	b.ReportMetric(float64(times[len(times)-1].Microseconds())/1000, "most-ms")
+	cancel()
+	for _, d := range nodes {
+		d.done.Wait()
+	}
+}
--- a/internal/config/figstore/scale_test.go
+++ b/internal/config/figstore/scale_test.go
@@ -54,8 +54,7 @@
 
 func measure(t *testing.T, size int) {
 	n, s := newNetwork(), newService()
-	s.publish("pools", "pools: [{name: p, models: [m]}]\n")
-	s.publish("team/accounts", rate(0))
+	publishFirst(s)
 	nodes := startFleet(t.Context(), n, s, size)
 	defer stopAll(nodes)
 	started := until(t, 30*time.Second, func() bool { return all(nodes, ready) })
@@ -84,9 +83,7 @@
 	began := time.Now()
 	for i := range cap(times) {
 		s.publish("team/accounts", rate(i+1))
-		times = append(times, until(t, inForce, func() bool {
-			return all(nodes, func(d *node) bool { return d.rate() == int64(i+1) })
-		}))
+		times = append(times, until(t, inForce, func() bool { return all(nodes, has(int64(i+1))) }))
 	}
 	idle := perNode * time.Since(began).Seconds()
 	changed := 2*n.traffic().since(before).onWire()/float64(size) - idle
