--- a/internal/request/figflow/run.go
+++ b/internal/request/figflow/run.go
@@ -119,6 +119,7 @@
 func (x *run) place(ctx context.Context) (*figplace.Placement, bool) {
 	x.life.Advance(figlife.Queued)
 	var p *figplace.Placement
+	var refused error
 	item := figqueue.Item{
 		Account:  x.accountID(),
 		Weight:   x.weight(),
@@ -127,13 +128,12 @@
 		Bytes:    int64(len(x.Body)),
 		Deadline: x.placeBy(),
 		Place: func(ctx context.Context) figqueue.Verdict {
-			var err error
-			p, err = x.Place(ctx, x.placeRequest())
-			return placeVerdict(err)
+			p, refused = x.Place(ctx, x.placeRequest())
+			return placeVerdict(refused)
 		},
 	}
 	if err := x.Queue(x.Pool.ID).Do(ctx, item); err != nil {
-		x.life.End(queueCause(err))
+		x.life.End(x.queueCause(err, refused))
 		return nil, false
 	}
 	if !x.life.Hold("placement", p.Release) {
@@ -194,29 +194,38 @@
 
 func placeVerdict(err error) figqueue.Verdict {
 	var none *figplace.NoServer
+	var full *figplace.NoRoom
 	switch {
 	case err == nil:
 		return figqueue.Placed
-	case errors.As(err, &none):
+	case errors.As(err, &none), errors.As(err, &full) && full.TooLate:
 		return figqueue.Rejected
 	default:
 		return figqueue.NoRoom
 	}
 }
 
-func queueCause(err error) figlife.Cause {
+// queueCause says why the queue refused the request; refused is what the last try
+// to place it ended with. A request that would be too late before its own
+// deadline is refused for want of room.
+func (x *run) queueCause(err, refused error) figlife.Cause {
+	c := figlife.Cause{Reason: figlife.QueueFull, Err: err}
 	var r *figqueue.Refusal
-	if !errors.As(err, &r) {
-		return figlife.CauseOf(figlife.Internal, err)
+	if errors.As(err, &r) {
+		c.RetryAfter = r.RetryAfter
 	}
-	reason := figlife.QueueFull
-	switch r.Reason {
-	case figqueue.Late, figqueue.Ended:
-		reason = figlife.Deadline
-	case figqueue.Unplaceable:
-		reason = figlife.NoServer
+	var none *figplace.NoServer
+	var full *figplace.NoRoom
+	switch {
+	case errors.As(refused, &none):
+		c.Reason = figlife.NoServer
+		c.Err = refused
+	case !x.Clock.Now().Before(x.Deadline):
+		c.Reason = figlife.Deadline
+	case errors.As(refused, &full):
+		c.RetryAfter = max(c.RetryAfter, full.RetryAfter)
 	}
-	return figlife.Cause{Reason: reason, Err: err, RetryAfter: r.RetryAfter}
+	return c
 }
 
 // failed tells the placement of a server's failure and says whether the request
