Let the parts of status find each other by name, and bound each write to a caller

Cause: the kernel's names were registered and never used; a caller that stops reading held its connection's goroutine without an end. Tests: operators' pages, a data centre taken out, a bad document that stays out with its line.

--- /dev/null
+++ b/internal/app/figserve/admin_test.go
@@ -0,0 +1,83 @@
+package figserve
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func page(t *testing.T, url string) (int, string) {
+	t.Helper()
+	a, err := http.Get(url)
+	require.NoError(t, err)
+	text, err := io.ReadAll(a.Body)
+	require.NoError(t, err)
+	require.NoError(t, a.Body.Close())
+	return a.StatusCode, string(text)
+}
+
+func containsAll(text string, parts ...string) bool {
+	for _, p := range parts {
+		if !strings.Contains(text, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// The operators' pages must show the parts, and never a key.
+func TestOperatorsPages(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t, 1)
+	base := "http://" + f.instances[0].AdminAddress()
+	for _, path := range []string{"/healthz", "/readyz"} {
+		code, _ := page(t, base+path)
+		require.Equal(t, http.StatusOK, code, path)
+	}
+	code, text := page(t, base+"/status")
+	require.Equal(t, http.StatusOK, code)
+	var s Status
+	require.NoError(t, json.Unmarshal([]byte(text), &s))
+	require.Equal(t, "ready", s.Ready)
+	require.Equal(t, 1, s.Config.Accounts)
+	require.Len(t, s.Servers, 3)
+	require.NotContains(t, text, f.key.Text)
+
+	f.eventually(func() bool {
+		code, text = page(t, base+"/metrics")
+		return code == http.StatusOK && containsAll(text, "figtrail_requests{", `class="test"`)
+	})
+	require.NotContains(t, text, f.key.Text)
+	code, _ = page(t, base+"/elsewhere")
+	require.Equal(t, http.StatusNotFound, code)
+}
+
+// An instance in a data centre that operators take out must not be ready.
+func TestDataCentreOut(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t, 1)
+	f.platform.Publish("all", strings.Replace(f.declare(false), "name: east", "name: east\n    out: true", 1))
+	base := "http://" + f.instances[0].AdminAddress()
+	f.eventually(func() bool {
+		code, _ := page(t, base+"/readyz")
+		return code == http.StatusServiceUnavailable
+	})
+}
+
+// A bad document must be refused alone, with its line, while the last good one
+// stays in force.
+func TestBadDocumentStaysOut(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t, 1)
+	f.platform.Publish("all", "accounts:\n  - nome: acme\n")
+	base := "http://" + f.instances[0].AdminAddress()
+	f.eventually(func() bool {
+		_, text := page(t, base+"/status")
+		return containsAll(text, `"Path": "all"`, `"Line": 2`)
+	})
+	require.Equal(t, http.StatusOK, f.ask("/ledger/balance"))
+}
--- a/internal/app/figserve/queues.go
+++ b/internal/app/figserve/queues.go
@@ -52,3 +52,14 @@
 		one.Wake()
 	}
 }
+
+// status returns the state of each queue by its pool.
+func (q *queues) status() map[string]figqueue.Status {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	all := make(map[string]figqueue.Status, len(q.byPool))
+	for pool, one := range q.byPool {
+		all[pool] = one.Status()
+	}
+	return all
+}
--- a/internal/app/figserve/register.go
+++ b/internal/app/figserve/register.go
@@ -3,26 +3,43 @@
 import (
 	"context"
 
+	"figtrail.dev/figtrail/internal/config/figstore"
 	"figtrail.dev/figtrail/internal/core/figkernel"
 	"figtrail.dev/figtrail/internal/request/figsend"
 )
 
+// Names under which the services find each other.
+const (
+	serviceMetrics    = "metrics"
+	servicePeers      = "peers"
+	serviceConfig     = "config"
+	serviceMembership = "membership"
+	serviceKeys       = "keys"
+	serviceBudget     = "budget"
+	serviceOwner      = "owner"
+	servicePlacer     = "placer"
+	serviceQueues     = "queues"
+	serviceWatch      = "watch"
+	serviceAdmin      = "admin"
+	serviceCallers    = "callers"
+)
+
 // register names the services in the order of their start. Callers come last in
 // and first out.
 func (i *Instance) register() error {
 	for _, s := range []figkernel.Service{
-		{Name: "metrics", Value: i.metrics, Stop: func(context.Context) error { return i.metrics.Close() }},
-		{Name: "peers", Value: i.client, Run: i.servePeers, Stop: func(context.Context) error { return i.client.Close() }},
-		{Name: "config", Value: i.store, Run: func(ctx context.Context) error { return i.store.Run(ctx, i.timer) }},
-		{Name: "membership", Value: i.member, Run: func(ctx context.Context) error { return i.member.Run(ctx, i.timer) }},
-		{Name: "keys", Value: i.sessions, Run: i.followKeys},
-		{Name: "budget", Value: i.budget, Run: func(ctx context.Context) error { return i.budget.Run(ctx, i.timer) }},
-		{Name: "owner", Value: i.owner, Run: func(ctx context.Context) error { return i.owner.Run(ctx, i.timer) }},
-		{Name: "placer", Value: i.placer, Run: func(ctx context.Context) error { return i.placer.Run(ctx, i.timer) }},
-		{Name: "queues", Value: i.queues, Start: i.queues.start},
-		{Name: "watch", Value: i.watch, Run: i.watchCallers},
-		{Name: "admin", Value: i.admin, Run: func(ctx context.Context) error { return i.admin.Serve(ctx, i.operators) }},
-		{Name: "callers", Value: i.front, Run: i.serveCallers},
+		{Name: serviceMetrics, Value: i.metrics, Stop: func(context.Context) error { return i.metrics.Close() }},
+		{Name: servicePeers, Value: i.client, Run: i.servePeers, Stop: func(context.Context) error { return i.client.Close() }},
+		{Name: serviceConfig, Value: i.store, Run: func(ctx context.Context) error { return i.store.Run(ctx, i.timer) }},
+		{Name: serviceMembership, Value: i.member, Run: func(ctx context.Context) error { return i.member.Run(ctx, i.timer) }},
+		{Name: serviceKeys, Value: i.sessions, Run: i.followKeys},
+		{Name: serviceBudget, Value: i.budget, Run: func(ctx context.Context) error { return i.budget.Run(ctx, i.timer) }},
+		{Name: serviceOwner, Value: i.owner, Run: func(ctx context.Context) error { return i.owner.Run(ctx, i.timer) }},
+		{Name: servicePlacer, Value: i.placer, Run: func(ctx context.Context) error { return i.placer.Run(ctx, i.timer) }},
+		{Name: serviceQueues, Value: i.queues, Start: i.queues.start},
+		{Name: serviceWatch, Value: i.watch, Run: i.watchCallers},
+		{Name: serviceAdmin, Value: i.admin, Run: func(ctx context.Context) error { return i.admin.Serve(ctx, i.operators) }},
+		{Name: serviceCallers, Value: i.front, Run: i.serveCallers},
 	} {
 		if err := i.kernel.Register(s); err != nil {
 			return err
@@ -41,7 +58,7 @@
 		_ = i.front.Shutdown(now)
 	})
 	defer stopped()
-	if err := i.front.Serve(i.callers); err != nil {
+	if err := i.front.Serve(figsend.LimitWrites(i.callers, figsend.WriteLimit)); err != nil {
 		return err
 	}
 	<-ctx.Done()
@@ -50,13 +67,17 @@
 
 // followKeys ends the running requests of keys that are withdrawn.
 func (i *Instance) followKeys(ctx context.Context) error {
-	changes := i.store.Subscribe()
+	store, err := figkernel.Lookup[*figstore.Store](i.kernel, serviceConfig)
+	if err != nil {
+		return err
+	}
+	changes := store.Subscribe()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changes:
-			i.sessions.Apply(i.store.Tree())
+			i.sessions.Apply(store.Tree())
 		}
 	}
 }
--- a/internal/app/figserve/status.go
+++ b/internal/app/figserve/status.go
@@ -1,39 +1,64 @@
 package figserve
 
 import (
+	"github.com/cockroachdb/errors"
+
 	"figtrail.dev/figtrail/internal/config/figstore"
+	"figtrail.dev/figtrail/internal/core/figkernel"
 	"figtrail.dev/figtrail/internal/fleet/figmember"
 	"figtrail.dev/figtrail/internal/limit/figbudget"
+	"figtrail.dev/figtrail/internal/limit/figqueue"
 	"figtrail.dev/figtrail/internal/place/figowner"
 )
 
 // Status is what /status shows.
 type Status struct {
-	Name        string               `json:"name"`
-	DataCentre  string               `json:"dataCentre"`
-	Incarnation uint64               `json:"incarnation"`
-	Ready       string               `json:"ready"`
-	InFlight    int                  `json:"inFlight"`
-	Config      figstore.Status      `json:"config"`
-	Peers       figmember.Status     `json:"peers"`
-	Budgets     figbudget.Statistics `json:"budgets"`
-	Servers     []figowner.Status    `json:"servers"`
+	// Name, DataCentre and Incarnation tell which process answers.
+	Name        string `json:"name"`
+	DataCentre  string `json:"dataCentre"`
+	Incarnation uint64 `json:"incarnation"`
+	// Ready is "ready" or the reason why not.
+	Ready string `json:"ready"`
+	// InFlight counts the requests in progress, waiting ones included.
+	InFlight int `json:"inFlight"`
+	// Config, Peers, Budgets, Queues and Servers come from the parts.
+	Config  figstore.Status            `json:"config"`
+	Peers   figmember.Status           `json:"peers"`
+	Budgets figbudget.Statistics       `json:"budgets"`
+	Queues  map[string]figqueue.Status `json:"queues"`
+	Servers []figowner.Status          `json:"servers"`
 }
 
+// status asks the parts by their names.
 func (i *Instance) status() any {
-	ready := "ready"
-	if err := i.Ready(); err != nil {
-		ready = err.Error()
-	}
-	return Status{
+	s := Status{
 		Name:        i.Name,
 		DataCentre:  i.DataCentre,
 		Incarnation: i.incarnation,
-		Ready:       ready,
+		Ready:       "ready",
 		InFlight:    i.workers.Running(),
-		Config:      i.store.Status(),
-		Peers:       i.member.Status(),
-		Budgets:     i.budget.Status(),
-		Servers:     i.owner.Status(),
 	}
+	if err := i.Ready(); err != nil {
+		s.Ready = err.Error()
+	}
+	err := errors.Join(
+		show(i, serviceConfig, func(p *figstore.Store) { s.Config = p.Status() }),
+		show(i, serviceMembership, func(p *figmember.Membership) { s.Peers = p.Status() }),
+		show(i, serviceBudget, func(p *figbudget.Budget) { s.Budgets = p.Status() }),
+		show(i, serviceQueues, func(p *queues) { s.Queues = p.status() }),
+		show(i, serviceOwner, func(p *figowner.Owner) { s.Servers = p.Status() }),
+	)
+	if err != nil {
+		s.Ready = err.Error()
+	}
+	return s
+}
+
+// show finds a service by its name and lets it fill in its part.
+func show[T any](i *Instance, name string, fill func(T)) error {
+	p, err := figkernel.Lookup[T](i.kernel, name)
+	if err == nil {
+		fill(p)
+	}
+	return err
 }
