Check a fleet of owners and placers against engines that notice nothing

Cause: the two sides were tested apart; an owner that was asked nothing since a new list showed servers in its status that it had lost. Change: a state machine over four instances and ten servers in which instances leave, join, fall silent and lose replies. Status follows the lists. Three mutations that went unnoticed are caught now: asking a silent owner, placing a retry on the server that it avoids, and on one that has just failed. Conclusion: live work is never cancelled and nothing stays held, in this model.

--- a/internal/place/figowner/run.go
+++ b/internal/place/figowner/run.go
@@ -148,6 +148,7 @@
 	now := o.opts.Clock.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.sync(now)
 	all := make([]Status, 0, len(o.books))
 	for _, b := range o.books {
 		all = append(all, b.Status(now))
--- a/internal/place/figplace/fleet_test.go
+++ b/internal/place/figplace/fleet_test.go
@@ -169,6 +169,11 @@
 	p.Flush(t.Context())
 	require.Zero(t, f.held())
 	require.False(t, x.Holds())
+	released := 0
+	for _, q := range f.sent {
+		released += len(q.Release)
+	}
+	require.Equal(t, 2, released, "one release for each role")
 }
 
 func TestPlaceWithoutServers(t *testing.T) {
--- a/internal/place/figplace/lease.go
+++ b/internal/place/figplace/lease.go
@@ -110,9 +110,6 @@
 func (p *Placer) end(l *lease, tokens int64, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l.ended {
-		return
-	}
 	l.ended = true
 	p.unhold(l)
 	p.table.row(l.server.Name).freed += l.ask.Pieces
--- /dev/null
+++ b/internal/place/figplace/machine_test.go
@@ -0,0 +1,241 @@
+package figplace
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/place/figowner"
+)
+
+const (
+	enginePieces = 40
+	// settled bounds the time from the end of all work to free memory everywhere:
+	// a silent holder is the slowest way to go.
+	settled = figowner.SilenceLimit + 5*time.Second
+)
+
+// work is a placed request and the memory that it holds on its decode server.
+type work struct {
+	*Placement
+	id, entry string
+	running   bool
+}
+
+// world is a fleet with engines that don't notice when callers or instances go.
+type world struct {
+	*fleet
+	t       *rapid.T
+	engines map[string]map[string]int64
+	live    map[string]*work
+	late    map[string][]figowner.Running
+	starts  map[string]time.Time
+	count   int
+	// agree says that every server has had one owner all along.
+	agree bool
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		fleet: newFleet(4, 10), t: t, agree: true,
+		engines: map[string]map[string]int64{}, live: map[string]*work{},
+	}
+	for _, s := range w.servers.All {
+		w.engines[s.Name] = map[string]int64{}
+	}
+	w.warm()
+	return w
+}
+
+// tick passes half a second: owners see reports that are as old, cancel what is left
+// over, and instances renew.
+func (w *world) tick() {
+	w.now = w.now.Add(500 * time.Millisecond)
+	for _, s := range w.servers.All {
+		m, ok := figowner.Of(w.view, s)
+		if !ok || w.down[m.Name] {
+			continue
+		}
+		free := int64(enginePieces)
+		for _, x := range w.late[s.Name] {
+			free -= x.Pieces
+		}
+		cancels := w.owners[m.Name].Observe(s.Name, &figowner.Report{
+			StartedAt: start.Add(-time.Hour), Age: 500 * time.Millisecond,
+			PiecesTotal: enginePieces, PiecesFree: free, Running: w.late[s.Name],
+		}, nil)
+		for _, id := range cancels {
+			delete(w.engines[s.Name], id)
+		}
+	}
+	w.late = map[string][]figowner.Running{}
+	for server, held := range w.engines {
+		for id, pieces := range held {
+			w.late[server] = append(w.late[server], figowner.Running{ID: id, Pieces: pieces, Tokens: 1})
+		}
+	}
+	for _, m := range w.view.Members {
+		w.placers[m.Name].Flush(w.t.Context())
+	}
+}
+
+func (w *world) used(server string) int64 {
+	n := int64(0)
+	for _, p := range w.engines[server] {
+		n += p
+	}
+	return n
+}
+
+func (w *world) member(t *rapid.T) string {
+	return w.view.Members[rapid.IntRange(0, len(w.view.Members)-1).Draw(t, "member")].Name
+}
+
+func (w *world) pick(t *rapid.T) *work {
+	if len(w.live) == 0 {
+		t.Skip("no work")
+	}
+	ids := make([]string, 0, len(w.live))
+	for id := range w.live {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return w.live[rapid.SampledFrom(ids).Draw(t, "id")]
+}
+
+func (w *world) placeOne(t *rapid.T) {
+	w.count++
+	r := request(fmt.Sprint("r", w.count))
+	r.PromptTokens = rapid.Int64Range(100, 20000).Draw(t, "prompt")
+	entry := w.member(t)
+	x, err := w.placers[entry].Place(t.Context(), r)
+	if err != nil {
+		return
+	}
+	k := &work{Placement: x, id: r.ID, entry: entry}
+	w.live[k.id] = k
+	if rapid.Bool().Draw(t, "start") {
+		w.start(t, k)
+	}
+}
+
+// start runs the request. A server refuses what it has no room for, which may
+// happen only after its owner has changed.
+func (w *world) start(t *rapid.T, k *work) {
+	if k.running || !k.Holds() {
+		return
+	}
+	pieces := (k.request.PromptTokens + k.request.OutputTokens + 2047) / 2048
+	if w.used(k.Decode.Name)+pieces > enginePieces {
+		require.False(t, w.agree, "server has no room for a reserved request")
+		k.Fail(k.Decode.Name, figowner.Refused)
+		w.end(k, false)
+		return
+	}
+	k.PrefillDone(k.request.PromptTokens, 100*time.Millisecond)
+	w.engines[k.Decode.Name][k.id] = pieces
+	k.running = true
+}
+
+// end gives a request up; the server may not notice.
+func (w *world) end(k *work, noticed bool) {
+	delete(w.live, k.id)
+	if noticed {
+		delete(w.engines[k.Decode.Name], k.id)
+		k.Progress(k.request.OutputTokens)
+	}
+	k.Release()
+}
+
+// leave takes an instance off the list, with all its work; it may come back anew.
+func (w *world) leave(name string) {
+	for id, k := range w.live {
+		if k.entry == name {
+			delete(w.live, id)
+		}
+	}
+	w.view = figview.NewView(w.view.Version+1, slices.DeleteFunc(slices.Clone(w.view.Members), func(m figview.Member) bool {
+		return m.Name == name
+	}))
+	w.agree = false
+}
+
+func (w *world) join(name, dataCentre string) {
+	m := figview.Member{Name: name, DataCentre: dataCentre}
+	w.view = figview.NewView(w.view.Version+1, append(slices.Clone(w.view.Members), m))
+	w.owners[name] = w.newOwner(name)
+	w.placers[name] = w.newPlacer(m, uint64(w.count))
+	w.agree = false
+}
+
+func rarely(t *rapid.T) bool { return rapid.IntRange(0, 4).Draw(t, "rarely") == 0 }
+
+// Instances that come and go, fall silent and lose replies never cancel live work,
+// never fill a server beyond its memory while its owner stays, and leave nothing
+// behind in the end.
+func TestFleetLeavesNothingBehind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"place":         w.placeOne,
+			"place another": w.placeOne,
+			"start":         func(t *rapid.T) { w.start(t, w.pick(t)) },
+			"finish":        func(t *rapid.T) { w.end(w.pick(t), true) },
+			"caller leaves": func(t *rapid.T) { w.end(w.pick(t), false) },
+			"replies get lost": func(t *rapid.T) {
+				w.lost = rarely(t)
+			},
+			"instance falls silent": func(t *rapid.T) {
+				if name := w.member(t); rarely(t) && !w.down[name] {
+					w.down[name] = true
+				}
+			},
+			"instance is heard": func(*rapid.T) { clear(w.down) },
+			"instance leaves": func(t *rapid.T) {
+				if len(w.view.Members) > 1 && rarely(t) {
+					w.leave(w.member(t))
+				}
+			},
+			"instance joins": func(t *rapid.T) {
+				if len(w.view.Members) < 4 && rarely(t) {
+					w.count++
+					w.join(fmt.Sprint("new", w.count), "b")
+				}
+			},
+			"time passes": func(*rapid.T) { w.tick() },
+			"": func(t *rapid.T) {
+				for server := range w.engines {
+					require.LessOrEqual(t, w.used(server), int64(enginePieces))
+				}
+				for _, k := range w.live {
+					require.Equal(t, k.running, w.engines[k.Decode.Name][k.id] > 0, "live work was cancelled")
+				}
+			},
+		})
+		clear(w.down)
+		w.lost = false
+		for _, k := range w.live {
+			w.end(k, false)
+		}
+		for range int(settled / (500 * time.Millisecond)) {
+			w.tick()
+		}
+		for server, held := range w.engines {
+			require.Empty(t, held, server)
+		}
+		for _, m := range w.view.Members {
+			for _, s := range w.owners[m.Name].Status() {
+				require.Zero(t, s.Leases, s.Server)
+				require.Zero(t, s.Strays, s.Server)
+				if s.Role == "decode" {
+					require.Equal(t, s.Total, s.Free)
+				}
+			}
+		}
+	})
+}
--- a/internal/place/figplace/place_test.go
+++ b/internal/place/figplace/place_test.go
@@ -49,6 +49,7 @@
 		x.Release()
 		f.now = f.now.Add(50 * time.Millisecond)
 	}
+	require.LessOrEqual(t, p.AskErrors.Load(), uint64(time.Second/ownerPause)+1, "a silent owner is left alone")
 	for n := range f.owners {
 		f.down[n] = true
 	}
@@ -130,6 +131,7 @@
 		require.NotEqual(t, failed, y.Decode.Name)
 		y.Release()
 	}
+	f.pass(t, 2*failurePause)
 	r := request("retry")
 	r.Avoid = []string{failed}
 	granted := 0
@@ -145,6 +147,26 @@
 	require.Equal(t, retryStock, granted)
 }
 
+// An instance leaves a server alone that has just failed it, though it is the
+// emptiest one.
+func TestFailedServerIsLeftAlone(t *testing.T) {
+	f := newFleet(3, 5)
+	f.warm()
+	x := f.place(t, "entry000", "r0")
+	failed := x.Decode.Name
+	x.Fail(failed, figowner.ServerError)
+	x.Release()
+	for i := range 12 {
+		require.NotEqual(t, failed, f.place(t, "entry000", fmt.Sprint("r", i+1)).Decode.Name)
+	}
+	f.pass(t, 2*failurePause)
+	back := map[string]bool{}
+	for i := range 6 {
+		back[f.place(t, "entry000", fmt.Sprint("back", i)).Decode.Name] = true
+	}
+	require.Contains(t, back, failed)
+}
+
 // A caller's fault changes nothing for a server.
 func TestCallerErrorIsNoEvidence(t *testing.T) {
 	f := newFleet(3, 5)
