Log refused documents, faults and the state of the service

Each is logged once with path, line and reason. The state counts what beats tell of the service, so that it does not flap on the slower word of pulls.

--- a/internal/config/figstore/converge_test.go
+++ b/internal/config/figstore/converge_test.go
@@ -112,3 +112,14 @@
 		t.Logf("in force %v after the service's return", took)
 	})
 }
+
+// While a fleet is in order, all say so all the time.
+func TestStatusInOrder(t *testing.T) {
+	fleetOf(t, 9, func(t *testing.T, _ *network, _ *service, nodes []*node) {
+		<-time.After(5 * time.Second)
+		for range 600 {
+			<-time.After(100 * time.Millisecond)
+			require.True(t, all(nodes, func(d *node) bool { return d.store.Status().Service == "reachable" }))
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/figstore/log.go
@@ -0,0 +1,66 @@
+package figstore
+
+import (
+	"k8s.io/klog/v2"
+
+	"figtrail.dev/figtrail/internal/config/figplatform"
+	"figtrail.dev/figtrail/internal/config/figtree"
+)
+
+// faultsLogged bounds the lines that one change can add to the log.
+const faultsLogged = 20
+
+// logged keeps what the log has been told, so that it is told once.
+type logged struct {
+	service string
+	faults  map[figtree.Fault]bool
+}
+
+// logRefused logs why a new version of a document is not in force.
+func logRefused(v figplatform.Value, faults []figtree.Fault) {
+	for _, f := range faults[:min(len(faults), faultsLogged)] {
+		klog.ErrorS(nil, "document refused; its last good version stays in force",
+			"path", f.Path, "line", f.Line, "version", v.Version, "reason", f.Reason)
+	}
+}
+
+// logFaults logs what of the documents in force has newly been left out or cut.
+// The caller holds the lock.
+func (s *Store) logFaults() {
+	for _, f := range s.logged.fresh(s.table.builder.Faults()) {
+		klog.ErrorS(nil, "declaration left out or cut to its limit", "path", f.Path, "line", f.Line, "reason", f.Reason)
+	}
+}
+
+// fresh returns those of the present faults that have not been logged, up to the
+// bound, and forgets those that are gone.
+func (l *logged) fresh(present []figtree.Fault) []figtree.Fault {
+	kept := make(map[figtree.Fault]bool, len(present))
+	var news []figtree.Fault
+	for _, f := range present {
+		switch {
+		case l.faults[f]:
+			kept[f] = true
+		case len(news) < faultsLogged:
+			kept[f] = true
+			news = append(news, f)
+		}
+	}
+	l.faults = kept
+	return news
+}
+
+// logService logs when the service has become reachable, stale or unreachable.
+func (s *Store) logService() {
+	elsewhere := s.opts.Elsewhere()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	age := s.sinceAnswer(elsewhere)
+	state := s.serviceState(age)
+	if state == s.logged.service {
+		return
+	}
+	s.logged.service = state
+	klog.InfoS("configuration service", "state", state, "sinceAnswer", age, "highest", s.table.highest,
+		"instances", s.instances.revision, "servers", s.serverList.revision)
+}
--- a/internal/config/figstore/relay.go
+++ b/internal/config/figstore/relay.go
@@ -89,6 +89,7 @@
 	turn := 0
 	for range t.Subscribe(ctx, pullInterval) {
 		turn = s.pullNext(ctx, turn)
+		s.logService()
 	}
 }
 
@@ -250,6 +251,9 @@
 		}
 		s.counts.Applied++
 		changed = true
+		if e := s.table.entries[v.Path]; e.latest == v && len(e.faults) > 0 {
+			logRefused(v, e.faults)
+		}
 	}
 	return changed
 }
--- a/internal/config/figstore/status.go
+++ b/internal/config/figstore/status.go
@@ -43,14 +43,15 @@
 // Status returns the state for operators.
 func (s *Store) Status() Status {
 	reader := s.reading()
+	elsewhere := s.opts.Elsewhere()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, age := s.source.age(s.opts.Clock.Now(), s.opts.Self)
+	age := s.sinceAnswer(elsewhere)
 	return Status{
 		Ready:       s.Ready(),
 		Reader:      reader,
 		Service:     s.serviceState(age),
-		SinceAnswer: time.Duration(age) * time.Millisecond,
+		SinceAnswer: age,
 		Highest:     s.table.highest,
 		Digest:      s.table.digest(),
 		Instances:   s.instances.revision,
@@ -64,9 +65,24 @@
 	}
 }
 
-func (s *Store) serviceState(ageMillis int64) string {
+// sinceAnswer returns how long ago the service answered anyone heard of, by pulls
+// or, as elsewhere, by beats; negative for never. The caller holds the lock.
+func (s *Store) sinceAnswer(elsewhere time.Time) time.Duration {
+	last := s.source.answered
+	for _, at := range []time.Time{s.source.elsewhere, elsewhere} {
+		if at.After(last) {
+			last = at
+		}
+	}
+	if last.IsZero() {
+		return -1
+	}
+	return s.opts.Clock.Now().Sub(last)
+}
+
+func (s *Store) serviceState(sinceAnswer time.Duration) string {
 	switch {
-	case ageMillis < 0 || ageMillis > staleAfter.Milliseconds():
+	case sinceAnswer < 0 || sinceAnswer > staleAfter:
 		return "unreachable"
 	case s.source.stale[listValues] || s.source.stale[listInstances] || s.source.stale[listServers]:
 		return "stale"
--- a/internal/config/figstore/store.go
+++ b/internal/config/figstore/store.go
@@ -77,6 +77,7 @@
 	serverList  list[figview.Server]
 	source      source
 	role        role
+	logged      logged
 	subscribers []chan struct{}
 	// synced says that a peer that serves has given all that it has.
 	synced      bool
@@ -162,6 +163,9 @@
 func (s *Store) publish() {
 	tree := s.table.builder.Build()
 	changed := s.tree.Swap(tree) != tree
+	if changed {
+		s.logFaults()
+	}
 	if v := s.instances.revision; v > s.View().Version {
 		s.view.Store(figview.NewView(v, s.instances.present()))
 		changed = true
--- a/internal/config/figstore/values_test.go
+++ b/internal/config/figstore/values_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"figtrail.dev/figtrail/internal/config/figplatform"
+	"figtrail.dev/figtrail/internal/config/figtree"
 )
 
 func document(rate int) string {
@@ -204,3 +205,19 @@
 	require.False(t, all)
 	require.Contains(t, rows, change[string]{"a", "a", true})
 }
+
+// Each fault is logged once while it lasts, and again if it comes back.
+func TestFaultsAreLoggedOnce(t *testing.T) {
+	var l logged
+	one, other := figtree.Fault{Path: "a", Line: 1}, figtree.Fault{Path: "b", Line: 2}
+	require.Equal(t, []figtree.Fault{one}, l.fresh([]figtree.Fault{one}))
+	require.Equal(t, []figtree.Fault{other}, l.fresh([]figtree.Fault{one, other}))
+	require.Empty(t, l.fresh([]figtree.Fault{other}))
+	require.Equal(t, []figtree.Fault{one}, l.fresh([]figtree.Fault{one, other}))
+	many := make([]figtree.Fault, 0, 3*faultsLogged)
+	for i := range 3 * faultsLogged {
+		many = append(many, figtree.Fault{Path: "c", Line: i})
+	}
+	require.Len(t, l.fresh(many), faultsLogged)
+	require.Len(t, l.fresh(many), faultsLogged)
+}
