Bring about each fault that the budget's protections are for

Random schedules reach some faults seldom. The one corner that isn't strict, a majority taken off the list while it is cut off, is shown to hold at most twice the bound and to end when the sides meet.

--- /dev/null
+++ b/internal/limit/figbudget/schedule_test.go
@@ -0,0 +1,170 @@
+package figbudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+// caseLimits refill fast against the burst, so that a slot spent at two places
+// shows within a lease.
+var caseLimits = Limits{TokensPerSecond: 300, Burst: 900}
+
+// calmTrial is a trial without faults of the network, with full slots.
+func calmTrial(majority bool) *trial {
+	t := newTrial(1, majority, caseLimits)
+	t.network = network{}
+	for _, n := range t.nodes {
+		n.speed, n.ticks = 1, tickTime
+	}
+	t.advance(15 * time.Second)
+	return t
+}
+
+// parties returns the holder of a slot whose next holder stands in the same
+// data centre, that next one, and a node that holds no slot.
+func (t *trial) parties() (holder, next, lessee *node) {
+	p := newPlacement(t.view)
+	for i := range Slots {
+		m, _ := p.holder(slotID{account, i})
+		n, _ := p.without(m.Name).holder(slotID{account, i})
+		if n.DataCentre == m.DataCentre {
+			holder, next = t.byName(m.Name), t.byName(n.Name)
+		}
+	}
+	for _, n := range t.nodes {
+		if n != next && !holdsAny(t.view, n.name, account) {
+			lessee = n
+		}
+	}
+	return holder, next, lessee
+}
+
+// unlist publishes a list without some nodes, after messages under way.
+func (t *trial) unlist(nodes ...*node) {
+	t.advance(10 * time.Millisecond)
+	t.publish(func(m *figview.Member) bool {
+		for _, n := range nodes {
+			if n.name == m.Name {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestACutOffHolderAndItsLessee cuts a holder and a lessee off and takes both off
+// the list. The lessee leases all it can at the last moment and spends it at the
+// end of the lease, while the next holder spends what it has regenerated.
+func TestACutOffHolderAndItsLessee(t *testing.T) {
+	for late := 1000 * time.Millisecond; late <= 2200*time.Millisecond; late += 100 * time.Millisecond {
+		c := calmTrial(false)
+		holder, _, lessee := c.parties()
+		c.apart[holder.name], c.apart[lessee.name] = true, true
+		c.unlist(holder, lessee)
+		c.advance(late)
+		c.hoard(lessee, caseLimits.Burst)
+		c.advance(leaseLife*6/10 - 100*time.Millisecond)
+		c.soak(80, 100*time.Millisecond)
+		require.NoError(t, c.err, "leased %s after the change", late)
+		require.Positive(t, c.reserved)
+	}
+}
+
+// TestAHolderLeftWithAMajority leaves a holder that is off the list with a
+// majority that hasn't heard of it, and cuts all of them from the service.
+func TestAHolderLeftWithAMajority(t *testing.T) {
+	c := calmTrial(true)
+	holder, next, lessee := c.parties()
+	others := 0
+	for _, n := range c.nodes {
+		if n != next && (n == holder || n == lessee || others == 0) {
+			c.apart[n.name] = true
+			if n != holder && n != lessee {
+				others++
+			}
+		}
+	}
+	require.Len(t, c.apart, 3)
+	c.unlist(holder)
+	c.soak(100, 200*time.Millisecond)
+	require.NoError(t, c.err)
+	require.True(t, holder.fresh(), "the case is one in which it goes on")
+}
+
+// TestAHolderThatComesBack takes a holder off the list while it is cut off, and
+// lists it again: it misses the list without it.
+func TestAHolderThatComesBack(t *testing.T) {
+	c := calmTrial(false)
+	holder, next, _ := c.parties()
+	c.apart[holder.name] = true
+	c.unlist(holder)
+	c.advance(15 * time.Second)
+	require.Equal(t, active, next.held(slotOf(c, next), next.clock()).state)
+	c.soak(5, 20*time.Millisecond)
+	c.apart[holder.name] = false
+	c.unlist()
+	c.soak(40, 100*time.Millisecond)
+	require.NoError(t, c.err)
+}
+
+// slotOf returns the slot that n holds by the list in force.
+func slotOf(t *trial, n *node) slotID {
+	for i := range Slots {
+		if newPlacement(t.view).holds(n.name, slotID{account, i}) {
+			return slotID{account, i}
+		}
+	}
+	return slotID{}
+}
+
+// TestTheCornerGoesNoFurther takes a majority that lives off the list, one after
+// the other, while it is cut off from the service and from all who know. This is
+// the one way to two holders. Each side alone keeps the bound, and the overspend
+// ends when the two sides meet.
+func TestTheCornerGoesNoFurther(t *testing.T) {
+	c := calmTrial(true)
+	holder, next, lessee := c.parties()
+	cut := []*node{holder, lessee}
+	for _, n := range c.nodes {
+		if n != next && n != holder && n != lessee && len(cut) < 3 {
+			cut = append(cut, n)
+		}
+	}
+	for _, n := range cut {
+		c.apart[n.name] = true
+	}
+	for i := range cut {
+		c.unlist(cut[:i+1]...)
+		c.advance(50 * time.Millisecond)
+	}
+	c.soak(60, 200*time.Millisecond)
+	require.Error(t, c.err, "the corner is real")
+	require.NoError(t, c.sides(2), "and holds at most twice the bound")
+
+	clear(c.apart)
+	c.advance(freshness)
+	c.marks, c.err = nil, nil
+	c.soak(60, 200*time.Millisecond)
+	require.NoError(t, c.err)
+}
+
+// sides checks the bound times a number of sides over all intervals.
+func (t *trial) sides(number int64) error {
+	marks, declared := t.marks, t.inForce
+	defer func() { t.marks, t.inForce = marks, declared }()
+	t.inForce = []inForce{{Limits: Limits{
+		TokensPerSecond: number * caseLimits.TokensPerSecond,
+		Burst:           number * caseLimits.Burst,
+	}}}
+	for i := range marks {
+		t.marks = marks[:i+1]
+		if err := t.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
