Measure the budget's messages, state and time per admission at size

The state machines of 9 to 480 members and 1,000 to 47,000 accounts run in one process; messages are encoded and counted with their packet headers.

--- a/internal/limit/figbudget/protection_test.go
+++ b/internal/limit/figbudget/protection_test.go
@@ -258,8 +258,18 @@
 		incarnation, sequence uint64
 		want                  bool
 	}{
-		{2, 1, true}, {2, 1, false}, {2, 5, true}, {2, 3, true}, {2, 3, false}, {2, 5, false},
-		{2, 200, true}, {2, 136, false}, {2, 137, true}, {1, 300, false}, {3, 1, true}, {2, 301, false},
+		{2, 1, true},
+		{2, 1, false},
+		{2, 5, true},
+		{2, 3, true},
+		{2, 3, false},
+		{2, 5, false},
+		{2, 200, true},
+		{2, 136, false},
+		{2, 137, true},
+		{1, 300, false},
+		{3, 1, true},
+		{2, 301, false},
 	} {
 		got := w.fresh(tt.incarnation, tt.sequence, now)
 		require.Equal(t, tt.want, got, "%d/%d", tt.incarnation, tt.sequence)
@@ -278,6 +288,19 @@
 	require.Empty(t, m.from.slots)
 }
 
+func TestASpentSlotIsKeptThoughItsBalanceIsAsIfUnused(t *testing.T) {
+	m := newMove()
+	m.to.poll(m.now.Add(-regeneration-time.Second), yes)
+	s := m.to.held(m.id, m.now)
+	require.Less(t, s.balance.tokens(), m.share.Burst)
+	s.used = true
+	m.to.forget(m.now)
+	require.Contains(t, m.to.slots, m.id)
+	s.used = false
+	m.to.forget(m.now)
+	require.Empty(t, m.to.slots)
+}
+
 func TestPartsSumToTheWholeAndGrowWithIt(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		whole := rapid.Int64Range(0, 1<<40).Draw(t, "whole")
--- /dev/null
+++ b/internal/limit/figbudget/scale_test.go
@@ -0,0 +1,212 @@
+package figbudget
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+const (
+	// requestsPerMember is the load of one instance at the largest size.
+	requestsPerMember = 23
+	// meanCost is the mean reservation, in tokens.
+	meanCost = 2000
+	// packetHeaders is what TCP, IP and drpc add to a message, in bytes.
+	packetHeaders = 52 + 12
+)
+
+// crowd is a set of ledgers with one list that answer each other at once. It
+// counts their messages.
+type crowd struct {
+	random  *rand.Rand
+	now     time.Time
+	ledgers []*ledger
+	byName  map[string]*ledger
+	names   []string
+	load    *rand.Zipf
+	settles []func()
+
+	requests, refused, messages, bytes int
+}
+
+func newCrowd(members, accounts int) *crowd {
+	c := &crowd{random: rand.New(rand.NewPCG(5, 5)), now: time.Unix(1e6, 0), byName: map[string]*ledger{}}
+	c.load = rand.NewZipf(c.random, 1.1, 20, uint64(accounts-1))
+	limits := map[string]Limits{}
+	for i := range accounts {
+		name := fmt.Sprintf("region/team-%d/account-%d", i%97, i)
+		c.names = append(c.names, name)
+		limits[name] = Limits{TokensPerSecond: 20_000, Burst: 200_000}
+	}
+	for i := range min(50, accounts) {
+		limits[c.names[i]] = Limits{TokensPerSecond: 4_000_000, Burst: 20_000_000}
+	}
+	list := make([]figview.Member, 0, members)
+	for i := range members {
+		list = append(list, figview.Member{Name: fmt.Sprintf("instance-%d", i), DataCentre: fmt.Sprintf("centre-%d", i%7)})
+	}
+	view := figview.NewView(1, list)
+	for _, m := range list {
+		g := newLedger(m.Name, 1, func(account string) (Limits, bool) {
+			l, ok := limits[account]
+			return l, ok
+		})
+		g.sync(view, c.now, true)
+		g.poll(c.now, yes)
+		c.ledgers = append(c.ledgers, g)
+		c.byName[m.Name] = g
+	}
+	c.now = c.now.Add(time.Hour)
+	return c
+}
+
+// run spends for a while, in steps of a tick.
+func (c *crowd) run(d time.Duration) {
+	perTick := float64(len(c.ledgers)) * requestsPerMember * tickTime.Seconds()
+	due, ticks := 0.0, int(d/tickTime)
+	delay := int(time.Second / tickTime)
+	later := make([][]func(), ticks+delay+1)
+	for i := range ticks {
+		c.now = c.now.Add(tickTime)
+		for due += perTick; due >= 1; due-- {
+			c.settles = nil
+			c.request(c.ledgers[c.random.IntN(len(c.ledgers))], c.names[c.load.Uint64()])
+			later[i+delay] = append(later[i+delay], c.settles...)
+		}
+		for _, settle := range later[i] {
+			settle()
+		}
+		for _, g := range c.ledgers {
+			c.carry(g, g.tick(c.now))
+		}
+	}
+}
+
+func (c *crowd) request(g *ledger, account string) {
+	tokens := int64(meanCost/2) + c.random.Int64N(meanCost)
+	a, refusal := g.begin(account, tokens)
+	c.requests++
+	for refusal == nil {
+		var pieces *[Slots]int64
+		var q *ask
+		pieces, q, refusal = g.step(a, c.now, true)
+		if pieces != nil {
+			c.settles = append(c.settles, func() { g.settle(account, *pieces, tokens*7/10, c.now) })
+			return
+		}
+		if q != nil {
+			p := g.peer(q.peer.Name, c.now)
+			p.calls = append(p.calls, &call{attempt: a, ask: q, done: func() {}})
+			c.carry(g, g.due(p, c.now))
+		}
+	}
+	c.refused++
+}
+
+func (c *crowd) carry(g *ledger, due []*batch) {
+	for _, b := range due {
+		r := c.byName[b.member.Name].answer(b.query, 1, c.now, true)
+		c.messages += 2
+		c.bytes += encoded(b.query) + encoded(r) + 2*packetHeaders
+		g.takeIn(b, r, c.now)
+	}
+}
+
+func encoded(v any) int {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return len(b)
+}
+
+func BenchmarkMessages(b *testing.B) {
+	for _, members := range []int{9, 45, 480} {
+		for _, accounts := range []int{1000, 10_000, 47_000} {
+			b.Run(fmt.Sprintf("members=%d/accounts=%d", members, accounts), func(b *testing.B) {
+				for b.Loop() {
+					c := newCrowd(members, accounts)
+					c.run(5 * time.Second)
+					sent := float64(c.requests)
+					b.ReportMetric(float64(c.messages)/sent, "packets/request")
+					b.ReportMetric(float64(c.bytes)/sent, "B/request")
+					b.ReportMetric(float64(c.bytes)/5/float64(members), "B/s/member")
+					b.ReportMetric(100*float64(c.refused)/sent, "refused%")
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkAdmission measures a reservation and its settlement at its slot's
+// holder and from a lease, without the network.
+func BenchmarkAdmission(b *testing.B) {
+	for _, members := range []int{9, 45, 480} {
+		c := newCrowd(members, 1000)
+		for _, name := range []string{"holder", "lessee"} {
+			b.Run(fmt.Sprintf("members=%d/%s", members, name), func(b *testing.B) {
+				g := c.pick(c.names[0], name == "holder")
+				b.ReportAllocs()
+				for b.Loop() {
+					c.now = c.now.Add(time.Millisecond)
+					c.settles = nil
+					c.request(g, c.names[0])
+					for _, settle := range c.settles {
+						settle()
+					}
+				}
+				require.Zero(b, c.refused)
+			})
+		}
+	}
+}
+
+// pick returns a ledger that holds a slot of the account, or one that doesn't.
+func (c *crowd) pick(account string, holds bool) *ledger {
+	for _, g := range c.ledgers {
+		if holdsAny(g.current().view, g.self, account) == holds {
+			return g
+		}
+	}
+	return nil
+}
+
+// BenchmarkState measures the memory of accounts that are in use at one instance,
+// which holds a slot of each and spends from a lease of each.
+func BenchmarkState(b *testing.B) {
+	for _, accounts := range []int{1000, 10_000, 47_000} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			for b.Loop() {
+				c := newCrowd(1, accounts)
+				g := c.ledgers[0]
+				before := heapSize()
+				for _, name := range c.names {
+					g.held(slotID{name, 0}, c.now).lend(1, 10, c.now)
+					p := g.purse(name, c.now)
+					p.place(name, g.current())
+					p.leases = append(p.leases, lease{holder: g.self, asked: c.now, left: 10})
+				}
+				b.ReportMetric(float64(heapSize()-before)/float64(accounts), "B/account")
+				c.now = c.now.Add(time.Minute)
+				g.tick(c.now)
+				require.Empty(b, g.slots)
+				require.Empty(b, g.purses)
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
+
+func heapSize() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
