Charge only what may have run, and repeat only what can be mended

Cause, from reading: a request whose servers all refused it was charged for its prompt; a body that can't be rewritten, or that an engine found fault with, was tried on four servers; failures counted as successes in the retry budget. Change: a send that did not run restores the charge; an engine's own 4xx answer goes to the caller; only failures that another server can mend are repeated. The flow has a file for each stage. Tests: a body with a field twice gets 400.

--- a/internal/app/figserve/serve_test.go
+++ b/internal/app/figserve/serve_test.go
@@ -92,6 +92,7 @@
 		{"no model", "POST", "/v1/chat/completions", f.key.Text, `{"messages":[]}`, 400, "badRequest"},
 		{"unknown model", "POST", "/v1/chat/completions", f.key.Text, `{"model":"x","messages":[]}`, 404, "notFound"},
 		{"two answers", "POST", "/v1/chat/completions", f.key.Text, `{"model":"small","n":2,"messages":[]}`, 400, "badRequest"},
+		{"field twice", "POST", "/v1/chat/completions", f.key.Text, `{"model":"small","user":"a","user":"b","messages":[]}`, 400, "badRequest"},
 		{"no tokens", "POST", "/v1/chat/completions", f.key.Text, `{"model":"small","max_tokens":0,"messages":[]}`, 400, "badRequest"},
 		{"long prompt", "POST", "/v1/chat/completions", f.key.Text, long, 413, "tooLarge"},
 		{"wrong method", "GET", "/v1/completions", f.key.Text, "", 400, "badRequest"},
--- /dev/null
+++ b/internal/request/figflow/failure.go
@@ -0,0 +1,74 @@
+package figflow
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"figtrail.dev/figtrail/internal/place/figowner"
+	"figtrail.dev/figtrail/internal/place/figplace"
+	"figtrail.dev/figtrail/internal/request/figlife"
+	"figtrail.dev/figtrail/internal/request/figsend"
+)
+
+// failed tells the placement of a server's failure and says whether the request
+// may be tried again. A server is avoided in the next try.
+func (x *run) failed(p *figplace.Placement, server string, err error) (verdict, error) {
+	p.Fail(server, evidenceOf(err))
+	x.avoid = append(x.avoid, server)
+	if x.Idempotent && mayMend(err) || figsend.RanOf(err) == figsend.NotRun && figsend.KindOf(err) != figsend.KindRefused {
+		return again, err
+	}
+	x.life.End(figlife.CauseOf(failureReason(err), err))
+	return ended, err
+}
+
+func failureReason(err error) figlife.Reason {
+	switch figsend.KindOf(err) {
+	case figsend.KindTooLarge:
+		return figlife.TooLarge
+	case figsend.KindInvalid:
+		return figlife.BadRequest
+	case figsend.KindDeadline:
+		return figlife.Deadline
+	default:
+		return figlife.ServerFailed
+	}
+}
+
+// mayMend says that another server can succeed where this one failed.
+func mayMend(err error) bool {
+	return figsend.Repeatable(err) || errors.Is(err, errEngine) || figsend.KindOf(err) == figsend.KindStatus
+}
+
+// judged returns the answer of an engine that found fault with the request
+// itself, so that any other would too; nil if that is not what err says.
+func judged(err error) *figsend.Answer {
+	var f *figsend.Failure
+	if !errors.As(err, &f) || f.Kind != figsend.KindStatus || f.Answer == nil {
+		return nil
+	}
+	if f.Answer.Status < 400 || f.Answer.Status >= 500 {
+		return nil
+	}
+	return f.Answer
+}
+
+// evidenceOf says what a failed send shows of the server.
+func evidenceOf(err error) figplace.Evidence {
+	var f *figsend.Failure
+	if errors.As(err, &f) && f.Answer != nil && f.Answer.Status == fasthttp.StatusConflict {
+		return figowner.ResultExpired
+	}
+	switch figsend.KindOf(err) {
+	case figsend.KindConnect, figsend.KindSilent:
+		return figowner.Unreachable
+	case figsend.KindStalled, figsend.KindCut:
+		return figowner.Stalled
+	case figsend.KindRefused:
+		return figowner.Refused
+	case figsend.KindInvalid, figsend.KindCancelled, figsend.KindDeadline, figsend.KindTooLarge:
+		return figowner.CallerError
+	default:
+		return figowner.ServerError
+	}
+}
--- a/internal/request/figflow/model.go
+++ b/internal/request/figflow/model.go
@@ -16,18 +16,20 @@
 	if p.Prefill.Name != "" {
 		var err error
 		if result, err = x.prefill(ctx, p, prompt); err != nil {
+			if a := judged(err); a != nil {
+				return ended, x.answer(a.Status, a.Header, a.Body)
+			}
 			return x.failed(p, p.Prefill.Name, err)
 		}
 	}
-	send, err := x.life.Send()
+	send, err := x.send()
 	if err != nil {
 		return ended, err
 	}
 	x.life.Advance(figlife.Transferring)
-	x.sent.Store(true)
 	stream, err := x.Engine.Decode(ctx, p.Decode, prompt, result)
 	if err != nil {
-		send.Fail(err)
+		send.fail(err)
 		return x.failed(p, p.Decode.Name, err)
 	}
 	defer stream.Close()
@@ -40,7 +42,7 @@
 		x.life.End(figlife.Cause{Reason: figlife.Done})
 		return ended, nil
 	}
-	send.Fail(err)
+	send.fail(err)
 	if !x.streaming && figsend.KindOf(err) != figsend.KindCancelled {
 		return x.failed(p, p.Decode.Name, err)
 	}
@@ -69,16 +71,15 @@
 	if err := x.Timer.Sleep(ctx, p.StartPrefillAt.Sub(x.Clock.Now())); err != nil {
 		return nil, err
 	}
-	send, err := x.life.Send()
+	send, err := x.send()
 	if err != nil {
 		return nil, err
 	}
 	x.life.Advance(figlife.Prefilling)
-	x.sent.Store(true)
 	begun := x.Clock.Now()
 	result, err := x.Engine.Prefill(ctx, p.Prefill, prompt)
 	if err != nil {
-		send.Fail(err)
+		send.fail(err)
 		return nil, err
 	}
 	send.OK()
@@ -90,7 +91,7 @@
 
 // engineRefusal relays an engine's own error answer: it judged the request, so
 // another engine would answer alike. A server error is tried elsewhere.
-func (x *run) engineRefusal(p *figplace.Placement, send *figlife.Send, a *figsend.Answer) (verdict, error) {
+func (x *run) engineRefusal(p *figplace.Placement, send *sending, a *figsend.Answer) (verdict, error) {
 	send.OK()
 	if a.Status >= 500 {
 		return x.failed(p, p.Decode.Name, errEngine)
--- /dev/null
+++ b/internal/request/figflow/place.go
@@ -0,0 +1,125 @@
+package figflow
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"figtrail.dev/figtrail/internal/limit/figqueue"
+	"figtrail.dev/figtrail/internal/place/figplace"
+	"figtrail.dev/figtrail/internal/request/figlife"
+)
+
+// place waits for the request's turn and for room.
+func (x *run) place(ctx context.Context) (*figplace.Placement, bool) {
+	x.life.Advance(figlife.Queued)
+	var p *figplace.Placement
+	var refused error
+	item := figqueue.Item{
+		Account:  x.accountID(),
+		Weight:   x.weight(),
+		Priority: x.priority(),
+		Tokens:   x.cost(),
+		Bytes:    int64(len(x.Body)),
+		Deadline: x.placeBy(),
+		Place: func(ctx context.Context) figqueue.Verdict {
+			p, refused = x.Place(ctx, x.placeRequest())
+			return placeVerdict(refused)
+		},
+	}
+	if err := x.Queue(x.Pool.ID).Do(ctx, item); err != nil {
+		x.life.End(x.queueCause(err, refused))
+		return nil, false
+	}
+	if !x.life.Hold("placement", p.Release) {
+		return nil, false
+	}
+	return p, x.life.Advance(figlife.Placed)
+}
+
+func (x *run) placeRequest() figplace.Request {
+	r := figplace.Request{
+		ID:       x.ID,
+		Pool:     x.Pool.ID,
+		Arrived:  x.Arrived,
+		Deadline: x.Deadline,
+		Avoid:    x.avoid,
+	}
+	if x.Model != nil {
+		r.Model = x.Model.Name
+		r.PromptTokens = x.Model.PromptTokens
+		r.OutputTokens = x.Model.OutputTokens
+		r.Prefix = x.Model.Prefix
+	}
+	return r
+}
+
+func (x *run) accountID() string {
+	if x.Account == nil {
+		return ""
+	}
+	return x.Account.ID
+}
+
+func (x *run) weight() int64 {
+	if x.Account == nil {
+		return 1
+	}
+	return x.Account.Weight
+}
+
+func (x *run) priority() int {
+	if x.Account == nil {
+		return 0
+	}
+	return x.Account.Priority
+}
+
+// placeBy returns when the request must have been placed: a first token after
+// its target is worth nothing, so that room goes to those that can still meet it.
+func (x *run) placeBy() time.Time {
+	if x.Model == nil || x.Pool.FirstToken <= 0 {
+		return x.Deadline
+	}
+	if by := x.Arrived.Add(x.Pool.FirstToken); by.Before(x.Deadline) {
+		return by
+	}
+	return x.Deadline
+}
+
+func placeVerdict(err error) figqueue.Verdict {
+	var none *figplace.NoServer
+	var full *figplace.NoRoom
+	switch {
+	case err == nil:
+		return figqueue.Placed
+	case errors.As(err, &none), errors.As(err, &full) && full.TooLate:
+		return figqueue.Rejected
+	default:
+		return figqueue.NoRoom
+	}
+}
+
+// queueCause says why the queue refused the request; refused is what the last try
+// to place it ended with. A request that would be too late before its own
+// deadline is refused for want of room.
+func (x *run) queueCause(err, refused error) figlife.Cause {
+	c := figlife.Cause{Reason: figlife.QueueFull, Err: err}
+	var r *figqueue.Refusal
+	if errors.As(err, &r) {
+		c.RetryAfter = r.RetryAfter
+	}
+	var none *figplace.NoServer
+	var full *figplace.NoRoom
+	switch {
+	case errors.As(refused, &none):
+		c.Reason = figlife.NoServer
+		c.Err = refused
+	case !x.Clock.Now().Before(x.Deadline):
+		c.Reason = figlife.Deadline
+	case errors.As(refused, &full):
+		c.RetryAfter = max(c.RetryAfter, full.RetryAfter)
+	}
+	return c
+}
--- a/internal/request/figflow/plain.go
+++ b/internal/request/figflow/plain.go
@@ -14,13 +14,12 @@
 // tryPlain sends the call to a plain service and relays its answer. Any status
 // that the service answers with is an answer.
 func (x *run) tryPlain(ctx context.Context, p *figplace.Placement) (verdict, error) {
-	send, err := x.life.Send()
+	send, err := x.send()
 	if err != nil {
 		x.life.End(figlife.CauseOf(figlife.ServerFailed, err))
 		return ended, err
 	}
 	x.life.Advance(figlife.Decoding)
-	x.sent.Store(true)
 	answer, err := x.Sender.Do(ctx, &figsend.Call{
 		ID:         x.ID,
 		Server:     p.Decode,
@@ -34,10 +33,7 @@
 		MaxAnswer:  x.AnswerLimit,
 	})
 	if err != nil {
-		send.Fail(err)
-		if figsend.RanOf(err) == figsend.NotRun {
-			x.sent.Store(false)
-		}
+		send.fail(err)
 		return x.failed(p, p.Decode.Name, err)
 	}
 	send.OK()
