Test an instance through the fleet that the demo uses

Cause: the fixture of the end-to-end tests stood beside figfleet and did the same. Change: one starter for both; explain's help names the path's form.

--- a/internal/app/figcommand/tree.go
+++ b/internal/app/figcommand/tree.go
@@ -37,10 +37,11 @@
 
 func explainCommand() *cli.Command {
 	return &cli.Command{
-		Name:        "explain",
-		Usage:       "show a value in force and the file that set it",
-		ArgsUsage:   "DIR PATH",
-		Description: "PATH is such as huber/treasury/tokensPerSecond or language/promptLimit.",
+		Name:      "explain",
+		Usage:     "show a value in force and the file that set it",
+		ArgsUsage: "DIR PATH",
+		Description: "PATH is a directory, a section, a name in it and a field, such as\n" +
+			"finance/accounts/treasury/tokensPerSecond, pools/language/promptLimit or finance/limits/burst.",
 		Action: func(_ context.Context, c *cli.Command) error {
 			if err := wantArgs(c, 2); err != nil {
 				return err
--- a/internal/app/figserve/admin_test.go
+++ b/internal/app/figserve/admin_test.go
@@ -1,4 +1,4 @@
-package figserve
+package figserve_test
 
 import (
 	"encoding/json"
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/app/figserve"
 )
 
 func page(t *testing.T, url string) (int, string) {
@@ -33,14 +35,14 @@
 func TestOperatorsPages(t *testing.T) {
 	t.Parallel()
 	f := startFixture(t, 1)
-	base := "http://" + f.instances[0].AdminAddress()
+	base := "http://" + f.Instances[0].AdminAddress()
 	for _, path := range []string{"/healthz", "/readyz"} {
 		code, _ := page(t, base+path)
 		require.Equal(t, http.StatusOK, code, path)
 	}
 	code, text := page(t, base+"/status")
 	require.Equal(t, http.StatusOK, code)
-	var s Status
+	var s figserve.Status
 	require.NoError(t, json.Unmarshal([]byte(text), &s))
 	require.Equal(t, "ready", s.Ready)
 	require.Equal(t, 1, s.Config.Accounts)
@@ -60,8 +62,8 @@
 func TestDataCentreOut(t *testing.T) {
 	t.Parallel()
 	f := startFixture(t, 1)
-	f.platform.Publish("all", strings.Replace(f.declare(false), "name: east", "name: east\n    out: true", 1))
-	base := "http://" + f.instances[0].AdminAddress()
+	f.Platform.Publish("all", strings.Replace(f.declare(false), "name: east", "name: east\n    out: true", 1))
+	base := "http://" + f.Instances[0].AdminAddress()
 	f.eventually(func() bool {
 		code, _ := page(t, base+"/readyz")
 		return code == http.StatusServiceUnavailable
@@ -73,8 +75,8 @@
 func TestBadDocumentStaysOut(t *testing.T) {
 	t.Parallel()
 	f := startFixture(t, 1)
-	f.platform.Publish("all", "accounts:\n  - nome: acme\n")
-	base := "http://" + f.instances[0].AdminAddress()
+	f.Platform.Publish("all", "accounts:\n  - nome: acme\n")
+	base := "http://" + f.Instances[0].AdminAddress()
 	f.eventually(func() bool {
 		_, text := page(t, base+"/status")
 		return containsAll(text, `"Path": "all"`, `"Line": 2`)
--- a/internal/app/figserve/fixture_test.go
+++ b/internal/app/figserve/fixture_test.go
@@ -1,4 +1,4 @@
-package figserve
+package figserve_test
 
 import (
 	"context"
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"figtrail.dev/figtrail/internal/app/figfleet"
+	"figtrail.dev/figtrail/internal/app/figserve"
 	"figtrail.dev/figtrail/internal/limit/figkey"
 	"figtrail.dev/figtrail/internal/stand/figstand"
 )
@@ -21,15 +23,13 @@
 	lookup   = 10 * time.Millisecond
 )
 
-// fixture is a small fleet on loopback.
+// fixture is a small fleet with one prefill, one decode and one plain server, and
+// one client account.
 type fixture struct {
-	t         testing.TB
-	platform  *figstand.Platform
-	prefill   *figstand.Engine
-	decode    *figstand.Engine
-	plain     *figstand.Plain
-	instances []*Instance
-	key       figkey.Made
+	*figfleet.Fleet
+
+	t   testing.TB
+	key figkey.Made
 }
 
 const declarations = `dataCentres:
@@ -70,83 +70,52 @@
         withdrawn: %t
 `
 
+// startFixture starts a fleet and waits until it answers every kind of request.
 func startFixture(t testing.TB, instances int) *fixture {
-	t.Helper()
-	f := newFixture(t, figstand.EngineOptions{
-		Models: []string{"small"}, Pieces: 400, PieceTokens: 2048, Batch: 400,
-		PrefillRate: 1e6, TokenInterval: 2 * time.Millisecond, ResultLife: 800 * time.Millisecond,
-		ReportLag: 50 * time.Millisecond,
+	f := newFixture(t, figfleet.Plan{
+		Engines: []figfleet.EnginePlan{{Pool: "language", Prefill: 1, Decode: 1, Options: figstand.EngineOptions{
+			Models: []string{"small"}, Pieces: 400, PieceTokens: 2048, Batch: 400,
+			PrefillRate: 1e6, TokenInterval: 2 * time.Millisecond, ResultLife: 800 * time.Millisecond,
+			ReportLag: 50 * time.Millisecond,
+		}}},
+		Instances: instances,
+		Settings: func(s *figserve.Settings) {
+			s.DrainNotice = 200 * time.Millisecond
+			s.DrainLimit = patience
+		},
 	})
-	for range instances {
-		f.start()
-	}
-	for _, i := range f.instances {
-		f.eventually(func() bool { return i.Ready() == nil })
-	}
 	f.eventually(func() bool { return f.ask("/ledger/balance") == http.StatusOK })
 	f.eventually(f.answersModel)
 	return f
 }
 
-// newFixture starts the stand-ins without any instance.
-func newFixture(t testing.TB, engine figstand.EngineOptions) *fixture {
+// newFixture starts the plan's fleet with the account and the plain server.
+func newFixture(t testing.TB, p figfleet.Plan) *fixture {
+	t.Helper()
 	key, err := figkey.New()
 	require.NoError(t, err)
 	f := &fixture{t: t, key: key}
-	f.platform, err = figstand.StartPlatform(figstand.PlatformOptions{})
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = f.platform.Close() })
-	f.platform.Publish("all", f.declare(false))
-	f.prefill = f.engine(engine, "p1", "prefill")
-	f.decode = f.engine(engine, "d1", "decode")
-	f.plain, err = figstand.StartPlain(figstand.PlainOptions{Name: "l1", Batch: 64})
+	p.DataCentres = []string{"east"}
+	p.Documents = map[string]string{"all": f.declare(false)}
+	p.Plains = []figfleet.PlainPlan{{Pool: "ledger", Count: 1, Options: figstand.PlainOptions{Batch: 64}}}
+	f.Fleet, err = figfleet.Start(context.Background(), p)
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = f.plain.Close() })
-	f.list("l1", f.plain.Address(), "ledger", "plain")
+	t.Cleanup(func() { require.NoError(t, f.Close()) })
 	return f
 }
 
-func (f *fixture) declare(withdrawn bool) string {
-	return fmt.Sprintf(declarations, f.key.ID, hex.EncodeToString(f.key.Salt), hex.EncodeToString(f.key.Hash), withdrawn)
-}
+func (f *fixture) prefill() *figstand.Engine { return f.Engines[0] }
 
-func (f *fixture) engine(o figstand.EngineOptions, name, role string) *figstand.Engine {
-	o.Name, o.Role = name, role
-	e, err := figstand.StartEngine(o)
-	require.NoError(f.t, err)
-	f.t.Cleanup(func() { _ = e.Close() })
-	f.list(name, e.Address(), "language", role)
-	return e
-}
+func (f *fixture) decode() *figstand.Engine { return f.Engines[1] }
 
-func (f *fixture) list(name, address, pool, role string) {
-	f.platform.SetServer(figstand.ServerRow{
-		Name: name, Address: address, DataCentre: "east", Pool: pool, Role: role, State: "live",
-		StartedAt: time.Now().Format(time.RFC3339Nano),
-	})
+// lastDecode returns what the decode server knows of its latest request.
+func (f *fixture) lastDecode() figstand.Run {
+	all := f.decode().Runs()
+	return all[len(all)-1]
 }
 
-// start runs one more instance and lists it.
-func (f *fixture) start() *Instance {
-	s := Defaults()
-	s.Name = fmt.Sprintf("i%d", len(f.instances)+1)
-	s.DataCentre = "east"
-	s.Listen, s.PeerListen, s.AdminListen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
-	s.Platform = f.platform.Address()
-	s.DrainNotice = 200 * time.Millisecond
-	s.DrainLimit = patience
-	i, err := New(s)
-	require.NoError(f.t, err)
-	f.platform.SetInstance(figstand.InstanceRow{Name: s.Name, Address: i.PeerAddress(), DataCentre: "east", State: "live"})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- i.Run(ctx) }()
-	f.t.Cleanup(func() {
-		cancel()
-		require.NoError(f.t, <-done)
-	})
-	f.instances = append(f.instances, i)
-	return i
+func (f *fixture) declare(withdrawn bool) string {
+	return fmt.Sprintf(declarations, f.key.ID, hex.EncodeToString(f.key.Salt), hex.EncodeToString(f.key.Hash), withdrawn)
 }
 
 func (f *fixture) eventually(ok func() bool) {
@@ -158,28 +127,26 @@
 // just started grants nothing to servers in a cold start.
 func (f *fixture) answersModel() bool {
 	body := `{"model":"small","max_tokens":1,"messages":[{"role":"user","content":"ready"}]}`
-	q, err := http.NewRequest(http.MethodPost, "http://"+f.instances[0].CallerAddress()+"/v1/chat/completions", strings.NewReader(body))
+	q, err := http.NewRequest(http.MethodPost, "http://"+f.Callers()[0]+"/v1/chat/completions", strings.NewReader(body))
 	require.NoError(f.t, err)
-	q.Header.Set("X-Api-Key", f.key.Text)
-	a, err := http.DefaultClient.Do(q)
-	if err != nil {
-		return false
-	}
-	_ = a.Body.Close()
-	return a.StatusCode == http.StatusOK
+	return status(q, f.key.Text) == http.StatusOK
 }
 
 // ask sends a plain call to the first instance and returns the status.
 func (f *fixture) ask(path string) int {
-	return get("http://"+f.instances[0].CallerAddress()+path, f.key.Text)
+	return get("http://"+f.Callers()[0]+path, f.key.Text)
 }
 
-// get returns the status of a page.
+// get returns the status of a page, and 0 if there is no answer.
 func get(url, key string) int {
 	q, err := http.NewRequest(http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return 0
 	}
+	return status(q, key)
+}
+
+func status(q *http.Request, key string) int {
 	q.Header.Set("X-Api-Key", key)
 	a, err := http.DefaultClient.Do(q)
 	if err != nil {
--- a/internal/app/figserve/serve_test.go
+++ b/internal/app/figserve/serve_test.go
@@ -1,4 +1,4 @@
-package figserve
+package figserve_test
 
 import (
 	"bufio"
@@ -23,7 +23,7 @@
 
 func (f *fixture) client() openai.Client {
 	return openai.NewClient(
-		option.WithBaseURL("http://"+f.instances[0].CallerAddress()+"/v1"),
+		option.WithBaseURL("http://"+f.Callers()[0]+"/v1"),
 		option.WithAPIKey(f.key.Text),
 		option.WithMaxRetries(0),
 	)
@@ -71,16 +71,16 @@
 	require.NoError(t, err)
 	require.Equal(t, "small", models.Data[0].ID)
 
-	require.False(t, f.prefill.Saw(f.key.Text))
-	require.False(t, f.decode.Saw(f.key.Text))
-	f.eventually(func() bool { return f.prefill.Held() == 0 && f.decode.Held() == 0 })
+	require.False(t, f.prefill().Saw(f.key.Text))
+	require.False(t, f.decode().Saw(f.key.Text))
+	f.eventually(func() bool { return f.Held() == 0 })
 }
 
 // Every refusal must say that nothing ran, and why.
 func TestRefusals(t *testing.T) {
 	t.Parallel()
 	f := startFixture(t, 1)
-	before := f.prefill.Requests()
+	before := f.prefill().Requests()
 	long := `{"model":"small","messages":[{"role":"user","content":"` + strings.Repeat("word ", 6000) + `"}]}`
 	for _, c := range []struct {
 		name, method, path, key, body string
@@ -102,7 +102,7 @@
 		{"method not declared", "GET", "/ledger/refund", f.key.Text, "", 400, "badRequest"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			q, err := http.NewRequest(c.method, "http://"+f.instances[0].CallerAddress()+c.path, strings.NewReader(c.body))
+			q, err := http.NewRequest(c.method, "http://"+f.Callers()[0]+c.path, strings.NewReader(c.body))
 			require.NoError(t, err)
 			if c.key != "" {
 				q.Header.Set("X-Api-Key", c.key)
@@ -118,14 +118,14 @@
 			require.Equal(t, a.Header.Get("X-Request-Id"), gjson.GetBytes(body, "error.requestId").Str)
 		})
 	}
-	require.Equal(t, before, f.prefill.Requests())
+	require.Equal(t, before, f.prefill().Requests())
 }
 
 // An open route needs no key; a body over the limit is refused with 413.
 func TestOpenRouteAndBodyLimit(t *testing.T) {
 	t.Parallel()
 	f := startFixture(t, 1)
-	base := "http://" + f.instances[0].CallerAddress()
+	base := "http://" + f.Callers()[0]
 	a, err := http.Get(base + "/open/hours")
 	require.NoError(t, err)
 	require.NoError(t, a.Body.Close())
@@ -148,19 +148,19 @@
 	c := f.client()
 	stream := c.Chat.Completions.NewStreaming(ctx, chat(500))
 	require.True(t, stream.Next())
-	f.platform.Publish("all", f.declare(true))
+	f.Platform.Publish("all", f.declare(true))
 	for stream.Next() {
 	}
 	require.Error(t, stream.Err())
 	require.NoError(t, ctx.Err())
-	f.eventually(func() bool { return f.decode.Held() == 0 })
+	f.eventually(func() bool { return f.decode().Held() == 0 })
 }
 
 // A cut stream must reach the caller as an error, never as a clean end.
 func TestCutStreamIsAnError(t *testing.T) {
 	t.Parallel()
 	f := startFixture(t, 1)
-	f.decode.Faults.Set(figstand.Fault{Kind: figstand.Cut, Count: 1})
+	f.decode().Faults.Set(figstand.Fault{Kind: figstand.Cut, Count: 1})
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	c := f.client()
@@ -181,17 +181,17 @@
 	c := f.client()
 	stream := c.Chat.Completions.NewStreaming(ctx, chat(500))
 	require.True(t, stream.Next())
-	require.Positive(t, f.decode.Held())
+	require.Positive(t, f.decode().Held())
 	cancel()
-	f.eventually(func() bool { return f.decode.Held() == 0 })
-	require.Less(t, f.decode.Runs()[len(f.decode.Runs())-1].Tokens, 500)
+	f.eventually(func() bool { return f.decode().Held() == 0 })
+	require.Less(t, f.lastDecode().Tokens, 500)
 }
 
 // A draining instance must end its streams and take no new request.
 func TestDrainCutsNothing(t *testing.T) {
 	t.Parallel()
 	f := startFixture(t, 2)
-	i := f.instances[0]
+	i := f.Instances[0]
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	body := `{"model":"small","stream":true,"max_tokens":400,"messages":[{"role":"user","content":"` + prompt + `"}]}`
@@ -209,7 +209,7 @@
 		i.Drain(ctx)
 	}()
 	f.eventually(func() bool { return i.Ready() != nil })
-	f.platform.SetInstance(figstand.InstanceRow{Name: i.Name, Address: i.PeerAddress(), DataCentre: "east", State: "leaving"})
+	f.List(i, "leaving")
 	events, done := 0, false
 	lines := bufio.NewScanner(a.Body)
 	for lines.Scan() {
@@ -231,8 +231,8 @@
 func BenchmarkOverhead(b *testing.B) {
 	f := startFixture(b, 1)
 	for _, c := range []struct{ name, address string }{
-		{"direct", f.plain.Address()},
-		{"routed", f.instances[0].CallerAddress()},
+		{"direct", f.Plains[0].Address()},
+		{"routed", f.Callers()[0]},
 	} {
 		b.Run(c.name, func(b *testing.B) {
 			b.ReportAllocs()
