Bound the shape of a document, so that none holds up the others

A text of 100,000 brackets took more than 8 s to parse (10,000 took 0.26 s: the cost is quadratic), and values are taken in one after the other. Size, lines, indentation, brackets and reported faults are bounded.

--- a/internal/config/figtree/parse.go
+++ b/internal/config/figtree/parse.go
@@ -13,13 +13,20 @@
 	"github.com/goccy/go-yaml"
 )
 
-// saltBytes is the least length of a key's salt.
-const saltBytes = 8
+const (
+	// saltBytes is the least length of a key's salt.
+	saltBytes = 8
+	// maxFaults bounds the faults that are reported of one document.
+	maxFaults = 50
+)
 
 // Parse reads one document. If it returns faults, the document is nil: nothing
 // of it may come into force. It checks all that can be seen without the other
 // documents; the Builder checks the rest.
 func Parse(docPath string, text []byte) (*Document, []Fault) {
+	if line, reason := checkShape(text); reason != "" {
+		return nil, []Fault{{Path: docPath, Line: line, Reason: reason}}
+	}
 	d := &Document{}
 	if err := decode(text, d); err != nil {
 		return nil, []Fault{yamlFault(docPath, err)}
@@ -94,6 +101,9 @@
 }
 
 func (c *checker) fault(line int32, reason string) {
+	if len(c.faults) == maxFaults {
+		return
+	}
 	c.faults = append(c.faults, Fault{Path: c.doc.Path, Line: int(line), Reason: reason})
 }
 
--- a/internal/config/figtree/parse_test.go
+++ b/internal/config/figtree/parse_test.go
@@ -1,6 +1,7 @@
 package figtree
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -34,6 +35,10 @@
 		{"empty key", "a", "accounts:\n  - name: x\n    keys: [null]\n", 2, "key of account x is empty"},
 		{"two documents", "a", "accounts: []\n---\naccounts: []\n", 0, "more than one document"},
 		{"section twice", "a", "accounts: []\naccounts: []\n", 2, "already defined"},
+		{"long line", "a", "\n# " + strings.Repeat("x", maxLineBytes), 2, "longer than 4096"},
+		{"long text", "a", strings.Repeat("# x\n", maxTextBytes/4+1), 0, "longer than 1048576"},
+		{"far indent", "a", strings.Repeat("- ", maxIndent), 1, "indented too far"},
+		{"deep brackets", "a", strings.Repeat("a: [\n", maxBrackets+1), maxBrackets + 1, "nested too deeply"},
 		{"subtree", "a", "subtrees:\n  ../b:\n    burst: 1\n", 0, "not a path"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -48,6 +53,11 @@
 	}
 }
 
+func TestFaultsAreBounded(t *testing.T) {
+	_, faults := Parse("a", []byte("accounts:\n"+strings.Repeat("  - {}\n", 3*maxFaults)))
+	require.Len(t, faults, maxFaults)
+}
+
 func TestParseEmpty(t *testing.T) {
 	d, faults := Parse("a/b", nil)
 	require.Empty(t, faults)
