--- a/internal/fleet/figpeer/peer_test.go
+++ b/internal/fleet/figpeer/peer_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -16,7 +18,7 @@
 	Text string `cbor:"1,keyasint"`
 }
 
-func serve(t *testing.T) figview.Member {
+func serve(t testing.TB) figview.Member {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -70,3 +72,25 @@
 	_, err = Call[ask, ask](context.Background(), c, m, "echo", &ask{Text: "a"})
 	require.NoError(t, err)
 }
+
+// cpuTime returns the processor time that this process has used.
+func cpuTime(t testing.TB) time.Duration {
+	var u syscall.Rusage
+	require.NoError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkCall gives the processor time of one call, of both sides together.
+func BenchmarkCall(b *testing.B) {
+	m := serve(b)
+	c := NewClient(ClientOptions{})
+	b.Cleanup(func() { require.NoError(b, c.Close()) })
+	q := &ask{Text: strings.Repeat("a", 100)}
+	b.ReportAllocs()
+	begun := cpuTime(b)
+	for b.Loop() {
+		_, err := Call[ask, ask](context.Background(), c, m, "echo", q)
+		require.NoError(b, err)
+	}
+	b.ReportMetric(float64((cpuTime(b)-begun).Microseconds())/float64(b.N), "cpu-µs/op")
+}
