Grant key IDs by prefix, so that no team takes another's

Key IDs are one space for all teams, and of two accounts that declare one ID the lower account ID held it: a team could break or take another's key by a name that sorts first. keyPrefixes of limits and subtrees bound what IDs a directory may declare; both examples set them, which moved one line that TestExplain looks for.

--- a/internal/config/figtree/builder.go
+++ b/internal/config/figtree/builder.go
@@ -142,6 +142,15 @@
 	for dir, ids := range b.accountsIn {
 		if below(dir, at) {
 			maps.Copy(b.dirtyAccounts, ids)
+			b.touchKeysOf(ids)
+		}
+	}
+}
+
+func (b *Builder) touchKeysOf(ids map[string]struct{}) {
+	for id := range ids {
+		for _, a := range b.accounts[id] {
+			b.touchKeys(a)
 		}
 	}
 }
@@ -211,7 +220,7 @@
 // with the lower ID holds it.
 func (b *Builder) buildKey(e *shardEdit[*Key], id string) {
 	delete(b.keyFaults, id)
-	specs := b.keys[id]
+	specs := b.grantedKeys(id)
 	if len(specs) == 0 {
 		e.remove(id)
 		return
@@ -221,10 +230,7 @@
 	})
 	for _, other := range specs {
 		if other != k {
-			b.keyFaults[id] = append(b.keyFaults[id], Fault{
-				Path: other.account.doc.Path, Line: int(other.ID.Line),
-				Reason: "key " + id + " is declared by account " + k.account.id + " too, which holds",
-			})
+			b.keyFault(other, "is declared by account "+k.account.id+" too, which holds")
 		}
 	}
 	made := &Key{ID: id, Account: k.account.id, Salt: k.salt, Hash: k.hash, Withdrawn: k.Withdrawn.Value}
@@ -233,6 +239,26 @@
 	}
 }
 
+// grantedKeys returns the declarations of a key by accounts that may have it.
+func (b *Builder) grantedKeys(id string) []*KeySpec {
+	granted := make([]*KeySpec, 0, len(b.keys[id]))
+	for _, k := range b.keys[id] {
+		if b.limitsFor(k.account.doc.Dir).keyGranted(id) {
+			granted = append(granted, k)
+			continue
+		}
+		b.keyFault(k, "is not granted to this directory")
+	}
+	return granted
+}
+
+func (b *Builder) keyFault(k *KeySpec, reason string) {
+	id := k.ID.Value
+	b.keyFaults[id] = append(b.keyFaults[id], Fault{
+		Path: k.account.doc.Path, Line: int(k.ID.Line), Reason: "key " + id + " " + reason,
+	})
+}
+
 func compareSpecs(x, y *AccountSpec) int { return strings.Compare(x.doc.Path, y.doc.Path) }
 
 func sameKey(a, b *Key) bool {
--- a/internal/config/figtree/builder_test.go
+++ b/internal/config/figtree/builder_test.go
@@ -118,6 +118,23 @@
 	require.Len(t, faults, 3)
 }
 
+func TestKeysNeedGrants(t *testing.T) {
+	docs := map[string]string{
+		"pools": "pools: [{name: a}]\n",
+		"top":   "subtrees: {t: {keyPrefixes: [t-, u-]}, u: {keyPrefixes: [k]}}\n",
+		"t/top": "limits: {keyPrefixes: [k, t-]}\n",
+		"t/x":   "accounts: [{name: n, tokensPerSecond: 1, pools: [a], keys: [" + goodKey + "]}]\n",
+		"u/x":   "accounts: [{name: n, tokensPerSecond: 1, pools: [a], keys: [" + goodKey + "]}]\n",
+	}
+	tree, faults := build(t, docs)
+	k, ok := tree.Key("k1")
+	require.True(t, ok)
+	require.Equal(t, "u/n", k.Account)
+	require.Len(t, faults, 1)
+	require.Equal(t, "t/x", faults[0].Path)
+	require.Contains(t, faults[0].Reason, "key k1 is not granted")
+}
+
 func TestDeclaredTwice(t *testing.T) {
 	tree, faults := build(t, map[string]string{
 		"pools": "pools: [{name: a}]\n",
@@ -154,7 +171,8 @@
 	number := func(name string) int { return rapid.IntRange(1, 9).Draw(t, name) }
 	text := ""
 	if rapid.Bool().Draw(t, "limits") {
-		text += fmt.Sprintf("limits: {tokensPerSecond: %d, pools: [p%d, p1]}\n", number("limit"), number("pool"))
+		text += fmt.Sprintf("limits: {tokensPerSecond: %d, pools: [p%d, p1], keyPrefixes: [k1, k%d]}\n",
+			number("limit"), number("pool"), number("key")%4)
 	}
 	if path == "top" && rapid.Bool().Draw(t, "subtrees") {
 		text += fmt.Sprintf("subtrees: {t: {burst: %d, routePrefixes: [/%d]}}\n", number("burst"), number("prefix"))
--- a/internal/config/figtree/document.go
+++ b/internal/config/figtree/document.go
@@ -76,6 +76,7 @@
 	Priority        Field[int64]    `yaml:"priority"`
 	Pools           Field[[]string] `yaml:"pools"`
 	RoutePrefixes   Field[[]string] `yaml:"routePrefixes"`
+	KeyPrefixes     Field[[]string] `yaml:"keyPrefixes"`
 }
 
 // DataCentreSpec declares a data centre.
--- a/internal/config/figtree/explain.go
+++ b/internal/config/figtree/explain.go
@@ -85,6 +85,7 @@
 	}
 	granted("pools", l.pools)
 	granted("routePrefixes", l.prefixes)
+	granted("keyPrefixes", l.keyPrefixes)
 }
 
 func (b *Builder) explainAccount(id string, note noteFunc) {
--- a/internal/config/figtree/limits.go
+++ b/internal/config/figtree/limits.go
@@ -43,7 +43,7 @@
 type limits struct {
 	tokensPerSecond, burst, promptLimit, outputLimit, priority bound
 
-	pools, prefixes []grant
+	pools, prefixes, keyPrefixes []grant
 }
 
 // limitNode is one declaration of limits for a directory.
@@ -104,6 +104,9 @@
 	if f := s.RoutePrefixes; f.Declared() {
 		l.prefixes = append(slices.Clip(l.prefixes), grant{origin{doc, f.Line}, n.at, f.Value})
 	}
+	if f := s.KeyPrefixes; f.Declared() {
+		l.keyPrefixes = append(slices.Clip(l.keyPrefixes), grant{origin{doc, f.Line}, n.at, f.Value})
+	}
 	return faults
 }
 
@@ -140,6 +143,18 @@
 	return true
 }
 
+// keyGranted says whether all grants allow a key ID, so that no team can take
+// the ID of another team's key.
+func (l *limits) keyGranted(id string) bool {
+	for _, g := range l.keyPrefixes {
+		starts := func(p string) bool { return strings.HasPrefix(id, p) }
+		if !slices.ContainsFunc(g.list, starts) {
+			return false
+		}
+	}
+	return true
+}
+
 // limitsFor returns the limits in force for a directory.
 func (b *Builder) limitsFor(dir string) *limits {
 	if l, ok := b.limits[dir]; ok {
--- a/internal/config/figtree/load_test.go
+++ b/internal/config/figtree/load_test.go
@@ -65,7 +65,7 @@
 		{"huber", "pools/language/promptLimit", "32000", "pools.yaml", 6},
 		{"huber", "routes/ledger/refunds/idempotent", "false", "(default)", 0},
 		{"huber", "routes/ledger/balances/idempotent", "true", "routes.yaml", 6},
-		{"huber", "venues/limits/burst", "90000", "teams.yaml", 10},
+		{"huber", "venues/limits/burst", "90000", "teams.yaml", 11},
 		{"huber", "dataCentres/munich/region", "bavaria", "dataCentres.yaml", 4},
 		{"broken", "venues/accounts/cashiers/tokensPerSecond", "1000", "teams.yaml", 3},
 		{"broken", "venues/accounts/cashiers/pools", "[language]", "venues/accounts.yaml", 4},
