--- a/internal/limit/figbudget/scale_test.go
+++ b/internal/limit/figbudget/scale_test.go
@@ -35,6 +35,7 @@
 	ledgers []*ledger
 	byName  map[string]*ledger
 	names   []string
+	limits  map[string]Limits
 	load    *rand.Zipf
 	settles []func()
 
@@ -45,6 +46,7 @@
 	c := &crowd{random: rand.New(rand.NewPCG(5, 5)), now: time.Unix(1e6, 0), byName: map[string]*ledger{}}
 	c.load = rand.NewZipf(c.random, zipfPower, zipfOffset, uint64(accounts-1))
 	limits := map[string]Limits{}
+	c.limits = limits
 	sum := 0.0
 	for i := range accounts {
 		sum += popularity(i)
@@ -163,6 +165,7 @@
 func BenchmarkAdmission(b *testing.B) {
 	for _, members := range []int{9, 45, 480} {
 		c := newCrowd(members, 1000)
+		c.limits[c.names[0]] = Limits{TokensPerSecond: 1 << 32, Burst: 1 << 34}
 		for _, name := range []string{"holder", "lessee"} {
 			b.Run(fmt.Sprintf("members=%d/%s", members, name), func(b *testing.B) {
 				g := c.pick(c.names[0], name == "holder")
