Warm a cold stand-in by the work that it has finished

Cause: a start that ends by the clock asks of the router what it can't know; a caller's cut request counted as work done; a stand-in that ignores closed connections ended at the first failed write; an unused allowance was counted as wrongful at every refusal. Change: the ramp bears as much more as was finished, IgnoreClose writes on, KV sizes of a usual engine, a refusal inside the rate uses up what it counted.

--- a/internal/stand/figload/call.go
+++ b/internal/stand/figload/call.go
@@ -48,8 +48,10 @@
 	return c.client.Do(q)
 }
 
-// refused counts an answer other than 200 and returns what its caller knows.
-func (c *caller) refused(r *http.Response, inside bool) Outcome {
+// refused counts an answer other than 200 and returns what its caller knows. A
+// refusal inside the rate uses up what it should have had, so that the same
+// unused tokens don't make further refusals wrongful.
+func (c *caller) refused(r *http.Response, inside bool, settle func(int64)) Outcome {
 	f := readRefusal(r)
 	denied := r.StatusCode == http.StatusUnauthorized || r.StatusCode == http.StatusForbidden
 	label := fmt.Sprintf("%d %s", r.StatusCode, f.label())
@@ -57,9 +59,13 @@
 		c.result.failed(label)
 		return Unknown
 	}
+	wrongful := inside && !denied
+	if !wrongful {
+		settle(0)
+	}
 	c.result.change(func(r *AccountReport) {
 		r.Refused[label]++
-		if inside && !denied {
+		if wrongful {
 			r.RefusedInside++
 		}
 	})
@@ -98,11 +104,7 @@
 	}
 	defer func() { _ = r.Body.Close() }()
 	if r.StatusCode != http.StatusOK {
-		outcome := c.refused(r, inside)
-		if outcome == NotRun {
-			settle(0)
-		}
-		return outcome
+		return c.refused(r, inside, settle)
 	}
 	b, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/internal/stand/figload/doc.go
+++ b/internal/stand/figload/doc.go
@@ -19,5 +19,6 @@
 //
 // Arrivals are random with the given seed, independent for each account. A
 // request counts as refused inside its rate if a token bucket on the caller's
-// side, with the same rate, burst and charge, would have admitted it.
+// side, with the same rate, burst and charge, would have admitted it. What is
+// counted so is taken from that bucket, so that unused tokens are counted once.
 package figload
--- a/internal/stand/figload/stream.go
+++ b/internal/stand/figload/stream.go
@@ -106,9 +106,7 @@
 	}
 	defer func() { _ = r.Body.Close() }()
 	if r.StatusCode != http.StatusOK {
-		if c.refused(r, inside) == NotRun {
-			settle(0)
-		}
+		c.refused(r, inside, settle)
 		return
 	}
 	s := &streamed{start: start}
--- a/internal/stand/figstand/engine.go
+++ b/internal/stand/figstand/engine.go
@@ -49,9 +49,9 @@
 	ReportLag time.Duration
 	// ChecksFence makes orders with an old fencing number fail.
 	ChecksFence bool
-	// ColdStart is the length of the cold start, ColdTokens the tokens in progress
-	// that it bears at first. A warm engine bears all that fits into its memory.
-	ColdStart  time.Duration
+	// Cold lets it begin with a cold start, ColdTokens is the tokens in progress
+	// that it bears at first.
+	Cold       bool
 	ColdTokens int
 	// CacheBlocks is the size of the prefix cache, BlockBytes that of a block.
 	CacheBlocks, BlockBytes int
@@ -65,8 +65,8 @@
 	o.PrefillRate = cmp.Or(o.PrefillRate, 200_000)
 	o.TokenInterval = cmp.Or(o.TokenInterval, 2*time.Millisecond)
 	o.ResultLife = cmp.Or(o.ResultLife, 800*time.Millisecond)
-	o.LinkRate = cmp.Or(o.LinkRate, 2e9)
-	o.TokenBytes = cmp.Or(o.TokenBytes, 2048)
+	o.LinkRate = cmp.Or(o.LinkRate, 50e9)
+	o.TokenBytes = cmp.Or(o.TokenBytes, 128<<10)
 	o.ReportLag = cmp.Or(o.ReportLag, 100*time.Millisecond)
 	o.ColdTokens = cmp.Or(o.ColdTokens, 2*o.PieceTokens)
 	o.CacheBlocks = cmp.Or(o.CacheBlocks, 4096)
@@ -101,14 +101,16 @@
 // running is a request that an engine works on.
 type running struct {
 	pieces, tokens int
-	cancel         context.CancelCauseFunc
+	// keepsOn requests don't end when their caller has gone.
+	keepsOn bool
+	cancel  context.CancelCauseFunc
 }
 
 // StartEngine starts an engine.
 func StartEngine(opts EngineOptions) (*Engine, error) {
 	opts = opts.withDefaults()
 	e := &Engine{
-		ramp:    newRamp(opts.ColdStart, opts.ColdTokens, opts.Pieces*opts.PieceTokens, opts.Batch),
+		ramp:    newRamp(opts.Cold, opts.ColdTokens, opts.Batch),
 		memory:  newMemory(opts.Pieces),
 		opts:    opts,
 		timer:   figtimer.New(figtimer.System()),
@@ -197,26 +199,28 @@
 		writeError(w, http.StatusTooManyRequests, "busy", "the batch is full")
 		return
 	}
-	defer e.leave(work)
+	done := false
+	defer func() { e.leave(work, done) }()
 	if e.opts.Role == "prefill" {
-		e.prefill(w, r, c)
+		done = e.prefill(w, r, c)
 		return
 	}
-	e.decode(w, r, c)
+	done = e.decode(w, r, c)
 }
 
 // start registers a run and returns its context. The caller defers the returned end.
-func (e *Engine) start(r *http.Request, id string, pieces int) (context.Context, func()) {
+func (e *Engine) start(r *http.Request, id string, pieces int) (ctx context.Context, run *running, end func()) {
 	parent := r.Context()
-	if _, ok := e.Faults.take(IgnoreClose); ok {
+	_, keepsOn := e.Faults.take(IgnoreClose)
+	if keepsOn {
 		parent = context.WithoutCancel(parent)
 	}
 	ctx, cancel := context.WithCancelCause(parent)
-	run := &running{pieces: pieces, cancel: cancel}
+	run = &running{pieces: pieces, keepsOn: keepsOn, cancel: cancel}
 	e.active.Lock()
 	e.running[id] = run
 	e.active.Unlock()
-	return ctx, func() {
+	return ctx, run, func() {
 		cancel(nil)
 		e.active.Lock()
 		if e.running[id] == run {
--- a/internal/stand/figstand/engine_decode.go
+++ b/internal/stand/figstand/engine_decode.go
@@ -8,24 +8,25 @@
 	"strings"
 )
 
-// decode generates the answer to a request, as a stream or in one piece.
-func (e *Engine) decode(w http.ResponseWriter, r *http.Request, c *completion) {
+// decode generates the answer to a request, as a stream or in one piece. It
+// returns false if the answer is not whole.
+func (e *Engine) decode(w http.ResponseWriter, r *http.Request, c *completion) bool {
 	pieces := e.pieces(CountTokens(c.text) + c.output())
 	if !e.take(c.id, pieces) {
 		writeError(w, http.StatusTooManyRequests, "busy", "no engine memory is free")
-		return
+		return false
 	}
 	defer e.release(c.id, pieces)
-	ctx, end := e.start(r, c.id, pieces)
+	ctx, run, end := e.start(r, c.id, pieces)
 	defer end()
 	if !e.receive(ctx, w, c) {
-		return
+		return false
 	}
 	e.note(c.id, func(n *Run) { n.Decodes++ })
 	if e.misbehaveBeforeAnswer(ctx, w) {
-		return
+		return false
 	}
-	s := &stream{Engine: e, completion: c, answered: c.id, answer: c.text}
+	s := &stream{Engine: e, completion: c, keepsOn: run.keepsOn, answered: c.id, answer: c.text}
 	if _, ok := e.Faults.take(Crossed); ok {
 		s.answered, s.answer = otherID(c.id), "crossed "+c.text
 	}
@@ -34,6 +35,7 @@
 		abort()
 	}
 	e.note(c.id, func(n *Run) { n.Finished++ })
+	return true
 }
 
 // receive gets the KV cache of the prompt, from a prefill engine or by computing
@@ -64,6 +66,8 @@
 	// answered is the request id that the answer bears, answer the prompt that it
 	// is made from; both are another request's in a crossed answer.
 	answered, answer string
+	// keepsOn streams go on when they can't be written.
+	keepsOn bool
 }
 
 func (s *stream) run(ctx context.Context, w http.ResponseWriter) error {
@@ -121,10 +125,14 @@
 	if err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(w, "data: %s\n\n", b); err != nil {
-		return err
+	_, err = fmt.Fprintf(w, "data: %s\n\n", b)
+	if err == nil {
+		err = http.NewResponseController(w).Flush()
+	}
+	if s.keepsOn {
+		return nil
 	}
-	return http.NewResponseController(w).Flush()
+	return err
 }
 
 // generated counts a token that was made for the request called id.
--- a/internal/stand/figstand/engine_prefill.go
+++ b/internal/stand/figstand/engine_prefill.go
@@ -19,13 +19,13 @@
 	pulled bool
 }
 
-// prefill computes the KV cache of a prompt and keeps it for the result's life.
-func (e *Engine) prefill(w http.ResponseWriter, r *http.Request, c *completion) {
+// prefill computes the KV cache of a prompt and keeps it for the result's life. It returns false if there was none.
+func (e *Engine) prefill(w http.ResponseWriter, r *http.Request, c *completion) bool {
 	tokens := CountTokens(c.text)
 	pieces := e.pieces(tokens)
 	if !e.take(c.id, pieces) {
 		writeError(w, http.StatusTooManyRequests, "busy", "no engine memory is free")
-		return
+		return false
 	}
 	kept := false
 	defer func() {
@@ -33,20 +33,20 @@
 			e.release(c.id, pieces)
 		}
 	}()
-	ctx, end := e.start(r, c.id, pieces)
+	ctx, _, end := e.start(r, c.id, pieces)
 	defer end()
 	e.note(c.id, func(n *Run) { n.Prefills++ })
 	if e.computePrompt(ctx, c.text, tokens) != nil {
 		e.note(c.id, func(n *Run) { n.Cancelled++ })
 		dropConnection(w)
-		return
+		return false
 	}
 	if e.misbehaveBeforeAnswer(ctx, w) {
-		return
+		return false
 	}
 	if _, ok := e.Faults.take(Stall); ok {
 		<-ctx.Done()
-		return
+		return false
 	}
 	answered := c.id
 	if _, ok := e.Faults.take(Crossed); ok {
@@ -56,6 +56,7 @@
 	params := e.keepResult(c.id, c.text, pieces, tokens)
 	e.note(c.id, func(n *Run) { n.Finished++ })
 	writeJSON(w, http.StatusOK, answerWhole(c, answered, AnswerToken(c.text, 0), 1, &params))
+	return true
 }
 
 // computePrompt waits for the engine and for the time that the prompt takes,
--- a/internal/stand/figstand/engine_test.go
+++ b/internal/stand/figstand/engine_test.go
@@ -194,17 +194,23 @@
 }
 
 func TestColdStartViolations(t *testing.T) {
-	r := newRamp(time.Hour, 100, 1000, 3)
+	r := newRamp(true, 100, 3)
 	require.True(t, r.enter(200))
-	require.Zero(t, r.Violations())
+	require.Zero(t, r.Violations(), "one request alone is borne")
 	require.True(t, r.enter(1))
 	require.Equal(t, 1, r.Violations())
 	require.Equal(t, 10*time.Second, r.slowed(time.Second))
-	r.leave(200)
+	r.leave(200, true)
 	require.Equal(t, time.Second, r.slowed(time.Second))
+	require.True(t, r.enter(299))
+	require.Equal(t, 1, r.Violations())
 	require.True(t, r.enter(1))
-	require.True(t, r.enter(1))
+	require.Equal(t, 2, r.Violations())
 	require.False(t, r.enter(1))
+	r.leave(299, false)
+	require.False(t, r.buckles())
+	require.True(t, r.enter(400))
+	require.Equal(t, 3, r.Violations(), "what was not done warms nothing")
 }
 
 func TestPrefixCache(t *testing.T) {
--- a/internal/stand/figstand/plain.go
+++ b/internal/stand/figstand/plain.go
@@ -24,8 +24,8 @@
 	Batch int
 	// ReportLag is the age of the state that /load reports.
 	ReportLag time.Duration
-	// ColdStart is the length of the cold start, ColdCalls what it bears at first.
-	ColdStart time.Duration
+	// Cold lets it begin with a cold start, ColdCalls is what it bears at first.
+	Cold      bool
 	ColdCalls int
 }
 
@@ -59,7 +59,7 @@
 func StartPlain(opts PlainOptions) (*Plain, error) {
 	opts = opts.withDefaults()
 	p := &Plain{
-		ramp:    newRamp(opts.ColdStart, opts.ColdCalls, opts.Batch, opts.Batch),
+		ramp:    newRamp(opts.Cold, opts.ColdCalls, opts.Batch),
 		opts:    opts,
 		timer:   figtimer.New(figtimer.System()),
 		running: map[string]int{},
@@ -117,7 +117,7 @@
 		writeError(w, http.StatusTooManyRequests, "busy", "too many calls run")
 		return
 	}
-	defer p.leave(1)
+	defer p.leave(1, true)
 	id := r.Header.Get("X-Request-Id")
 	p.track(id, 1)
 	defer p.track(id, -1)
--- a/internal/stand/figstand/ramp.go
+++ b/internal/stand/figstand/ramp.go
@@ -11,37 +11,30 @@
 // warmAge is the age that a server without a cold start reports.
 const warmAge = time.Hour
 
-// ramp is the cold start of a backend server: the work in progress that it can
-// bear grows linearly from cold to warm. Work is counted in tokens on an engine
-// and in calls on a plain service; one request alone can always be borne.
+// ramp is the cold start of a backend server. It bears a little work in progress
+// at first, and as much more as it has finished, as caches and compiled code warm
+// up by use. Work is counted in tokens on an engine and in calls on a plain
+// service; one request alone can always be borne.
 type ramp struct {
 	mu         sync.Mutex
 	startedAt  time.Time
-	began      time.Time
-	length     time.Duration
-	cold, warm int
+	isCold     bool
+	first      int
 	batch      int
 	running    int
 	work       int
+	finished   int
 	violations int
 }
 
-func newRamp(length time.Duration, cold, warm, batch int) *ramp {
-	now := time.Now()
-	started := now
-	if length == 0 {
-		started = now.Add(-warmAge)
+// newRamp returns the ramp of a server that bears first at the start of a cold
+// start, and any work when warm. A warm server reports a start long ago.
+func newRamp(isCold bool, first, batch int) *ramp {
+	started := time.Now()
+	if !isCold {
+		started = started.Add(-warmAge)
 	}
-	return &ramp{startedAt: started, began: now, length: length, cold: cold, warm: warm, batch: batch}
-}
-
-// bearable returns the work in progress that the server can bear at now.
-func (r *ramp) bearable(now time.Time) int {
-	passed := now.Sub(r.began)
-	if r.length <= 0 || passed >= r.length {
-		return r.warm
-	}
-	return r.cold + int(float64(r.warm-r.cold)*float64(passed)/float64(r.length))
+	return &ramp{startedAt: started, isCold: isCold, first: first, batch: batch}
 }
 
 // enter counts a request that starts, and a violation if its work is too much
@@ -60,16 +53,20 @@
 	return true
 }
 
-func (r *ramp) leave(work int) {
+// leave takes out a request; the server warms up by those that are done.
+func (r *ramp) leave(work int, done bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.running--
 	r.work -= work
+	if done {
+		r.finished += work
+	}
 }
 
 // buckles says whether the server has more work than it can bear.
 func (r *ramp) buckles() bool {
-	return r.running > 1 && r.work > r.bearable(time.Now())
+	return r.isCold && r.running > 1 && r.work > r.first+r.finished
 }
 
 // slowed returns d, or a multiple of it while the server buckles.
@@ -82,13 +79,14 @@
 	return d
 }
 
-// begin starts the ramp again. The start time stays unless told is true.
+// begin starts a cold start. The start time stays unless told is true.
 func (r *ramp) begin(told bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.began = time.Now()
+	r.isCold = true
+	r.finished = 0
 	if told {
-		r.startedAt = r.began
+		r.startedAt = time.Now()
 	}
 }
 
