Add scenario scripts over the real binary, one for each promise and failure

Change: 25 scripts, with commands for stand-ins, instances, network and load; every instance sees every other process through a relay of its own.

--- /dev/null
+++ b/cmd/figtrail/script_call_test.go
@@ -0,0 +1,328 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"figtrail.dev/figtrail/internal/request/figlife"
+	"figtrail.dev/figtrail/internal/stand/figstand"
+)
+
+// What callers of a script meet besides the outcomes that the router names.
+const (
+	// outcomeAnswered is a whole answer of the caller's own.
+	outcomeAnswered = "answered"
+	// outcomeWrong looks whole and is not the caller's own.
+	outcomeWrong = "wrong"
+	// outcomeBroken ended by a broken connection, without a word from the router.
+	outcomeBroken = "broken"
+	// outcomeShort ended cleanly without being whole.
+	outcomeShort = "short"
+	// outcomeLeft was left by the caller.
+	outcomeLeft = "left"
+)
+
+// call is one request of a script's caller.
+type call struct {
+	method, url, key, body string
+	// want is the whole answer.
+	want   string
+	stream bool
+	client *http.Client
+	tokens atomic.Int64
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	// These are set when done is closed.
+	outcome, reason, detail string
+}
+
+// client returns a client that makes a connection for each request, or the
+// shared one that keeps them.
+func client(keep bool) *http.Client {
+	if keep {
+		return http.DefaultClient
+	}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+// newCall makes a plain call.
+func (f *fleet) newCall(via, key, method, target, body string) *call {
+	c := &call{
+		method: method, url: "http://" + f.instances[via].caller + target, body: body,
+		want: figstand.PlainAnswer(method, target, body), client: client(false), done: make(chan struct{}),
+	}
+	c.key = f.keys[key].Text
+	c.ctx, c.cancel = context.WithTimeout(context.Background(), waitLimit)
+	return c
+}
+
+// newSend makes a streamed chat request.
+func (f *fleet) newSend(via, key, prompt string, output int) *call {
+	c := f.newCall(via, key, http.MethodPost, "/v1/chat/completions", "")
+	c.stream = true
+	c.want = figstand.AnswerText(prompt, output)
+	c.body = fmt.Sprintf(`{"model":"summary","stream":true,"max_tokens":%d,`+
+		`"messages":[{"role":"user","content":%q}]}`, output, prompt)
+	return c
+}
+
+// cmdSend sends streamed requests in the background. Several instances in via
+// are used in turn: send r1 via=a1 key=huber tokens=8 size=100 count=5 keep=true
+func (f *fleet) cmdSend(words []string, opts options) error {
+	output, err := strconv.Atoi(opts.or("tokens", "8"))
+	if err != nil {
+		return err
+	}
+	size, _ := strconv.Atoi(opts["size"])
+	return f.start(words[0], opts, func(via, name string) *call {
+		return f.newSend(via, opts.or("key", "huber"), name+" "+strings.Repeat("abc ", size), output)
+	})
+}
+
+// cmdCall sends plain calls in the background; the body is the call's name:
+// call c1 POST /refund via=a1 key=huber count=5
+func (f *fleet) cmdCall(words []string, opts options) error {
+	return f.start(words[0], opts, func(via, name string) *call {
+		method, body := words[1], name+" "
+		if method == http.MethodGet {
+			body = ""
+		}
+		return f.newCall(via, opts.or("key", "huber"), method, words[2], body)
+	})
+}
+
+// start runs count calls called name-0, name-1 and so on.
+func (f *fleet) start(name string, opts options, f1 func(via, name string) *call) error {
+	count, err := strconv.Atoi(opts.or("count", "1"))
+	if err != nil {
+		return err
+	}
+	via := opts.list("via")
+	group := make([]*call, 0, count)
+	for n := range count {
+		c := f1(via[n%len(via)], fmt.Sprintf("%s-%d", name, n))
+		c.client = client(opts["keep"] == "true")
+		group = append(group, c)
+		go c.run()
+	}
+	f.calls[name] = group
+	return nil
+}
+
+// cmdLeave ends calls from the caller's side: leave r1
+func (f *fleet) cmdLeave(words []string, _ options) error {
+	for _, name := range words {
+		for _, c := range f.calls[name] {
+			c.cancel()
+			<-c.done
+		}
+	}
+	return nil
+}
+
+// cmdExpect waits for calls and compares how each ended with the allowed
+// outcomes: expect r1 answered notRun:overBudget
+func (f *fleet) cmdExpect(words []string, _ options) error {
+	group, ok := f.calls[words[0]]
+	if !ok {
+		return errors.Newf("no call %s", words[0])
+	}
+	for n, c := range group {
+		<-c.done
+		if err := c.match(words[1:]...); err != nil {
+			return errors.Wrapf(err, "%s-%d", words[0], n)
+		}
+	}
+	return nil
+}
+
+// match returns an error unless the call ended as one of the allowed ways.
+func (c *call) match(allowed ...string) error {
+	if slices.Contains(allowed, c.outcome) || slices.Contains(allowed, c.outcome+":"+c.reason) {
+		return nil
+	}
+	return errors.Newf("ended as %s:%s (%s), not as %v", c.outcome, c.reason, c.detail, allowed)
+}
+
+// run sends the call and reads the answer to its end.
+func (c *call) run() {
+	defer close(c.done)
+	defer c.cancel()
+	q, err := http.NewRequestWithContext(c.ctx, c.method, c.url, strings.NewReader(c.body))
+	if err != nil {
+		c.end(outcomeBroken, "", err.Error())
+		return
+	}
+	if c.key != "" {
+		q.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	r, err := c.client.Do(q)
+	if err != nil {
+		c.end(c.broken(), "connect", err.Error())
+		return
+	}
+	defer func() { _ = r.Body.Close() }()
+	switch {
+	case r.StatusCode != http.StatusOK:
+		c.refused(r)
+	case c.stream:
+		c.readStream(r.Body)
+	default:
+		c.readPlain(r.Body)
+	}
+}
+
+func (c *call) end(outcome, reason, detail string) {
+	c.outcome, c.reason, c.detail = outcome, reason, detail
+}
+
+func (c *call) broken() string {
+	if errors.Is(c.ctx.Err(), context.Canceled) {
+		return outcomeLeft
+	}
+	return outcomeBroken
+}
+
+func (c *call) refused(r *http.Response) {
+	b, _ := io.ReadAll(r.Body)
+	var body figlife.ErrorBody
+	_ = json.Unmarshal(b, &body)
+	c.end(body.Error.Outcome, body.Error.Reason, fmt.Sprintf("%d %s", r.StatusCode, b))
+}
+
+func (c *call) readPlain(body io.Reader) {
+	b, err := io.ReadAll(body)
+	var answer struct {
+		Answer string `json:"answer"`
+	}
+	switch {
+	case err != nil:
+		c.end(c.broken(), "read", err.Error())
+	case json.Unmarshal(b, &answer) != nil:
+		c.end(outcomeShort, "", string(b))
+	case answer.Answer != c.want:
+		c.end(outcomeWrong, "", string(b))
+	default:
+		c.end(outcomeAnswered, "", "")
+	}
+}
+
+// event is the part of a stream's event that a caller reads.
+type event struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Error *figlife.ErrorObject `json:"error"`
+}
+
+func (c *call) readStream(body io.Reader) {
+	var text strings.Builder
+	whole := false
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			whole = true
+			continue
+		}
+		var e event
+		if err := json.Unmarshal([]byte(data), &e); err != nil {
+			c.end(outcomeWrong, "event", data)
+			return
+		}
+		if e.Error != nil {
+			c.end(e.Error.Outcome, e.Error.Reason, data)
+			return
+		}
+		for _, o := range e.Choices {
+			text.WriteString(o.Delta.Content)
+			c.tokens.Add(1)
+		}
+	}
+	switch {
+	case lines.Err() != nil:
+		c.end(c.broken(), "read", lines.Err().Error())
+	case !whole:
+		c.end(outcomeShort, "", text.String())
+	case text.String() != c.want:
+		c.end(outcomeWrong, "", text.String())
+	default:
+		c.end(outcomeAnswered, "", "")
+	}
+}
+
+// cmdAvoid sends batches until one is answered without any request to the named
+// servers: avoid d1,p1 via=a1 key=huber count=10 limit=8s [path=/balance]
+func (f *fleet) cmdAvoid(words []string, opts options) error {
+	return f.batches(opts, func(send func() error) error {
+		before := f.requests(words[0])
+		if err := send(); err != nil {
+			return err
+		}
+		if err := f.cmdExpect([]string{batchName, outcomeAnswered}, nil); err != nil {
+			return err
+		}
+		if n := f.requests(words[0]) - before; n > 0 {
+			return errors.Newf("%d requests went to %s", n, words[0])
+		}
+		return nil
+	})
+}
+
+// cmdBecomes sends batches until all requests of one end as named:
+// becomes notRun:unauthorized via=a1 key=huber count=4 limit=8s [path=/balance]
+func (f *fleet) cmdBecomes(words []string, opts options) error {
+	return f.batches(opts, func(send func() error) error {
+		if err := send(); err != nil {
+			return err
+		}
+		return f.cmdExpect(append([]string{batchName}, words...), nil)
+	})
+}
+
+// batchName is the name of the calls of a batch.
+const batchName = "batch"
+
+// batches tries f, with a function that sends one batch, until it succeeds.
+func (f *fleet) batches(opts options, try func(send func() error) error) error {
+	limit, err := time.ParseDuration(opts.or("limit", "8s"))
+	if err != nil {
+		return err
+	}
+	opts["count"] = opts.or("count", "12")
+	return waitWithin(limit, func() error {
+		return try(func() error {
+			if path, ok := opts["path"]; ok {
+				return f.cmdCall([]string{batchName, http.MethodGet, path}, opts)
+			}
+			return f.cmdSend([]string{batchName}, opts)
+		})
+	})
+}
+
+// requests counts the requests that came to the named servers.
+func (f *fleet) requests(names string) int {
+	n := 0
+	for _, name := range strings.Split(names, ",") {
+		n += f.servers[name].requests()
+	}
+	return n
+}
--- /dev/null
+++ b/cmd/figtrail/script_check_test.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"figtrail.dev/figtrail/internal/stand/figstand"
+)
+
+// measure returns a number that a script compares.
+type measure func(f *fleet, words []string) (int, error)
+
+var measures = map[string]measure{
+	"held":       onServers(func(s *server, _ []string) int { return s.engine.Held() }),
+	"heldBy":     onServers(func(s *server, w []string) int { return s.heldBy(w[0] + " ") }),
+	"violations": onServers(func(s *server, _ []string) int { return s.violations() }),
+	"requests":   onServers(func(s *server, _ []string) int { return s.requests() }),
+	"orders":     onServers(func(s *server, _ []string) int { return len(s.engine.Orders()) }),
+	"hits":       onServers(func(s *server, w []string) int { return s.faults().Hits(figstand.FaultKind(w[0])) }),
+	"prefills":   onRuns(func(r figstand.Run) int { return r.Prefills }),
+	"decodes":    onRuns(func(r figstand.Run) int { return r.Decodes }),
+	"calls":      onRuns(func(r figstand.Run) int { return r.Calls }),
+	"saw":        (*fleet).saw,
+	"tokens":     (*fleet).leastTokens,
+	"ended":      (*fleet).ended,
+	"got":        (*fleet).got,
+	"reads":      func(f *fleet, w []string) (int, error) { return int(f.instances[w[0]].reader.Reads.Load()), nil },
+	"open":       (*fleet).open,
+	"overspent":  onLoad((*loadRun).overspent),
+	"spentShare": onLoad((*loadRun).spentShare),
+	"broken":     onLoad((*loadRun).broken),
+	"wrongful":   onLoad((*loadRun).wrongful),
+	"wrong":      onLoad((*loadRun).wrong),
+	"answered":   onLoad((*loadRun).answered),
+	"offered":    onLoad((*loadRun).offered),
+}
+
+// onServers sums a measure over the servers in the first word.
+func onServers(m func(s *server, rest []string) int) measure {
+	return func(f *fleet, words []string) (int, error) {
+		sum := 0
+		for _, name := range strings.Split(words[0], ",") {
+			s, err := f.server(name)
+			if err != nil {
+				return 0, err
+			}
+			sum += m(s, words[1:])
+		}
+		return sum, nil
+	}
+}
+
+// onRuns sums a measure over all servers' runs of the request in the first word.
+func onRuns(m func(figstand.Run) int) measure {
+	return func(f *fleet, words []string) (int, error) {
+		sum := 0
+		for _, s := range f.servers {
+			for _, r := range s.find(words[0] + " ") {
+				sum += m(r)
+			}
+		}
+		return sum, nil
+	}
+}
+
+func (s *server) find(text string) []figstand.Run {
+	if s.plain != nil {
+		return s.plain.Find(text)
+	}
+	return s.engine.Find(text)
+}
+
+func (s *server) heldBy(text string) int {
+	n := 0
+	for _, r := range s.engine.Find(text) {
+		n += s.engine.HeldBy(r.ID)
+	}
+	return n
+}
+
+func (s *server) violations() int {
+	if s.plain != nil {
+		return s.plain.Violations()
+	}
+	return s.engine.Violations()
+}
+
+func (s *server) requests() int {
+	if s.plain != nil {
+		return s.plain.Requests()
+	}
+	return s.engine.Requests()
+}
+
+// saw counts the servers that a key's secret reached.
+func (f *fleet) saw(words []string) (int, error) {
+	text := f.keys[words[0]].Text
+	secret := text[strings.LastIndex(text, f.keys[words[0]].ID)+len(f.keys[words[0]].ID)+1:]
+	n := 0
+	for _, s := range f.servers {
+		seen := s.plain != nil && s.plain.Saw(secret) || s.engine != nil && s.engine.Saw(secret)
+		if seen {
+			n++
+		}
+	}
+	return n, nil
+}
+
+// leastTokens returns the fewest tokens that a call of the group has got so far.
+func (f *fleet) leastTokens(words []string) (int, error) {
+	group := f.calls[words[0]]
+	if len(group) == 0 {
+		return 0, errors.Newf("no call %s", words[0])
+	}
+	least := group[0].tokens.Load()
+	for _, c := range group {
+		least = min(least, c.tokens.Load())
+	}
+	return int(least), nil
+}
+
+// ended counts the calls of a group that have ended.
+func (f *fleet) ended(words []string) (int, error) {
+	n := 0
+	for _, c := range f.calls[words[0]] {
+		select {
+		case <-c.done:
+			n++
+		default:
+		}
+	}
+	return n, nil
+}
+
+// got waits for the calls of a group and counts those that ended as named.
+func (f *fleet) got(words []string) (int, error) {
+	n := 0
+	for _, c := range f.calls[words[0]] {
+		<-c.done
+		if c.match(words[1]) == nil {
+			n++
+		}
+	}
+	return n, nil
+}
+
+// open counts the connections from one side to another.
+func (f *fleet) open(words []string) (int, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.relays[[2]string{words[0], words[1]}]
+	if !ok {
+		return 0, nil
+	}
+	return r.Open(), nil
+}
+
+// cmdCheck compares a measure now: check violations d1 = 0
+func (f *fleet) cmdCheck(words []string, _ options) error {
+	if len(words) < 3 {
+		return errors.New("usage: check MEASURE [WORD…] OPERATOR NUMBER")
+	}
+	m, ok := measures[words[0]]
+	if !ok {
+		return errors.Newf("no measure %s", words[0])
+	}
+	want, err := strconv.Atoi(words[len(words)-1])
+	if err != nil {
+		return err
+	}
+	got, err := m(f, words[1:len(words)-2])
+	if err != nil {
+		return err
+	}
+	if !compare(got, words[len(words)-2], want) {
+		return errors.Newf("%s is %d, not %s%s", strings.Join(words[:len(words)-2], " "), got,
+			strings.Join(words[len(words)-2:], " "), f.loadDetail(words[1]))
+	}
+	return nil
+}
+
+// cmdUntil waits until a comparison holds: until limit=4s held d1,d2 = 0
+func (f *fleet) cmdUntil(words []string, opts options) error {
+	limit, err := time.ParseDuration(opts.or("limit", waitLimit.String()))
+	if err != nil {
+		return err
+	}
+	return waitWithin(limit, func() error { return f.cmdCheck(words, nil) })
+}
+
+func compare(a int, operator string, b int) bool {
+	switch operator {
+	case "=":
+		return a == b
+	case "<=":
+		return a <= b
+	case ">=":
+		return a >= b
+	}
+	return false
+}
--- /dev/null
+++ b/cmd/figtrail/script_fleet_test.go
@@ -0,0 +1,389 @@
+package main
+
+import (
+	"encoding/hex"
+	"io/fs"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"figtrail.dev/figtrail/internal/limit/figkey"
+	"figtrail.dev/figtrail/internal/stand/figstand"
+)
+
+// defaultRate is the rate and burst of the client accounts, in tokens a second
+// and tokens.
+const defaultRate = "200000"
+
+// fleet is what one script has started.
+type fleet struct {
+	path      string
+	platform  *figstand.Platform
+	marked    *figstand.Snapshot
+	keys      map[string]figkey.Made
+	vars      map[string]string
+	servers   map[string]*server
+	instances map[string]*instance
+	calls     map[string][]*call
+	loads     map[string]*loadRun
+
+	// mu guards the relays, which readers of the platform make on demand.
+	mu     sync.Mutex
+	relays map[[2]string]*figstand.Relay
+}
+
+// server is one stand-in of a backend server; one of engine and plain is set.
+type server struct {
+	row    figstand.ServerRow
+	engine *figstand.Engine
+	plain  *figstand.Plain
+}
+
+func newFleet() (*fleet, error) {
+	p, err := figstand.StartPlatform(figstand.PlatformOptions{})
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{
+		platform:  p,
+		keys:      map[string]figkey.Made{},
+		vars:      map[string]string{"OUT_A": "false", "OUT_B": "false", "OUT_C": "false"},
+		servers:   map[string]*server{},
+		instances: map[string]*instance{},
+		calls:     map[string][]*call{},
+		loads:     map[string]*loadRun{},
+		relays:    map[[2]string]*figstand.Relay{},
+	}
+	for _, name := range []string{"huber", "coop"} {
+		k, err := figkey.New()
+		if err != nil {
+			return nil, err
+		}
+		f.keys[name] = k
+		upper := strings.ToUpper(name)
+		f.vars["ID_"+upper] = k.ID
+		f.vars["SALT_"+upper] = hex.EncodeToString(k.Salt)
+		f.vars["HASH_"+upper] = hex.EncodeToString(k.Hash)
+		f.vars["WITHDRAWN_"+upper] = "false"
+		f.vars["RATE_"+upper] = defaultRate
+		f.vars["BURST_"+upper] = defaultRate
+	}
+	// A forged key has the public part of one key and the secret of another.
+	public, _, _ := strings.Cut(f.keys["huber"].Text, f.keys["huber"].ID)
+	_, secret, _ := strings.Cut(f.keys["coop"].Text, f.keys["coop"].ID)
+	f.keys["forged"] = figkey.Made{Text: public + f.keys["huber"].ID + secret}
+	return f, nil
+}
+
+func (f *fleet) close() {
+	for _, r := range f.loads {
+		r.cancel()
+	}
+	for _, i := range f.instances {
+		i.end()
+	}
+	for _, group := range f.calls {
+		for _, c := range group {
+			c.cancel()
+		}
+	}
+	for _, s := range f.servers {
+		_ = s.close()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.relays {
+		_ = r.Close()
+	}
+	_ = f.platform.Close()
+}
+
+// cmdFleet publishes the default declarations, starts the default servers, unless
+// the script has started some, and the named instances, and waits until each
+// answers for each account: fleet a1 b1
+func (f *fleet) cmdFleet(words []string, _ options) error {
+	if err := f.publishAll(); err != nil {
+		return err
+	}
+	if len(f.servers) == 0 {
+		for _, name := range []string{"p1", "p2", "d1", "d2", "t1", "t2"} {
+			if err := f.cmdServer([]string{name}, options{}); err != nil {
+				return err
+			}
+		}
+	}
+	for _, name := range words {
+		if err := f.cmdInstance([]string{name}, options{}); err != nil {
+			return err
+		}
+	}
+	return f.cmdReady(words, options{})
+}
+
+// cmdSet changes variables of the declarations and publishes the documents that
+// use them: set WITHDRAWN_HUBER=true
+func (f *fleet) cmdSet(_ []string, opts options) error {
+	for name, value := range opts {
+		f.vars[name] = value
+	}
+	return f.publishAll()
+}
+
+// publishAll publishes the default declarations that have changed.
+func (f *fleet) publishAll() error {
+	return fs.WalkDir(testdata, ".", func(name string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		text, err := fs.ReadFile(testdata, name)
+		if err != nil {
+			return err
+		}
+		f.publish(strings.TrimSuffix(name, ".yaml"), string(text))
+		return nil
+	})
+}
+
+func (f *fleet) publish(path, text string) {
+	text = os.Expand(text, func(name string) string { return f.vars[name] })
+	if last, ok := f.vars["published "+path]; ok && last == text {
+		return
+	}
+	f.vars["published "+path] = text
+	f.platform.Publish(path, text)
+}
+
+// cmdPublish publishes text at a path: publish huber/accounts 'text'
+func (f *fleet) cmdPublish(words []string, _ options) error {
+	f.publish(words[0], strings.ReplaceAll(words[1], `\n`, "\n"))
+	return nil
+}
+
+// roles maps the first letter of a server's name to role and pool.
+var roles = map[byte][2]string{'p': {"prefill", "summary"}, 'd': {"decode", "summary"}, 't': {"plain", "ledger"}}
+
+// cmdServer starts a stand-in and publishes it. The first letter of its name is
+// its role (p, d, t), its data centre follows from the number:
+// server d1 interval=10ms batch=4 pieces=10 cold=true
+func (f *fleet) cmdServer(words []string, opts options) error {
+	name := words[0]
+	role := roles[name[0]]
+	number, err := strconv.Atoi(name[1:])
+	if err != nil {
+		return err
+	}
+	s := &server{}
+	if err := s.start(name, role[0], opts); err != nil {
+		return err
+	}
+	s.row = figstand.ServerRow{
+		Name: name, Address: s.address(), DataCentre: opts.or("dc", string(rune('a'+(number-1)%3))),
+		Pool: role[1], Role: role[0], State: "live", StartedAt: s.startedAt().Format(time.RFC3339Nano),
+	}
+	f.servers[name] = s
+	f.platform.SetServer(s.row)
+	return nil
+}
+
+func (s *server) start(name, role string, opts options) error {
+	number := func(key string) int { n, _ := strconv.Atoi(opts[key]); return n }
+	duration := func(key string) time.Duration { d, _ := time.ParseDuration(opts[key]); return d }
+	var err error
+	if role == "plain" {
+		s.plain, err = figstand.StartPlain(figstand.PlainOptions{
+			Name: name, ServiceTime: duration("interval"), Batch: number("batch"),
+			Cold: opts["cold"] == "true",
+		})
+		return err
+	}
+	s.engine, err = figstand.StartEngine(figstand.EngineOptions{
+		Name: name, Role: role, Models: []string{"summary"},
+		TokenInterval: duration("interval"), Batch: number("batch"), Pieces: number("pieces"),
+		Cold: opts["cold"] == "true", ResultLife: duration("life"),
+		PrefillRate: float64(number("prefillRate")), ChecksFence: opts["checksFence"] == "true",
+	})
+	return err
+}
+
+func (s *server) address() string {
+	if s.plain != nil {
+		return s.plain.Address()
+	}
+	return s.engine.Address()
+}
+
+func (s *server) startedAt() time.Time {
+	if s.plain != nil {
+		return s.plain.StartedAt()
+	}
+	return s.engine.StartedAt()
+}
+
+func (s *server) close() error {
+	if s.plain != nil {
+		return s.plain.Close()
+	}
+	return s.engine.Close()
+}
+
+func (s *server) faults() *figstand.Faults {
+	if s.plain != nil {
+		return &s.plain.Faults
+	}
+	return &s.engine.Faults
+}
+
+// server returns the server called name.
+func (f *fleet) server(name string) (*server, error) {
+	s, ok := f.servers[name]
+	if !ok {
+		return nil, errors.Newf("no server %s", name)
+	}
+	return s, nil
+}
+
+// cmdState publishes the state of a server or an instance: state d1 leaving
+func (f *fleet) cmdState(words []string, _ options) error {
+	if s, ok := f.servers[words[0]]; ok {
+		s.row.State = words[1]
+		f.platform.SetServer(s.row)
+		return nil
+	}
+	i, ok := f.instances[words[0]]
+	if !ok {
+		return errors.Newf("no server or instance %s", words[0])
+	}
+	i.row.State = words[1]
+	f.platform.SetInstance(i.row)
+	return nil
+}
+
+// cmdPlatform switches faults of the platform, for all instances or for some;
+// old serves the state that mark has kept:
+// platform down|up|stale|fresh|silent|mark|old [instance…]
+func (f *fleet) cmdPlatform(words []string, _ options) error {
+	if words[0] == "mark" {
+		f.marked = f.platform.Snapshot()
+		return nil
+	}
+	names := words[1:]
+	if len(names) == 0 {
+		for name := range f.instances {
+			names = append(names, name)
+		}
+	}
+	for _, name := range names {
+		i, ok := f.instances[name]
+		if !ok {
+			return errors.Newf("no instance %s", name)
+		}
+		switch r := i.reader; words[0] {
+		case "up", "down":
+			r.Silent(false)
+			r.Down(words[0] == "down")
+		case "stale", "fresh":
+			r.Stale(words[0] == "stale")
+		case "old":
+			r.Rewind(f.marked)
+		case "silent":
+			r.Silent(true)
+		default:
+			return errors.Newf("no state %s", words[0])
+		}
+	}
+	return nil
+}
+
+// cmdFault sets a fault of servers: fault stall d1 d2 count=1 for=2s delay=1s,
+// or ends it: fault clear stall d1
+func (f *fleet) cmdFault(words []string, opts options) error {
+	off := words[0] == "clear"
+	if off {
+		words = words[1:]
+	}
+	kind := figstand.FaultKind(words[0])
+	count, _ := strconv.Atoi(opts["count"])
+	length, _ := time.ParseDuration(opts["for"])
+	delay, _ := time.ParseDuration(opts["delay"])
+	for _, name := range words[1:] {
+		s, err := f.server(name)
+		if err != nil {
+			return err
+		}
+		if off {
+			s.faults().Clear(kind)
+			continue
+		}
+		s.faults().Set(figstand.Fault{Kind: kind, Count: count, For: length, Delay: delay})
+	}
+	return nil
+}
+
+// cmdRestart does what a crash of engines would: memory lost, streams cut, cold.
+func (f *fleet) cmdRestart(words []string, _ options) error {
+	for _, name := range words {
+		s, err := f.server(name)
+		if err != nil {
+			return err
+		}
+		s.engine.Restart()
+	}
+	return nil
+}
+
+// relay returns the relay by which from reaches to.
+func (f *fleet) relay(from, to, address string) (*figstand.Relay, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := [2]string{from, to}
+	if r, ok := f.relays[k]; ok {
+		r.SetTarget(address)
+		return r, nil
+	}
+	r, err := figstand.StartRelay(address)
+	if err == nil {
+		f.relays[k] = r
+	}
+	return r, err
+}
+
+// cmdNetwork changes the network from one side to another, by names and in this
+// direction of dialling; the verbs are partition, heal, silence, cut:
+// network partition a1 b1,d1
+func (f *fleet) cmdNetwork(words []string, _ options) error {
+	for _, from := range strings.Split(words[1], ",") {
+		for _, to := range strings.Split(words[2], ",") {
+			r, err := f.link(from, to)
+			if err != nil {
+				return err
+			}
+			switch words[0] {
+			case "partition", "heal":
+				r.Partition(words[0] == "partition")
+			case "silence":
+				r.Silence()
+			case "cut":
+				r.Cut()
+			default:
+				return errors.Newf("no network state %s", words[0])
+			}
+		}
+	}
+	return nil
+}
+
+// link returns the relay between two names.
+func (f *fleet) link(from, to string) (*figstand.Relay, error) {
+	if i, ok := f.instances[to]; ok {
+		return f.relay(from, to, i.peer)
+	}
+	s, err := f.server(to)
+	if err != nil {
+		return nil, err
+	}
+	return f.relay(from, to, s.address())
+}
--- /dev/null
+++ b/cmd/figtrail/script_instance_test.go
@@ -0,0 +1,289 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"figtrail.dev/figtrail/internal/stand/figstand"
+)
+
+const (
+	// waitLimit bounds every wait of a script.
+	waitLimit = 20 * time.Second
+	// pollInterval is the time between two looks at a condition.
+	pollInterval = 20 * time.Millisecond
+	// firstPort and ports are a range below the ephemeral ports.
+	firstPort, ports = 20_000, 10_000
+	// logKept bounds the kept log of an instance, in bytes.
+	logKept = 64 << 10
+)
+
+// nextPort counts the ports handed out; test processes start at different ones.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 97 % ports) }
+
+// freePort returns a port that nobody listens on and no other call returns.
+func freePort() (string, error) {
+	for range ports {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, l.Close()
+		}
+	}
+	return "", errors.New("no free port")
+}
+
+// instance is one process of figtrail serve.
+type instance struct {
+	row                 figstand.InstanceRow
+	reader              *figstand.Reader
+	caller, peer, admin string
+	process             *exec.Cmd
+	exited              chan struct{}
+	log                 lockedLog
+}
+
+// lockedLog keeps the latest output of a process.
+type lockedLog struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lockedLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.buf.Len()+len(p) > logKept {
+		l.buf.Next(l.buf.Len() / 2)
+	}
+	return l.buf.Write(p)
+}
+
+func (l *lockedLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
+func (f *fleet) logs() string {
+	var b strings.Builder
+	for name, i := range f.instances {
+		fmt.Fprintf(&b, "-- log of %s\n%s-- status of %s\n%s\n", name, i.log.String(), name, i.get("/status"))
+	}
+	return b.String()
+}
+
+// cmdInstance starts instances, again if they have been started before, and
+// publishes them as live. The data centre is the name's first letter.
+func (f *fleet) cmdInstance(words []string, opts options) error {
+	for _, name := range words {
+		if err := f.startInstance(name, opts); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) startInstance(name string, opts options) error {
+	i, ok := f.instances[name]
+	if !ok {
+		i = &instance{}
+		if err := f.prepare(name, i); err != nil {
+			return err
+		}
+		f.instances[name] = i
+	}
+	program, err := f.program()
+	if err != nil {
+		return err
+	}
+	i.process = exec.Command(program, "serve", "--name", name, "--data-centre", i.row.DataCentre,
+		"--listen", i.caller, "--peer-listen", i.peer, "--admin-listen", i.admin,
+		"--platform", i.reader.Address(), "--drain-notice", opts.or("drainNotice", "200ms"))
+	i.process.Stdout, i.process.Stderr = &i.log, &i.log
+	if err := i.process.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	i.exited = exited
+	go func(p *exec.Cmd) { _ = p.Wait(); close(exited) }(i.process)
+	i.row.State = "live"
+	f.platform.SetInstance(i.row)
+	return nil
+}
+
+// program returns the path of figtrail, which testscript puts first in PATH.
+func (f *fleet) program() (string, error) {
+	for _, dir := range filepath.SplitList(f.path) {
+		p := filepath.Join(dir, "figtrail")
+		if info, err := os.Stat(p); err == nil && !info.IsDir() {
+			return p, nil
+		}
+	}
+	return "", errors.New("figtrail is not in PATH")
+}
+
+// prepare chooses addresses and gives the instance a view of the platform in
+// which it reaches every other process by a relay of its own.
+func (f *fleet) prepare(name string, i *instance) error {
+	for _, address := range []*string{&i.caller, &i.peer, &i.admin} {
+		var err error
+		if *address, err = freePort(); err != nil {
+			return err
+		}
+	}
+	i.row = figstand.InstanceRow{Name: name, Address: i.peer, DataCentre: name[:1]}
+	var err error
+	i.reader, err = f.platform.StartReader(figstand.ReaderOptions{
+		Translate: func(other, address string) string {
+			if other == name {
+				return address
+			}
+			r, err := f.relay(name, other, address)
+			if err != nil {
+				return address
+			}
+			return r.Address()
+		},
+	})
+	return err
+}
+
+// end kills the process, if it runs, and waits for it.
+func (i *instance) end() {
+	if i.process == nil || i.process.Process == nil {
+		return
+	}
+	_ = i.process.Process.Signal(syscall.SIGCONT)
+	_ = i.process.Process.Kill()
+	<-i.exited
+}
+
+func (f *fleet) signal(words []string, s syscall.Signal) error {
+	for _, name := range words {
+		i, ok := f.instances[name]
+		if !ok {
+			return errors.Newf("no instance %s", name)
+		}
+		if err := i.process.Process.Signal(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cmdCrash ends instances at once: crash a1
+func (f *fleet) cmdCrash(words []string, _ options) error {
+	for _, name := range words {
+		f.instances[name].end()
+	}
+	return nil
+}
+
+// cmdPause stops instances without ending them: pause a1
+func (f *fleet) cmdPause(words []string, _ options) error { return f.signal(words, syscall.SIGSTOP) }
+
+// cmdContinue wakes paused instances: continue a1
+func (f *fleet) cmdContinue(words []string, _ options) error { return f.signal(words, syscall.SIGCONT) }
+
+// cmdDrain asks instances to shut down gracefully: drain a1
+func (f *fleet) cmdDrain(words []string, _ options) error { return f.signal(words, syscall.SIGTERM) }
+
+// cmdExited waits until instances have ended by themselves, with exit code 0.
+func (f *fleet) cmdExited(words []string, _ options) error {
+	for _, name := range words {
+		i := f.instances[name]
+		select {
+		case <-i.exited:
+		case <-time.After(waitLimit):
+			return errors.Newf("%s still runs", name)
+		}
+		if code := i.process.ProcessState.ExitCode(); code != 0 {
+			return errors.Newf("%s exited with %d", name, code)
+		}
+	}
+	return nil
+}
+
+// cmdReady waits until instances are ready and answer for each account, or for
+// those in the option keys: ready a1 keys=coop
+func (f *fleet) cmdReady(words []string, opts options) error {
+	keys := strings.Split(opts.or("keys", "huber,coop"), ",")
+	for _, name := range words {
+		i := f.instances[name]
+		if err := waitFor(func() error { return i.ready() }); err != nil {
+			return errors.Wrapf(err, "%s", name)
+		}
+	}
+	for _, name := range words {
+		for _, key := range keys {
+			opts := options{"via": name, "key": key, "path": "/balance", "limit": waitLimit.String()}
+			opts["count"] = "4"
+			if f.vars["RATE_"+strings.ToUpper(key)] != defaultRate {
+				// A batch after the other would use up what a small account has.
+				opts["count"] = "1"
+			}
+			err := f.cmdBecomes([]string{outcomeAnswered}, opts)
+			if err != nil {
+				return errors.Wrapf(err, "%s for %s", name, key)
+			}
+		}
+	}
+	return nil
+}
+
+func (i *instance) ready() error {
+	if answer := i.get("/readyz"); !strings.HasPrefix(answer, "200 ") {
+		return errors.Newf("not ready: %s", answer)
+	}
+	return nil
+}
+
+// get returns the status code and the body of an operators' page, or the error.
+func (i *instance) get(path string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.admin+path, http.NoBody)
+	if err != nil {
+		return err.Error()
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, _ := io.ReadAll(r.Body)
+	return fmt.Sprintf("%d %s", r.StatusCode, b)
+}
+
+// waitFor looks at a condition until it holds, and returns its last error if it
+// doesn't hold in time.
+func waitFor(f func() error) error { return waitWithin(waitLimit, f) }
+
+func waitWithin(limit time.Duration, f func() error) error {
+	deadline := time.Now().Add(limit)
+	poll := time.NewTicker(pollInterval)
+	defer poll.Stop()
+	for {
+		err := f()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		<-poll.C
+	}
+}
