Go on with a cut answer from another engine, where the pool declares it

Cause: a decode server that dies cuts every answer that it was making, though engines can resume. Change: pools declare resume; the flow places the request again, computes the prompt again and asks for the tokens from the next index. Found on the way: the placer took a saved-up retry at each ask for room, so that a retry that had to wait used all of them up and never got a place (16 s in the queue, then cut by the test's deadline); a placed retry now pays, an ask doesn't. Ruled out: resuming by the text so far, which need not tokenise to the same end.

--- a/internal/app/figserve/serve_test.go
+++ b/internal/app/figserve/serve_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/openai/openai-go/v3"
@@ -249,3 +250,39 @@
 		})
 	}
 }
+
+// Where engines can resume, an answer that its engine cuts must go on from
+// another one, and join exactly.
+func TestCutStreamResumes(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t, 1)
+	f.Platform.Publish("all", strings.Replace(f.declare(false), "stallLimit: 5s", "stallLimit: 5s\n    resume: true", 1))
+	spare, err := figstand.StartEngine(figstand.EngineOptions{
+		Name: "spare", Role: "decode", Models: []string{"small"}, Pieces: 400, PieceTokens: 2048, Batch: 400,
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = spare.Close() })
+	f.Platform.SetServer(figstand.ServerRow{
+		Name: "spare", Address: spare.Address(), DataCentre: "east", Pool: "language", Role: "decode", State: "live",
+		StartedAt: time.Now().Format(time.RFC3339Nano),
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c := f.client()
+	resumed := func() bool {
+		f.decode().Faults.Set(figstand.Fault{Kind: figstand.Cut, Count: 1})
+		before := f.decode().Faults.Hits(figstand.Cut)
+		stream := c.Chat.Completions.NewStreaming(ctx, chat(40))
+		var text strings.Builder
+		for stream.Next() {
+			for _, choice := range stream.Current().Choices {
+				text.WriteString(choice.Delta.Content)
+			}
+		}
+		if stream.Err() == nil {
+			require.Equal(t, figstand.AnswerText(prompt, 40), text.String())
+		}
+		return stream.Err() == nil && f.decode().Faults.Hits(figstand.Cut) > before
+	}
+	f.eventually(resumed)
+}
--- a/internal/config/figtree/document.go
+++ b/internal/config/figtree/document.go
@@ -100,6 +100,7 @@
 	Timeout       Field[time.Duration] `yaml:"timeout"`
 	QueueRequests Field[int64]         `yaml:"queueRequests"`
 	ChecksFence   Field[bool]          `yaml:"checksFence"`
+	Resume        Field[bool]          `yaml:"resume"`
 	CallCost      Field[int64]         `yaml:"callCost"`
 }
 
--- a/internal/config/figtree/resolve.go
+++ b/internal/config/figtree/resolve.go
@@ -141,6 +141,7 @@
 	p.StallLimit = r.duration("stallLimit", s.StallLimit, defaultStallLimit)
 	p.Timeout = r.duration("timeout", s.Timeout, defaultTimeout)
 	p.QueueRequests = int(r.number("queueRequests", s.QueueRequests, bound{}, defaultQueueRequests))
+	p.Resume = plain(r, "resume", s.Resume, false, strconv.FormatBool)
 	p.ChecksFence = plain(r, "checksFence", s.ChecksFence, false, strconv.FormatBool)
 	p.CallCost = r.number("callCost", s.CallCost, bound{}, defaultCallCost)
 	return p
--- a/internal/config/figtree/types.go
+++ b/internal/config/figtree/types.go
@@ -96,6 +96,9 @@
 	Timeout time.Duration
 	// QueueRequests bounds the waiting requests of one instance.
 	QueueRequests int
+	// Resume says whether its engines can go on with an answer from a token index,
+	// so that the text joins exactly; each event with text is then one token.
+	Resume bool
 	// ChecksFence says whether its servers refuse an order with an old fencing number.
 	ChecksFence bool
 	// CallCost is the charge for one call of a plain service, in tokens.
--- a/internal/place/figplace/place.go
+++ b/internal/place/figplace/place.go
@@ -38,18 +38,22 @@
 		p.NoServer.Add(1)
 		return nil, &NoServer{Pool: r.Pool}
 	}
-	allowed := p.takeRetry(len(r.Avoid) > 0)
+	retry := len(r.Avoid) > 0
+	allowed := p.mayTry(retry)
 	a := &attempt{placer: p, cat: cat, request: &r, pool: p.pool(r.Pool), now: now}
 	a.bytes, a.moving = p.transferOf(r.Pool, r.PromptTokens)
 	p.mu.Unlock()
-	if len(r.Avoid) > 0 {
-		p.Retries.Add(1)
-	}
 	if !allowed {
 		p.NoRoom.Add(1)
 		return nil, &NoRoom{RetryAfter: unreachableRetry}
 	}
 	x, err := a.place(ctx)
+	if err == nil {
+		p.pay(retry)
+		if retry {
+			p.Retries.Add(1)
+		}
+	}
 	p.count(err)
 	return x, err
 }
--- a/internal/place/figplace/placer.go
+++ b/internal/place/figplace/placer.go
@@ -23,8 +23,8 @@
 
 // Counters counts what a Placer did.
 type Counters struct {
-	// Placed counts placements, NoRoom and NoServer refusals, Retries the tries
-	// that avoided a server, Asks the messages to owners, AskErrors those that failed.
+	// Placed counts placements, NoRoom and NoServer refusals, Retries the
+	// placements that avoided a server, Asks the messages to owners, AskErrors those that failed.
 	Placed, NoRoom, NoServer, Retries, Asks, AskErrors atomic.Uint64
 }
 
@@ -106,17 +106,19 @@
 	return figtree.Pool{}
 }
 
-// takeRetry pays for a try and says whether a retry is allowed.
-func (p *Placer) takeRetry(retry bool) bool {
-	if !retry {
-		p.retries = min(retryStock, p.retries+retryShare)
-		return true
-	}
-	if p.retries < 1 {
-		return false
+// mayTry says whether a try is allowed: a retry needs one that is saved up.
+func (p *Placer) mayTry(retry bool) bool { return !retry || p.retries >= 1 }
+
+// pay saves up for retries by a first try that was placed, and takes one by a
+// retry that was. Asking again for room costs nothing.
+func (p *Placer) pay(retry bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if retry {
+		p.retries--
+		return
 	}
-	p.retries--
-	return true
+	p.retries = min(retryStock, p.retries+retryShare)
 }
 
 // transfer is what a pool's KV cache transfers were measured at.
--- a/internal/request/figflow/failure.go
+++ b/internal/request/figflow/failure.go
@@ -19,11 +19,14 @@
 	if mayMend(err) && (x.Idempotent || unsent) {
 		return again, err
 	}
-	x.life.End(figlife.CauseOf(failureReason(err), err))
+	x.life.End(figlife.CauseOf(x.failureReason(err), err))
 	return ended, err
 }
 
-func failureReason(err error) figlife.Reason {
+func (x *run) failureReason(err error) figlife.Reason {
+	if x.streaming {
+		return figlife.StreamCut
+	}
 	switch figsend.KindOf(err) {
 	case figsend.KindTooLarge:
 		return figlife.TooLarge
--- a/internal/request/figflow/model.go
+++ b/internal/request/figflow/model.go
@@ -17,7 +17,7 @@
 		var err error
 		if result, err = x.prefill(ctx, p, prompt); err != nil {
 			if a := judged(err); a != nil {
-				return ended, x.answer(a.Status, a.Header, a.Body)
+				return x.relayJudgement(a)
 			}
 			return x.failed(p, p.Prefill.Name, err)
 		}
@@ -43,7 +43,7 @@
 		return ended, nil
 	}
 	send.fail(err)
-	if !x.streaming && figsend.KindOf(err) != figsend.KindCancelled {
+	if !x.streaming && figsend.KindOf(err) != figsend.KindCancelled || x.resumes(err) {
 		return x.failed(p, p.Decode.Name, err)
 	}
 	if x.life.End(figlife.CauseOf(cutReason(err), err)) && !isSlowCaller(err) {
@@ -62,7 +62,9 @@
 		Stream:    x.Model.Stream,
 		MaxTokens: int(x.Model.OutputTokens),
 		Priority:  -x.priority(), // an engine serves lower numbers first
-		Deadline:  x.Deadline,
+		// Tokens that the caller has can't be taken back.
+		ResumeFrom: x.passed,
+		Deadline:   x.Deadline,
 	}
 }
 
@@ -96,9 +98,24 @@
 	if a.Status >= 500 {
 		return x.failed(p, p.Decode.Name, errEngine)
 	}
+	return x.relayJudgement(a)
+}
+
+// relayJudgement gives the caller an engine's error answer, unless the answer has
+// begun on another engine.
+func (x *run) relayJudgement(a *figsend.Answer) (verdict, error) {
+	if x.streaming {
+		x.life.End(figlife.CauseOf(figlife.StreamCut, errEngine))
+		return ended, errEngine
+	}
 	return ended, x.answer(a.Status, a.Header, a.Body)
 }
 
+// resumes says that another engine can go on with an answer that was cut.
+func (x *run) resumes(err error) bool {
+	return x.streaming && x.Pool.Resume && mayMend(err)
+}
+
 func cutReason(err error) figlife.Reason {
 	switch {
 	case figsend.KindOf(err) == figsend.KindTooLarge:
--- a/internal/request/figflow/place.go
+++ b/internal/request/figflow/place.go
@@ -46,6 +46,9 @@
 		Deadline: x.Deadline,
 		Avoid:    x.avoid,
 	}
+	if x.streaming {
+		r.Arrived = time.Time{} // the first token has gone out
+	}
 	if x.Model != nil {
 		r.Model = x.Model.Name
 		r.PromptTokens = x.Model.PromptTokens
@@ -79,7 +82,7 @@
 // placeBy returns when the request must have been placed: a first token after
 // its target is worth nothing, so that room goes to those that can still meet it.
 func (x *run) placeBy() time.Time {
-	if x.Model == nil || x.Pool.FirstToken <= 0 {
+	if x.Model == nil || x.streaming || x.Pool.FirstToken <= 0 {
 		return x.Deadline
 	}
 	if by := x.Arrived.Add(x.Pool.FirstToken); by.Before(x.Deadline) {
--- a/internal/request/figflow/relay.go
+++ b/internal/request/figflow/relay.go
@@ -86,7 +86,18 @@
 	if !x.Model.Usage && data.Get("usage").IsObject() && len(data.Get("choices").Array()) == 0 {
 		return nil
 	}
-	return x.write(ctx, figsend.AppendEvent(make([]byte, 0, len(e.Data)+16), e))
+	if err := x.write(ctx, figsend.AppendEvent(make([]byte, 0, len(e.Data)+16), e)); err != nil {
+		return err
+	}
+	if hasText(data) {
+		x.passed++
+	}
+	return nil
+}
+
+// hasText says whether an event carries a part of the answer's text.
+func hasText(data gjson.Result) bool {
+	return data.Get("choices.0.delta.content").Str != "" || data.Get("choices.0.text").Str != ""
 }
 
 // write begins the stream with its first part.
--- a/internal/request/figflow/run.go
+++ b/internal/request/figflow/run.go
@@ -25,7 +25,9 @@
 	prefilled int64
 	// streaming says that the answer began as a stream.
 	streaming bool
-	avoid     []string
+	// passed counts the tokens that went to the caller of a stream.
+	passed int
+	avoid  []string
 
 	// sent says that a server may have worked on the request.
 	sent                       atomic.Bool
@@ -45,7 +47,11 @@
 // send asks the request's life for a send. From then on the request is charged,
 // until the send turns out not to have run.
 func (x *run) send() (*sending, error) {
-	s, err := x.life.Send()
+	ask := x.life.Send
+	if x.streaming {
+		ask = x.life.Resume
+	}
+	s, err := ask()
 	if err != nil {
 		return nil, err
 	}
@@ -87,7 +93,7 @@
 			return
 		}
 		if n == triesLimit || !x.Retries.Take(x.Clock.Now()) {
-			x.life.End(figlife.CauseOf(failureReason(err), err))
+			x.life.End(figlife.CauseOf(x.failureReason(err), err))
 			return
 		}
 		if x.Timer.Sleep(ctx, x.Backoff.Delay(n-1)) != nil {
