--- a/internal/app/figcommand/serve.go
+++ b/internal/app/figcommand/serve.go
@@ -86,6 +86,7 @@
 		stringFlag("peer-listen", "address for the other instances", &s.PeerListen),
 		stringFlag("admin-listen", "address for operators", &s.AdminListen),
 		stringFlag("platform", "address of the platform's service, host:port", &s.Platform),
+		&cli.StringSliceFlag{Name: "seeds", Usage: "peer addresses to ask while the platform's service is down", Destination: &s.Seeds, Sources: env("seeds")},
 		intFlag("workers", "most requests in progress", &s.Workers),
 		intFlag("body-limit", "largest request body, in bytes", &s.BodyLimit),
 		intFlag("header-limit", "largest request header, in bytes", &s.HeaderLimit),
--- a/internal/app/figserve/join.go
+++ b/internal/app/figserve/join.go
@@ -84,9 +84,11 @@
 
 func (i *Instance) joinFleet() {
 	i.store = figstore.New(figstore.Options{
-		Self:     i.Name,
-		Clock:    i.clock,
-		Platform: figplatform.HTTP(i.Platform),
+		Self:      i.Name,
+		Clock:     i.clock,
+		Platform:  figplatform.HTTP(i.Platform),
+		Seeds:     i.seeds(),
+		Elsewhere: func() time.Time { return i.member.Elsewhere() },
 		Ask: asker(i, callConfig, func(ctx context.Context, q *figstore.Request) (*figstore.Reply, error) {
 			return i.store.Answer(ctx, q)
 		}),
@@ -108,6 +110,15 @@
 	})
 }
 
+// seeds returns the instances to ask while no list of instances is known.
+func (i *Instance) seeds() []figview.Member {
+	members := make([]figview.Member, 0, len(i.Seeds))
+	for _, address := range i.Seeds {
+		members = append(members, figview.Member{Name: address, Address: address})
+	}
+	return members
+}
+
 func (i *Instance) joinLimits() {
 	i.budget = figbudget.New(figbudget.Options{
 		Self:        i.Name,
--- a/internal/app/figserve/settings.go
+++ b/internal/app/figserve/settings.go
@@ -20,6 +20,9 @@
 	Listen, PeerListen, AdminListen string
 	// Platform is the address of the platform's service, a host and a port.
 	Platform string
+	// Seeds holds peer addresses of other instances, to be asked for the
+	// configuration while the platform's service gives no answer.
+	Seeds []string
 	// Workers bounds the requests in progress.
 	Workers int
 	// BodyLimit and HeaderLimit bound a caller's request, in bytes.
@@ -71,6 +74,9 @@
 	add(isAddress(s.PeerListen), "peer-listen", "must be host:port")
 	add(isAddress(s.AdminListen), "admin-listen", "must be host:port")
 	add(isAddress(s.Platform), "platform", "must be given as host:port")
+	for _, seed := range s.Seeds {
+		add(isAddress(seed), "seeds", "must be a list of host:port")
+	}
 	add(s.Workers > 0, "workers", "must be above 0")
 	add(s.BodyLimit >= 1<<10, "body-limit", "must be at least 1024 bytes")
 	add(s.HeaderLimit >= 1<<10, "header-limit", "must be at least 1024 bytes")
