--- a/internal/limit/figbudget/measure_test.go
+++ b/internal/limit/figbudget/measure_test.go
@@ -23,8 +23,9 @@
 	listLag = 400 * time.Millisecond
 	// usedPart is what requests use of their reservation.
 	usedPart = 0.7
-	// offered is the load that accounts use, as a part of their rate.
-	offered = 0.8
+	// offered is the load that accounts use, as a part of their rate, and
+	// offeredMuch one close to it.
+	offered, offeredMuch = 0.8, 0.95
 )
 
 // bucket is an ideal token bucket: one place, no delay.
@@ -78,18 +79,20 @@
 // scenario is a fault and the way in which the balancer spreads requests.
 type scenario struct {
 	name string
+	// load is what accounts use, as a part of their rate.
+	load float64
 	// sticky sends all requests of an account to one node.
 	sticky bool
 	fault  func(w *world, holder string)
 }
 
-func scenarios() []scenario {
+func scenarios(load float64) []scenario {
 	return []scenario{
-		{name: "even", fault: func(*world, string) {}},
-		{name: "skew", sticky: true, fault: func(*world, string) {}},
-		{name: "deadHolder", fault: func(w *world, holder string) { w.lose(holder) }},
-		{name: "dataCentreGone", fault: func(w *world, _ string) { w.lose("a", "d", "g") }},
-		{name: "rolling", fault: rolling},
+		{name: "even", load: load, fault: func(*world, string) {}},
+		{name: "skew", load: load, sticky: true, fault: func(*world, string) {}},
+		{name: "deadHolder", load: load, fault: func(w *world, holder string) { w.lose(holder) }},
+		{name: "dataCentreGone", load: load, fault: func(w *world, _ string) { w.lose("a", "d", "g") }},
+		{name: "rolling", load: load, fault: rolling},
 	}
 }
 
@@ -147,7 +150,7 @@
 func (w *world) offer(s scenario, by scheme, account string, l Limits, home *node, f *figures) {
 	ideal := newBucket(l, 1)
 	mean := float64(l.TokensPerSecond) / 10
-	arrivals := offered * float64(l.TokensPerSecond) / (mean * usedPart)
+	arrivals := s.load * float64(l.TokensPerSecond) / (mean * usedPart)
 	var next func()
 	next = func() {
 		w.at(time.Duration(w.random.ExpFloat64()/arrivals*1e9), nil, next)
@@ -293,7 +296,7 @@
 const backAfter = 5 * time.Second
 
 func TestRequestsInsideTheirRateAreNotRefused(t *testing.T) {
-	for _, s := range scenarios()[:3] {
+	for _, s := range scenarios(offered)[:3] {
 		t.Run(s.name, func(t *testing.T) {
 			f := measure(s, slots(), measuredLimits())
 			require.Greater(t, f.inRate, 5000)
@@ -305,14 +308,14 @@
 
 func BenchmarkWrongfulRefusals(b *testing.B) {
 	limits := measuredLimits()
-	for _, s := range scenarios() {
+	for _, s := range append(scenarios(offered), scenarios(offeredMuch)...) {
 		schemes := map[string]func() scheme{
 			"slots":       slots,
 			"staticSplit": func() scheme { return staticSplit(limits) },
 			"oneHolder":   func() scheme { return oneHolder(limits) },
 		}
 		for name, start := range schemes {
-			b.Run(s.name+"/"+name, func(b *testing.B) {
+			b.Run(fmt.Sprintf("%s/load=%g/%s", s.name, s.load, name), func(b *testing.B) {
 				for b.Loop() {
 					f := measure(s, start(), limits)
 					b.ReportMetric(f.percent(), "refused%")
