Read the clock again after each look at view and freshness

A process that paused between reading its clock and asking whether its list was acknowledged would have counted the wait before a slot's regeneration from before the pause, and one paused after asking for freshness would have spent a slot that others may hold.

--- a/internal/limit/figbudget/member_test.go
+++ b/internal/limit/figbudget/member_test.go
@@ -132,7 +132,7 @@
 	if n.known == nil {
 		return
 	}
-	n.poll(now, n.acked)
+	n.poll(n.clock, n.acked)
 	n.send(n.tick(now))
 }
 
