Give the tests of figstore one fixture

Cause: each test of a fleet wrote out its waits and looks over all nodes, two places made nodes of a store and a membership, and TestScale had a start of its own. TestScale starts by the same fixture: its bound on readiness falls from 30 s to 10 s, and freshness is required at each look and no longer counted first. No bound was raised.

--- a/internal/config/figstore/fleet_test.go
+++ b/internal/config/figstore/fleet_test.go
@@ -3,352 +3,200 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"testing"
+	"testing/synctest"
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
 
-	"figtrail.dev/figtrail/internal/config/figplatform"
 	"figtrail.dev/figtrail/internal/config/figstore"
 	"figtrail.dev/figtrail/internal/core/figtimer"
 	"figtrail.dev/figtrail/internal/fleet/figmember"
 	"figtrail.dev/figtrail/internal/fleet/figview"
 )
 
-const (
-	// delay is the way between two instances, or an instance and the service.
-	delay = 500 * time.Microsecond
-	// askTimeout is the deadline of a call to a peer.
-	askTimeout = time.Second
-	// readTimeout is the deadline of a call to the service beyond its wait.
-	readTimeout = 2 * time.Second
-)
-
-var errNoAnswer = errors.New("no answer")
+// step is how often tests look at a condition, in virtual time.
+const step = 5 * time.Millisecond
 
-// service is a configuration service in memory. It must be used in a synctest
-// bubble, so that waits cost no time.
-type service struct {
-	mu        sync.Mutex
-	changed   chan struct{}
-	revision  uint64
-	values    map[string]figplatform.Value
-	instances map[string]figplatform.Instance
-	changedAt map[string]uint64
-	listed    uint64
-	reads     int
-	down      bool
-	// replicas holds what some instances see in the service's place.
-	replicas map[string]*service
+// node is an instance's store and membership.
+type node struct {
+	figview.Member
+	store   *figstore.Store
+	members *figmember.Membership
+	stop    context.CancelFunc
+	done    sync.WaitGroup
 }
 
-func newService() *service {
-	return &service{
-		changed:   make(chan struct{}),
-		values:    map[string]figplatform.Value{},
-		instances: map[string]figplatform.Instance{},
-		changedAt: map[string]uint64{},
-		replicas:  map[string]*service{},
-	}
+// join makes a node of a store and a membership, as an instance does.
+func join(m figview.Member, store figstore.Options, members figmember.Options) *node {
+	d := &node{Member: m}
+	store.Self = m.Name
+	store.Elsewhere = func() time.Time { return d.members.Elsewhere() }
+	d.store = figstore.New(store)
+	members.Self = m
+	members.View, members.Confirmed, members.Digest = d.store.View, d.store.Confirmed, d.store.Digest
+	members.Heard = func(from figview.Member, b *figmember.Beat) { d.store.Nudge(from, b.Highest, b.Digest, b.View) }
+	d.members = figmember.New(members)
+	return d
 }
 
-// copy returns a service that stands still at the present state.
-func (s *service) copy() *service {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := newService()
-	c.revision, c.listed = s.revision, s.listed
-	c.values, c.instances, c.changedAt = maps.Clone(s.values), maps.Clone(s.instances), maps.Clone(s.changedAt)
-	return c
+func (d *node) run(ctx context.Context) {
+	ctx, d.stop = context.WithCancel(ctx)
+	t := figtimer.New(figtimer.System())
+	d.done.Go(func() { _ = d.store.Run(ctx, t) })
+	d.done.Go(func() { _ = d.members.Run(ctx, t) })
 }
 
-// show lets an instance see another service in this one's place.
-func (s *service) show(name string, other *service) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.replicas[name] = other
+func (d *node) end() {
+	d.stop()
+	d.done.Wait()
 }
 
-// at returns what an instance sees.
-func (s *service) at(name string) *service {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if r := s.replicas[name]; r != nil {
-		return r
+func endAll(nodes []*node) {
+	for _, d := range nodes {
+		d.stop()
+	}
+	for _, d := range nodes {
+		d.end()
 	}
-	return s
 }
 
-func (s *service) wake() {
-	close(s.changed)
-	s.changed = make(chan struct{})
+// start runs a node; the incarnation must grow with each start of a name.
+func start(
+	ctx context.Context, n *network, s *service, m figview.Member, incarnation uint64, seeds ...figview.Member,
+) *node {
+	r := rand.New(rand.NewPCG(incarnation, figview.Key(m.Name)))
+	var mu sync.Mutex
+	random := func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return r.Float64()
+	}
+	type answerStore = func(context.Context, *figstore.Request) (*figstore.Reply, error)
+	type answerMembers = func(context.Context, *figmember.Beat) (*figmember.Beat, error)
+	d := join(m, figstore.Options{
+		Random: random, Platform: reader{s, n, m.Name}.platform(), Seeds: seeds,
+		Ask: func(ctx context.Context, to figview.Member, q *figstore.Request) (*figstore.Reply, error) {
+			return call(ctx, n, m.Name, to.Name, q, func(p *node) answerStore { return p.store.Answer })
+		},
+	}, figmember.Options{
+		Incarnation: incarnation, Random: random,
+		Ask: func(ctx context.Context, to figview.Member, b *figmember.Beat) (*figmember.Beat, error) {
+			return call(ctx, n, m.Name, to.Name, b, func(p *node) answerMembers { return p.members.Answer })
+		},
+	})
+	d.run(ctx)
+	n.nodes.Store(m.Name, d)
+	return d
 }
 
-func (s *service) publish(path, text string) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	s.values[path] = figplatform.Value{Path: path, Version: s.revision, Text: text}
-	s.wake()
-	return s.revision
+func memberOf(i int) figview.Member {
+	return figview.Member{Name: fmt.Sprintf("i%03d", i), Address: "10.0.0.1:7000", DataCentre: fmt.Sprint("dc", i%3)}
 }
 
-func (s *service) list(m figview.Member, gone bool) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.listed++
-	s.instances[m.Name] = figplatform.Instance{Member: m, Gone: gone}
-	s.changedAt[m.Name] = s.listed
-	s.wake()
-	return s.listed
+// rate returns a document with one account at a rate, for tests that look at it.
+func rate(n int) string {
+	return fmt.Sprintf("accounts: [{name: a, tokensPerSecond: %d, pools: [p]}]\n", n)
 }
 
-func (s *service) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
+func (d *node) rate() int64 {
+	a, ok := d.store.Tree().Account("team/a")
+	if !ok {
+		return -1
+	}
+	return a.TokensPerSecond
 }
 
-func (s *service) readCount() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.reads
+func all(nodes []*node, condition func(*node) bool) bool {
+	return !slices.ContainsFunc(nodes, func(d *node) bool { return !condition(d) })
 }
 
-func (s *service) begin() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.reads++
-	if s.down {
-		return errNoAnswer
-	}
-	return nil
-}
+func has(n int64) func(*node) bool { return func(d *node) bool { return d.rate() == n } }
 
-// wait returns when current exceeds after, or at the end of the wait.
-func (s *service) wait(ctx context.Context, after uint64, wait time.Duration, current func() uint64) error {
-	end := time.NewTimer(wait)
-	defer end.Stop()
-	for {
-		s.mu.Lock()
-		changed, now, down := s.changed, current(), s.down
-		s.mu.Unlock()
-		if down {
-			return errNoAnswer
-		}
-		if now > after || wait == 0 {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-end.C:
-			return nil
-		case <-changed:
-		}
-	}
-}
+func ready(d *node) bool { return d.store.Ready() && d.members.Fresh() }
 
-// read takes one read to its end and returns what the reader sees.
-func (s *service) read(
-	ctx context.Context, n *network, self string, after uint64, wait time.Duration, current func(*service) uint64,
-) (*service, error) {
-	if err := n.pass(ctx, self, "service", readTimeout); err != nil {
-		return nil, err
-	}
-	if err := s.begin(); err != nil {
-		return nil, err
-	}
-	at := s.at(self)
-	if err := at.wait(ctx, after, wait, func() uint64 { return current(at) }); err != nil {
-		return nil, err
-	}
-	return at, n.pass(ctx, self, "service", readTimeout)
+func reports(service string) func(*node) bool {
+	return func(d *node) bool { return d.store.Status().Service == service }
 }
 
-func (s *service) platform(n *network, self string) figplatform.Platform {
-	return figplatform.Platform{
-		Values: func(ctx context.Context, after uint64, wait time.Duration) (*figplatform.Values, error) {
-			at, err := s.read(ctx, n, self, after, wait, func(s *service) uint64 { return s.revision })
-			if err != nil {
-				return nil, err
-			}
-			return at.valuesAfter(after), nil
-		},
-		Instances: func(ctx context.Context, after uint64, wait time.Duration) (*figplatform.Instances, error) {
-			at, err := s.read(ctx, n, self, after, wait, func(s *service) uint64 { return s.listed })
-			if err != nil {
-				return nil, err
-			}
-			return at.instancesAfter(after), nil
-		},
-		Servers: func(ctx context.Context, after uint64, wait time.Duration) (*figplatform.Servers, error) {
-			_, err := s.read(ctx, n, self, after, wait, func(*service) uint64 { return 0 })
-			return &figplatform.Servers{}, err
-		},
-	}
+// fleet is a number of instances in three data centres.
+type fleet struct {
+	t     *testing.T
+	n     *network
+	s     *service
+	nodes []*node
+	// settled is how long it took until all were ready.
+	settled time.Duration
 }
 
-func (s *service) valuesAfter(after uint64) *figplatform.Values {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	v := &figplatform.Values{Revision: s.revision}
-	for _, one := range s.values {
-		if one.Version > after {
-			v.Values = append(v.Values, one)
+// fleetOf runs a test over a fleet that has settled.
+func fleetOf(t *testing.T, size int, test func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, n: &network{}, s: newService()}
+		f.s.publish("pools", "pools: [{name: p, models: [m]}]\n")
+		f.publish(0)
+		for i := range size {
+			f.s.list(memberOf(i), false)
 		}
-	}
-	return v
-}
-
-func (s *service) instancesAfter(after uint64) *figplatform.Instances {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	l := &figplatform.Instances{Revision: s.listed}
-	for name, i := range s.instances {
-		if s.changedAt[name] > after && (after > 0 || !i.Gone) {
-			l.Rows = append(l.Rows, i)
+		for i := range size {
+			f.nodes = append(f.nodes, start(t.Context(), f.n, f.s, memberOf(i), 1))
 		}
-	}
-	return l
-}
-
-// network joins nodes and the service. A cut way swallows messages.
-type network struct {
-	mu    sync.Mutex
-	cut   map[[2]string]bool
-	nodes map[string]*node
-	sent  traffic
-}
-
-func newNetwork() *network {
-	return &network{cut: map[[2]string]bool{}, nodes: map[string]*node{}}
+		f.settled = f.untilAll(10*time.Second, ready)
+		test(f)
+		endAll(f.nodes)
+	})
 }
 
-func (n *network) setCut(a, b string, cut bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.cut[[2]string{a, b}] = cut
-	n.cut[[2]string{b, a}] = cut
-}
+// publish publishes the document that the tests look at.
+func (f *fleet) publish(n int) { f.s.publish("team/accounts", rate(n)) }
 
-// pass takes the time of one way, or that of a deadline if the way is cut.
-func (n *network) pass(ctx context.Context, from, to string, timeout time.Duration) error {
-	n.mu.Lock()
-	cut := n.cut[[2]string{from, to}]
-	n.mu.Unlock()
-	wait := delay
-	if cut {
-		wait = timeout
-	}
-	if err := figtimer.New(figtimer.System()).Sleep(ctx, wait); err != nil {
-		return err
+// until waits in virtual time for a condition and returns how long it took.
+func (f *fleet) until(limit time.Duration, condition func() bool) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	for !condition() {
+		require.Less(f.t, time.Since(began), limit)
+		<-time.After(step)
 	}
-	if cut {
-		return errNoAnswer
-	}
-	return nil
+	return time.Since(began)
 }
 
-func (n *network) find(name string) *node {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.nodes[name]
-}
-
-func call[Q, R any](
-	ctx context.Context, n *network, from, to string, q *Q, answer func(*node, *Q) (*R, error),
-) (*R, error) {
-	if err := n.pass(ctx, from, to, askTimeout); err != nil {
-		return nil, err
-	}
-	peer := n.find(to)
-	if peer == nil {
-		return nil, errNoAnswer
-	}
-	r, err := answer(peer, q)
-	if err != nil {
-		return nil, err
-	}
-	n.count(q, r)
-	return r, n.pass(ctx, to, from, askTimeout)
+func (f *fleet) untilAll(limit time.Duration, condition func(*node) bool) time.Duration {
+	f.t.Helper()
+	return f.until(limit, func() bool { return all(f.nodes, condition) })
 }
 
-// node is an instance's store and membership.
-type node struct {
-	figview.Member
-	store   *figstore.Store
-	members *figmember.Membership
-	stop    context.CancelFunc
-	done    sync.WaitGroup
+// change publishes a rate and returns how long it took to be in force everywhere.
+func (f *fleet) change(n int, limit time.Duration) time.Duration {
+	f.t.Helper()
+	f.publish(n)
+	return f.untilAll(limit, has(int64(n)))
 }
 
-// start runs a node; the incarnation must grow with each start of a name.
-func start(
-	ctx context.Context, n *network, s *service, m figview.Member, incarnation uint64, seeds ...figview.Member,
-) *node {
-	d := &node{Member: m}
-	r := rand.New(rand.NewPCG(incarnation, figview.Key(m.Name)))
-	var mu sync.Mutex
-	random := func() float64 {
-		mu.Lock()
-		defer mu.Unlock()
-		return r.Float64()
+func (f *fleet) requireAll(conditions ...func(*node) bool) {
+	f.t.Helper()
+	for _, c := range conditions {
+		require.True(f.t, all(f.nodes, c))
 	}
-	d.store = figstore.New(figstore.Options{
-		Self: m.Name, Random: random, Platform: s.platform(n, m.Name), Seeds: seeds,
-		Elsewhere: func() time.Time { return d.members.Elsewhere() },
-		Ask: func(ctx context.Context, to figview.Member, q *figstore.Request) (*figstore.Reply, error) {
-			return call(ctx, n, m.Name, to.Name, q, func(p *node, q *figstore.Request) (*figstore.Reply, error) {
-				return p.store.Answer(ctx, q)
-			})
-		},
-	})
-	d.members = figmember.New(figmember.Options{
-		Self: m, Incarnation: incarnation, Random: random,
-		View: d.store.View, Confirmed: d.store.Confirmed, Digest: d.store.Digest,
-		Heard: func(from figview.Member, b *figmember.Beat) { d.store.Nudge(from, b.Highest, b.Digest, b.View) },
-		Ask: func(ctx context.Context, to figview.Member, b *figmember.Beat) (*figmember.Beat, error) {
-			return call(ctx, n, m.Name, to.Name, b, func(p *node, b *figmember.Beat) (*figmember.Beat, error) {
-				return p.members.Answer(ctx, b)
-			})
-		},
-	})
-	ctx, d.stop = context.WithCancel(ctx)
-	t := figtimer.New(figtimer.System())
-	d.done.Go(func() { _ = d.store.Run(ctx, t) })
-	d.done.Go(func() { _ = d.members.Run(ctx, t) })
-	n.mu.Lock()
-	n.nodes[m.Name] = d
-	n.mu.Unlock()
-	return d
 }
 
-func memberName(i int) string { return fmt.Sprintf("i%03d", i) }
-
-func memberOf(i int) figview.Member {
-	return figview.Member{Name: memberName(i), Address: "10.0.0.1:7000", DataCentre: fmt.Sprint("dc", i%3)}
-}
-
-// startFleet lists and starts count instances in three data centres.
-func startFleet(ctx context.Context, n *network, s *service, count int) []*node {
-	nodes := make([]*node, 0, count)
-	for i := range count {
-		s.list(memberOf(i), false)
-	}
-	for i := range count {
-		nodes = append(nodes, start(ctx, n, s, memberOf(i), 1))
+// stays requires conditions of all at each of a number of looks.
+func (f *fleet) stays(looks int, interval time.Duration, conditions ...func(*node) bool) {
+	f.t.Helper()
+	for range looks {
+		<-time.After(interval)
+		f.requireAll(conditions...)
 	}
-	return nodes
 }
 
-func stopAll(nodes []*node) {
-	for _, d := range nodes {
-		d.stop()
-	}
-	for _, d := range nodes {
-		d.done.Wait()
-	}
+// reader returns the place of the first of the readers.
+func (f *fleet) reader() int {
+	first := f.nodes[0].store.View().Readers()[0].Name
+	return slices.IndexFunc(f.nodes, func(d *node) bool { return d.Name == first })
 }
+
+// remove takes the last instance off the list and returns the list's version.
+func (f *fleet) remove() uint64 { return f.s.list(f.nodes[len(f.nodes)-1].Member, true) }
--- a/internal/config/figstore/loopback_test.go
+++ b/internal/config/figstore/loopback_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"slices"
 	"testing"
@@ -12,7 +11,6 @@
 
 	"figtrail.dev/figtrail/internal/config/figplatform"
 	"figtrail.dev/figtrail/internal/config/figstore"
-	"figtrail.dev/figtrail/internal/core/figtimer"
 	"figtrail.dev/figtrail/internal/fleet/figmember"
 	"figtrail.dev/figtrail/internal/fleet/figpeer"
 	"figtrail.dev/figtrail/internal/fleet/figview"
@@ -21,29 +19,23 @@
 
 // listen starts a node's store and membership over TCP and HTTP.
 func listen(ctx context.Context, b *testing.B, l net.Listener, m figview.Member, platform string) *node {
-	d := &node{Member: m}
 	h, c := figpeer.NewHandlers(), figpeer.NewClient(figpeer.ClientOptions{})
 	b.Cleanup(func() { _ = c.Close() })
-	d.store = figstore.New(figstore.Options{
-		Self: m.Name, Platform: figplatform.HTTP(platform),
-		Elsewhere: func() time.Time { return d.members.Elsewhere() },
+	d := join(m, figstore.Options{
+		Platform: figplatform.HTTP(platform),
 		Ask: func(ctx context.Context, to figview.Member, q *figstore.Request) (*figstore.Reply, error) {
 			return figpeer.Call[figstore.Request, figstore.Reply](ctx, c, to, "config", q)
 		},
-	})
-	d.members = figmember.New(figmember.Options{
-		Self: m, Incarnation: 1, View: d.store.View, Confirmed: d.store.Confirmed, Digest: d.store.Digest,
-		Heard: func(from figview.Member, q *figmember.Beat) { d.store.Nudge(from, q.Highest, q.Digest, q.View) },
+	}, figmember.Options{
+		Incarnation: 1,
 		Ask: func(ctx context.Context, to figview.Member, q *figmember.Beat) (*figmember.Beat, error) {
 			return figpeer.Call[figmember.Beat, figmember.Beat](ctx, c, to, "beat", q)
 		},
 	})
 	figpeer.Handle(h, "config", d.store.Answer)
 	figpeer.Handle(h, "beat", d.members.Answer)
-	t := figtimer.New(figtimer.System())
 	d.done.Go(func() { _ = h.Serve(ctx, l) })
-	d.done.Go(func() { _ = d.store.Run(ctx, t) })
-	d.done.Go(func() { _ = d.members.Run(ctx, t) })
+	d.run(ctx)
 	return d
 }
 
@@ -65,7 +57,8 @@
 	for i := range size {
 		listeners[i], err = net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(b, err)
-		members[i] = figview.Member{Name: memberName(i), Address: listeners[i].Addr().String(), DataCentre: fmt.Sprint("dc", i%3)}
+		members[i] = memberOf(i)
+		members[i].Address = listeners[i].Addr().String()
 		stand.SetInstance(figstand.InstanceRow{
 			Name: members[i].Name, Address: members[i].Address, DataCentre: members[i].DataCentre, State: "live",
 		})
@@ -98,7 +91,5 @@
 	b.ReportMetric(float64(times[len(times)*99/100].Microseconds())/1000, "p99-ms")
 	b.ReportMetric(float64(times[len(times)-1].Microseconds())/1000, "most-ms")
 	cancel()
-	for _, d := range nodes {
-		d.done.Wait()
-	}
+	endAll(nodes)
 }
--- a/internal/config/figstore/relay_test.go
+++ b/internal/config/figstore/relay_test.go
@@ -95,6 +95,16 @@
 	require.LessOrEqual(t, highest.next(), 2*retryLeast)
 }
 
+// An instance is not ready before a peer that serves has given all that it has.
+func TestReadyByPeer(t *testing.T) {
+	s := New(Options{Self: "a"})
+	for _, r := range []Reply{{}, {Ready: true, More: true}, {Ready: true}} {
+		s.countPull(&r, nil)
+		s.settleBoot()
+		require.Equal(t, r.Ready && !r.More, s.Ready())
+	}
+}
+
 // What requests call must not wait for a change that is being taken in.
 func TestReadsTakeNoLock(t *testing.T) {
 	s := storeOf(5)
--- a/internal/config/figstore/scale_test.go
+++ b/internal/config/figstore/scale_test.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -33,69 +32,38 @@
 		sizes = sizes[:2]
 	}
 	for _, size := range sizes {
-		synctest.Test(t, func(t *testing.T) { measure(t, size) })
+		fleetOf(t, size, measure)
 	}
 }
 
-// traffic counts calls and the bytes of their messages.
-type traffic struct{ calls, bytes int }
-
-func (n *network) traffic() traffic {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.sent
-}
-
-func (t traffic) since(before traffic) traffic {
-	return traffic{t.calls - before.calls, t.bytes - before.bytes}
-}
-
-func (t traffic) onWire() float64 { return float64(t.bytes + callOverhead*t.calls) }
-
-func measure(t *testing.T, size int) {
-	n, s := newNetwork(), newService()
-	publishFirst(s)
-	nodes := startFleet(t.Context(), n, s, size)
-	defer stopAll(nodes)
-	started := until(t, 30*time.Second, func() bool { return all(nodes, ready) })
+func measure(f *fleet) {
+	size := len(f.nodes)
 	<-time.After(5 * time.Second)
-
-	reads := s.readCount()
-	before := n.traffic()
-	stale := 0
-	for range watched / (100 * time.Millisecond) {
-		<-time.After(100 * time.Millisecond)
-		for _, d := range nodes {
-			if !d.members.Fresh() {
-				stale++
-			}
-		}
-	}
+	reads, before := f.s.reads.Load(), f.n.traffic()
+	f.stays(100, watched/100, func(d *node) bool { return d.members.Fresh() })
 	seconds := watched.Seconds()
-	readsPerSecond := float64(s.readCount()-reads) / seconds
+	readsPerSecond := float64(f.s.reads.Load()-reads) / seconds
 	// Each call is a cost of both of its ends.
-	steady := n.traffic().since(before)
+	steady := f.n.traffic().since(before)
 	payload := 2 * float64(steady.bytes) / seconds / float64(size)
 	perNode := 2 * steady.onWire() / seconds / float64(size)
 
 	times := make([]time.Duration, 0, 20)
-	before = n.traffic()
+	before = f.n.traffic()
 	began := time.Now()
 	for i := range cap(times) {
-		s.publish("team/accounts", rate(i+1))
-		times = append(times, until(t, inForce, func() bool { return all(nodes, has(int64(i+1))) }))
+		times = append(times, f.change(i+1, inForce))
 	}
 	idle := perNode * time.Since(began).Seconds()
-	changed := 2*n.traffic().since(before).onWire()/float64(size) - idle
+	changed := 2*f.n.traffic().since(before).onWire()/float64(size) - idle
 	slices.Sort(times)
-	t.Logf("%d instances: all ready after %v; in force: median %v, most %v; reads a second %.1f; "+
-		"bytes a second and node %.0f, messages alone %.0f; bytes a change and node %.0f; not fresh %d of %d",
-		size, started, times[len(times)/2], times[len(times)-1], readsPerSecond, perNode, payload,
-		changed/float64(len(times)), stale, size*100)
-	require.Less(t, times[len(times)-1], inForce)
-	require.Less(t, readsPerSecond, serviceReads/5.0)
-	require.Zero(t, stale)
+	f.t.Logf("%d instances: all ready after %v; in force: median %v, most %v; reads a second %.1f; "+
+		"bytes a second and node %.0f, messages alone %.0f; bytes a change and node %.0f",
+		size, f.settled, times[len(times)/2], times[len(times)-1], readsPerSecond, perNode, payload,
+		changed/float64(len(times)))
+	require.Less(f.t, times[len(times)-1], inForce)
+	require.Less(f.t, readsPerSecond, serviceReads/5.0)
 	if size > 100 {
-		require.Less(t, perNode, controlBytes/2.0)
+		require.Less(f.t, perNode, controlBytes/2.0)
 	}
 }
--- a/internal/config/figstore/values_test.go
+++ b/internal/config/figstore/values_test.go
@@ -20,11 +20,11 @@
 
 // drawHistory draws the values that a service has given: at most one per path
 // and version, some of which don't parse or are deletions.
-func drawHistory(t *rapid.T) []figplatform.Value {
+func drawHistory(t *rapid.T, paths ...string) []figplatform.Value {
 	values := make([]figplatform.Value, 0, 30)
 	for version := range rapid.Uint64Range(1, 30).Draw(t, "versions") {
 		v := figplatform.Value{
-			Path:    rapid.SampledFrom([]string{"a/x", "a/y", "b/x"}).Draw(t, "path"),
+			Path:    rapid.SampledFrom(paths).Draw(t, "path"),
 			Version: version + 1,
 		}
 		switch rapid.IntRange(0, 4).Draw(t, "kind") {
@@ -45,9 +45,6 @@
 	rates := map[string]int64{}
 	for _, v := range history {
 		id := v.Path[:1] + "/n"
-		if v.Path == "a/y" {
-			continue
-		}
 		switch {
 		case v.Deleted:
 			delete(rates, id)
@@ -66,12 +63,24 @@
 	return rates
 }
 
+func (t *table) offerAll(values ...figplatform.Value) {
+	for _, v := range values {
+		t.offer(parse(v))
+	}
+}
+
+func tableOf(values ...figplatform.Value) *table {
+	t := newTable()
+	t.offerAll(values...)
+	return t
+}
+
 // Whatever the order and the number of times in which values arrive, the highest
 // version of each path that parses is in force in the end, on all alike, and no
 // account's version ever goes back on the way.
 func TestHighestVersionWins(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		history := slices.DeleteFunc(drawHistory(t), func(v figplatform.Value) bool { return v.Path == "a/y" })
+		history := drawHistory(t, "a/x", "b/x")
 		arrivals := rapid.Permutation(append(slices.Clone(history), history...)).Draw(t, "order")
 		one, highest := newTable(), map[string]int64{}
 		for _, v := range arrivals {
@@ -82,10 +91,7 @@
 			}
 		}
 		require.Equal(t, expected(history), inForce(one))
-		other := newTable()
-		for _, v := range rapid.Permutation(history).Draw(t, "other order") {
-			other.offer(parse(v))
-		}
+		other := tableOf(rapid.Permutation(history).Draw(t, "other order")...)
 		require.Equal(t, one.digest(), other.digest())
 		require.Equal(t, one.highest, other.highest)
 	})
@@ -97,15 +103,11 @@
 	for more := true; more; {
 		var values []figplatform.Value
 		values, more = from.after(to.highest, 60)
-		for _, v := range values {
-			to.offer(parse(v))
-		}
+		to.offerAll(values...)
 	}
 	for first := 0; to.digest() != from.digest(); {
 		values, next := from.differing(to.buckets[:], first, 60)
-		for _, v := range values {
-			to.offer(parse(v))
-		}
+		to.offerAll(values...)
 		if next <= first {
 			return
 		}
@@ -117,9 +119,8 @@
 // have taken from each other, stale as either may be.
 func TestRelayConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		history := drawHistory(t)
 		one, other := newTable(), newTable()
-		for _, v := range history {
+		for _, v := range drawHistory(t, "a/x", "a/y", "b/x") {
 			if rapid.Bool().Draw(t, "one") {
 				one.offer(parse(v))
 			}
@@ -141,27 +142,24 @@
 func TestEqualVersions(t *testing.T) {
 	first := figplatform.Value{Path: "a/x", Version: 7, Text: document(1)}
 	second := figplatform.Value{Path: "a/x", Version: 7, Text: document(2)}
-	one, other := newTable(), newTable()
-	one.offer(parse(first))
-	one.offer(parse(second))
-	other.offer(parse(second))
-	other.offer(parse(first))
+	one, other := tableOf(first, second), tableOf(second, first)
 	require.Equal(t, inForce(one), inForce(other))
 	require.Equal(t, one.digest(), other.digest())
 }
 
 func TestRefusedAlone(t *testing.T) {
-	one := newTable()
-	one.offer(parse(figplatform.Value{Path: "a/x", Version: 1, Text: document(1)}))
-	one.offer(parse(figplatform.Value{Path: "b/x", Version: 2, Text: document(2)}))
-	one.offer(parse(figplatform.Value{Path: "a/x", Version: 3, Text: "accounts: {"}))
-	one.offer(parse(figplatform.Value{Path: "b/x", Version: 4, Text: document(4)}))
+	one := tableOf(
+		figplatform.Value{Path: "a/x", Version: 1, Text: document(1)},
+		figplatform.Value{Path: "b/x", Version: 2, Text: document(2)},
+		figplatform.Value{Path: "a/x", Version: 3, Text: "accounts: {"},
+		figplatform.Value{Path: "b/x", Version: 4, Text: document(4)},
+	)
 	require.Equal(t, map[string]int64{"a/n": 1, "b/n": 4}, inForce(one))
 	faults := one.refused()
 	require.Len(t, faults, 1)
 	require.Equal(t, "a/x", faults[0].Path)
 	require.Equal(t, 1, faults[0].Line)
-	one.offer(parse(figplatform.Value{Path: "a/x", Version: 5, Text: document(5)}))
+	one.offerAll(figplatform.Value{Path: "a/x", Version: 5, Text: document(5)})
 	require.Empty(t, one.refused())
 }
 
