Check that the latest process of a name counts

Change: TestLatestIncarnationCounts, which sees it in both orders. The cases of TestFresh that bring about the same share it.

--- a/internal/fleet/figmember/fresh_test.go
+++ b/internal/fleet/figmember/fresh_test.go
@@ -10,10 +10,18 @@
 func TestFresh(t *testing.T) {
 	const view = 5
 	v := viewOf(view, "a", "b", "c", "d")
-	hear := func(s *state, name string, view uint64, at time.Duration) {
-		b := &Beat{From: name, Incarnation: 1, View: view, Newest: view, AgeMillis: -1}
-		s.answered(b, epoch.Add(at), epoch.Add(at), view)
+	hear := func(s *state, name string, held uint64) {
+		b := &Beat{From: name, Incarnation: 1, View: held, Newest: held, AgeMillis: -1}
+		s.answered(b, epoch, epoch, held)
 	}
+	// late takes in an answer that was asked for now and comes 400 ms later.
+	late := func(s *state, name string, age int64) {
+		b := &Beat{From: name, Incarnation: 1, View: view, AgeMillis: age}
+		s.answered(b, epoch, epoch.Add(400*time.Millisecond), view)
+	}
+	confirmed := func(s *state) { s.confirmHere(epoch, view) }
+	majority := func(s *state) { hear(s, "b", view); hear(s, "c", view) }
+	peerConfirmed := func(s *state) { late(s, "b", 1500) }
 	for _, c := range []struct {
 		name   string
 		happen func(s *state)
@@ -21,50 +29,41 @@
 		fresh  bool
 	}{
 		{"heard nothing", func(*state) {}, 0, false},
-		{"confirmed", func(s *state) { s.confirmHere(epoch, view) }, DefaultFreshness, true},
-		{"confirmed long ago", func(s *state) { s.confirmHere(epoch, view) }, DefaultFreshness + 1, false},
+		{"confirmed", confirmed, DefaultFreshness, true},
+		{"confirmed long ago", confirmed, DefaultFreshness + 1, false},
 		{"an older list confirmed", func(s *state) { s.confirm(epoch, view-1, view, 0) }, 0, true},
 		{"a newer list confirmed", func(s *state) { s.confirm(epoch, view+1, view, 0) }, 0, false},
 		{"confirmed, newer one known", func(s *state) {
-			s.confirmHere(epoch, view)
+			confirmed(s)
 			s.receive(&Beat{From: "b", Incarnation: 1, View: view, Newest: view + 1}, epoch)
 		}, 0, false},
 		{"confirmed, newer one held by another", func(s *state) {
-			s.confirmHere(epoch, view)
+			confirmed(s)
 			s.receive(&Beat{From: "b", Incarnation: 1, View: view + 1}, epoch)
 		}, 0, false},
-		{"peer's confirmation counts from the ask", func(s *state) {
-			b := &Beat{From: "b", Incarnation: 1, View: view, AgeMillis: 1500}
-			s.answered(b, epoch, epoch.Add(400*time.Millisecond), view)
-		}, 600 * time.Millisecond, false},
-		{"peer's confirmation", func(s *state) {
-			b := &Beat{From: "b", Incarnation: 1, View: view, AgeMillis: 1500}
-			s.answered(b, epoch, epoch.Add(400*time.Millisecond), view)
-		}, 400 * time.Millisecond, true},
-		{"a half", func(s *state) { hear(s, "b", view, 0) }, 0, false},
-		{"a majority", func(s *state) { hear(s, "b", view, 0); hear(s, "c", view, 0) }, DefaultFreshness, true},
-		{"a majority long ago", func(s *state) { hear(s, "b", view, 0); hear(s, "c", view, 0) }, DefaultFreshness + 1, false},
-		{"a majority, one of them behind", func(s *state) { hear(s, "b", view, 0); hear(s, "c", view-1, 0) }, 0, false},
+		{"peer's confirmation counts from the ask", peerConfirmed, 600 * time.Millisecond, false},
+		{"peer's confirmation", peerConfirmed, 400 * time.Millisecond, true},
+		{"a half", func(s *state) { hear(s, "b", view) }, 0, false},
+		{"a majority", majority, DefaultFreshness, true},
+		{"a majority long ago", majority, DefaultFreshness + 1, false},
+		{"a majority, one of them behind", func(s *state) { hear(s, "b", view); hear(s, "c", view-1) }, 0, false},
 		{"a majority, newer one known", func(s *state) {
-			hear(s, "b", view, 0)
-			hear(s, "c", view, 0)
+			majority(s)
 			s.note(Row{Member: hashOf("d"), Incarnation: 1, View: view + 1}, epoch)
 		}, 0, false},
-		{"a majority's word counts from the ask", func(s *state) {
-			for _, name := range []string{"b", "c"} {
-				b := &Beat{From: name, Incarnation: 1, View: view, AgeMillis: -1}
-				s.answered(b, epoch, epoch.Add(400*time.Millisecond), view)
-			}
-		}, DefaultFreshness + 200*time.Millisecond, false},
+		{
+			"a majority's word counts from the ask", func(s *state) { late(s, "b", -1); late(s, "c", -1) },
+			DefaultFreshness + 200*time.Millisecond, false,
+		},
 		{"a majority, one of them by a dead process's late beat", func(s *state) {
-			hear(s, "b", view, 0)
+			hear(s, "b", view)
 			s.answered(&Beat{From: "c", Incarnation: 2, View: view - 1, AgeMillis: -1}, epoch, epoch, view)
 			s.receive(&Beat{From: "c", Incarnation: 1, View: view}, epoch)
 		}, 0, false},
-		{"not listed ones don't count", func(s *state) { hear(s, "x", view, 0); hear(s, "y", view, 0) }, 0, false},
+		{"not listed ones don't count", func(s *state) { hear(s, "x", view); hear(s, "y", view) }, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := newState("a", 1, DefaultFreshness)
+			s := stateOf("a")
 			s.hold(view, epoch)
 			c.happen(s)
 			require.Equal(t, c.fresh, s.fresh(v, epoch.Add(c.at)))
@@ -73,7 +72,7 @@
 }
 
 func TestFreshWithoutList(t *testing.T) {
-	s := newState("a", 1, DefaultFreshness)
+	s := stateOf("a")
 	s.confirmHere(epoch, 0)
 	require.False(t, s.fresh(viewOf(0), epoch))
 }
--- a/internal/fleet/figmember/state_test.go
+++ b/internal/fleet/figmember/state_test.go
@@ -21,6 +21,8 @@
 	return figview.NewView(version, members)
 }
 
+func stateOf(name string) *state { return newState(name, 1, DefaultFreshness) }
+
 // exchange lets a ask b, both holding a version.
 func exchange(a, b *state, view uint64, now time.Time) {
 	a.hold(view, now)
@@ -31,7 +33,7 @@
 
 // A process that comes back under an earlier clock is heard again at once.
 func TestLowerIncarnation(t *testing.T) {
-	a, old, back := newState("a", 1, DefaultFreshness), newState("b", 50, DefaultFreshness), newState("b", 20, DefaultFreshness)
+	a, old, back := stateOf("a"), newState("b", 50, DefaultFreshness), newState("b", 20, DefaultFreshness)
 	exchange(a, old, 3, epoch)
 	exchange(back, a, 3, epoch)
 	require.Equal(t, uint64(51), back.incarnation)
@@ -40,8 +42,20 @@
 	require.True(t, ok)
 }
 
+// Of two processes of a name the latest one's row counts, in whatever order they come.
+func TestLatestIncarnationCounts(t *testing.T) {
+	former, latter := Row{Member: hashOf("b"), Incarnation: 1, View: 2}, Row{Member: hashOf("b"), Incarnation: 2, View: 1}
+	for _, rows := range [][]Row{{former, latter}, {latter, former}} {
+		a := stateOf("a")
+		a.note(rows[0], epoch)
+		a.note(rows[1], epoch)
+		_, ok := a.allAcked(viewOf(2, "a", "b"), 2)
+		require.False(t, ok)
+	}
+}
+
 func TestSinceIsWhenTheLastToldIt(t *testing.T) {
-	a, b, c := newState("a", 1, DefaultFreshness), newState("b", 1, DefaultFreshness), newState("c", 1, DefaultFreshness)
+	a, b, c := stateOf("a"), stateOf("b"), stateOf("c")
 	v := viewOf(2, "a", "b", "c")
 	exchange(a, b, 2, epoch)
 	_, ok := a.allAcked(v, 2)
@@ -57,7 +71,7 @@
 
 // Rows travel once to each peer and are sent again to one that lost them.
 func TestRowsTravelOnce(t *testing.T) {
-	a, b := newState("a", 1, DefaultFreshness), newState("b", 1, DefaultFreshness)
+	a, b := stateOf("a"), stateOf("b")
 	for i := range 100 {
 		a.note(Row{Member: uint64(i), Incarnation: 1, View: 7}, epoch)
 	}
@@ -71,7 +85,7 @@
 }
 
 func TestForgetKeepsListed(t *testing.T) {
-	a := newState("a", 1, DefaultFreshness)
+	a := stateOf("a")
 	a.hold(1, epoch)
 	a.note(Row{Member: hashOf("b"), Incarnation: 1, View: 1}, epoch)
 	for i := range 1000 {
@@ -108,7 +122,7 @@
 
 func TestSmallFleetAsksAll(t *testing.T) {
 	v := largeView(9)
-	asked := asks(newState("i3", 1, DefaultFreshness), v, meshTurns)
+	asked := asks(stateOf("i3"), v, meshTurns)
 	require.Len(t, asked, 8)
 	require.NotContains(t, asked, "i3")
 }
@@ -118,7 +132,7 @@
 	v := largeView(480)
 	inward, readers := map[string]int{}, 0
 	for _, m := range v.Members {
-		asked := asks(newState(m.Name, 1, DefaultFreshness), v, turns)
+		asked := asks(stateOf(m.Name), v, turns)
 		require.Len(t, asked, readersAsked+1)
 		require.NotContains(t, asked, m.Name)
 		for name, n := range asked {
@@ -140,7 +154,7 @@
 
 func TestSilentNeighbourIsReplaced(t *testing.T) {
 	v := largeView(48)
-	s := newState("i0", 1, DefaultFreshness)
+	s := stateOf("i0")
 	s.confirmHere(epoch.Add(spareTime), v.Version)
 	first := s.neighbours(v, 1, epoch)
 	for range failuresSpared {
@@ -155,7 +169,7 @@
 // second, and a large one doesn't.
 func TestOutageMesh(t *testing.T) {
 	v := largeView(45)
-	s := newState("i0", 1, DefaultFreshness)
+	s := stateOf("i0")
 	s.confirmHere(epoch, v.Version)
 	require.Len(t, s.neighbours(v, 1, epoch.Add(outageAfter)), 1)
 	now := epoch.Add(outageAfter + 1)
@@ -188,7 +202,7 @@
 // What the service said to this instance is no sign of another one that reads,
 // also when a peer repeats it.
 func TestOwnWordIsNotElsewhere(t *testing.T) {
-	a, b := newState("a", 1, DefaultFreshness), newState("b", 1, DefaultFreshness)
+	a, b := stateOf("a"), stateOf("b")
 	a.confirmHere(epoch, 1)
 	exchange(b, a, 1, epoch)
 	exchange(a, b, 1, epoch)
