Say the tests of figtree with fewer lines

Change: parsed and build take the place of four ways to parse documents without faults; TestLimits compares whole accounts, TestRoutesNeedGrants whole routes. BenchmarkChange, which checked nothing, is dropped: that of figstore times the same work and more.

--- a/internal/config/figtree/bench_test.go
+++ b/internal/config/figtree/bench_test.go
@@ -28,14 +28,9 @@
 func benchBuilder(tb testing.TB, accounts int) *Builder {
 	tb.Helper()
 	b := NewBuilder()
-	put := func(path, text string) {
-		d, faults := Parse(path, []byte(text))
-		require.Empty(tb, faults)
-		b.Put(d)
-	}
-	put("pools", "pools: [{name: p, models: [m]}]\nlimits: {tokensPerSecond: 100000}\n")
+	b.Put(parsed(tb, "pools", "pools: [{name: p, models: [m]}]\nlimits: {tokensPerSecond: 100000}\n"))
 	for team := range accounts / perDocument {
-		put(fmt.Sprintf("team%d/accounts", team), benchDocument(team, 0))
+		b.Put(parsed(tb, fmt.Sprintf("team%d/accounts", team), benchDocument(team, 0)))
 	}
 	require.Equal(tb, accounts, b.Build().AccountCount())
 	return b
@@ -46,9 +41,7 @@
 func TestChangeCopiesFewShards(t *testing.T) {
 	b := benchBuilder(t, benchAccounts/10)
 	before := b.Build()
-	d, faults := Parse("team7/accounts", []byte(benchDocument(7, 1)))
-	require.Empty(t, faults)
-	b.Put(d)
+	b.Put(parsed(t, "team7/accounts", benchDocument(7, 1)))
 	after := b.Build()
 	copied := 0
 	for i := range before.accounts.shards {
@@ -61,17 +54,6 @@
 	require.Empty(t, b.Faults())
 }
 
-// BenchmarkChange applies one account's change to a tree of 47,000 accounts.
-func BenchmarkChange(b *testing.B) {
-	builder := benchBuilder(b, benchAccounts)
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		d, _ := Parse("team7/accounts", []byte(benchDocument(7, i+1)))
-		builder.Put(d)
-		builder.Build()
-	}
-}
-
 // BenchmarkParse parses one document of fifty accounts.
 func BenchmarkParse(b *testing.B) {
 	text := []byte(benchDocument(7, 1))
--- a/internal/config/figtree/builder_test.go
+++ b/internal/config/figtree/builder_test.go
@@ -12,121 +12,107 @@
 )
 
 func TestLimits(t *testing.T) {
-	const pools = "pools: [{name: a}, {name: b}]\n"
+	const taken = "accounts: [{name: n, tokensPerSecond: 7, pools: "
 	for _, c := range []struct {
-		name                   string
-		docs                   map[string]string
-		rate, burst, priority  int64
-		pools                  []string
-		faultPath, faultReason string
+		name           string
+		docs           []string
+		want           Account
+		fault, because string
 	}{
 		{
-			name: "inherited",
-			docs: map[string]string{
-				"top": "limits: {tokensPerSecond: 100, burst: 300, priority: 5, pools: [a]}\n", "t/x": "accounts: [{name: n}]\n",
-			},
-			rate: 100, burst: 300, pools: []string{"a"},
+			"inherited",
+			[]string{"top", "limits: {tokensPerSecond: 100, burst: 300, priority: 5, pools: [a]}", "t/x", "accounts: [{name: n}]"},
+			Account{TokensPerSecond: 100, Burst: 300, Pools: []string{"a"}},
+			"", "",
 		},
 		{
-			name: "narrowed by the team",
-			docs: map[string]string{
-				"top":   "limits: {tokensPerSecond: 100, pools: [a, b]}\n",
-				"t/top": "limits: {tokensPerSecond: 40, pools: [b]}\n", "t/x": "accounts: [{name: n}]\n",
+			"narrowed by the team",
+			[]string{
+				"top", "limits: {tokensPerSecond: 100, pools: [a, b]}",
+				"t/top", "limits: {tokensPerSecond: 40, pools: [b]}", "t/x", "accounts: [{name: n}]",
 			},
-			rate: 40, burst: 40, pools: []string{"b"},
+			Account{TokensPerSecond: 40, Burst: 40, Pools: []string{"b"}},
+			"", "",
 		},
 		{
-			name: "widened by the team",
-			docs: map[string]string{
-				"top":   "subtrees: {t: {tokensPerSecond: 100, priority: 3, pools: [a]}}\n",
-				"t/top": "limits: {tokensPerSecond: 4000}\n", "t/x": "accounts: [{name: n, priority: 9}]\n",
+			"widened by the team",
+			[]string{
+				"top", "subtrees: {t: {tokensPerSecond: 100, priority: 3, pools: [a]}}",
+				"t/top", "limits: {tokensPerSecond: 4000}", "t/x", "accounts: [{name: n, priority: 9}]",
 			},
-			rate: 100, burst: 100, priority: 3, pools: []string{"a"}, faultPath: "t/top", faultReason: "above the limit 100 set in top",
+			Account{TokensPerSecond: 100, Burst: 100, Priority: 3, Pools: []string{"a"}},
+			"t/top", "above the limit 100 set in top",
 		},
 		{
-			name: "widened by the account",
-			docs: map[string]string{
-				"top": "limits: {burst: 50, pools: [a]}\n", "t/x": "accounts: [{name: n, tokensPerSecond: 7, burst: 60}]\n",
-			},
-			rate: 7, burst: 50, pools: []string{"a"}, faultPath: "t/x", faultReason: "burst 60 is above",
+			"widened by the account",
+			[]string{"top", "limits: {burst: 50, pools: [a]}", "t/x", "accounts: [{name: n, tokensPerSecond: 7, burst: 60}]"},
+			Account{TokensPerSecond: 7, Burst: 50, Pools: []string{"a"}},
+			"t/x", "burst 60 is above",
 		},
 		{
-			name: "pool taken without a grant",
-			docs: map[string]string{
-				"top":   "subtrees: {t: {pools: [a]}}\n",
-				"t/top": "limits: {pools: [a, b]}\n", "t/x": "accounts: [{name: n, tokensPerSecond: 7, pools: [b, a]}]\n",
-			},
-			rate: 7, burst: 7, pools: []string{"a"}, faultPath: "t/x", faultReason: "pool b is not granted",
+			"pool taken without a grant",
+			[]string{"top", "subtrees: {t: {pools: [a]}}", "t/top", "limits: {pools: [a, b]}", "t/x", taken + "[b, a]}]"},
+			Account{TokensPerSecond: 7, Burst: 7, Pools: []string{"a"}},
+			"t/x", "pool b is not granted",
 		},
 		{
-			name: "pool of the team's own",
-			docs: map[string]string{
-				"top": "subtrees: {t: {pools: [a]}}\n", "t/own": "pools: [{name: c}]\n",
-				"t/x": "accounts: [{name: n, tokensPerSecond: 7, pools: [t/c]}]\n",
-			},
-			rate: 7, burst: 7, pools: []string{"t/c"},
+			"pool of the team's own",
+			[]string{"top", "subtrees: {t: {pools: [a]}}", "t/own", "pools: [{name: c}]", "t/x", taken + "[t/c]}]"},
+			Account{TokensPerSecond: 7, Burst: 7, Pools: []string{"t/c"}},
+			"", "",
 		},
 		{
-			name: "another team's limits",
-			docs: map[string]string{
-				"u/top": "limits: {tokensPerSecond: 1}\n", "t/x": "accounts: [{name: n, tokensPerSecond: 7, pools: [a]}]\n",
-			},
-			rate: 7, burst: 7, pools: []string{"a"},
+			"another team's limits",
+			[]string{"u/top", "limits: {tokensPerSecond: 1}", "t/x", taken + "[a]}]"},
+			Account{TokensPerSecond: 7, Burst: 7, Pools: []string{"a"}},
+			"", "",
 		},
 		{
-			name: "a name that starts alike",
-			docs: map[string]string{
-				"top": "subtrees: {t: {pools: [a]}}\n", "tt/own": "pools: [{name: c}]\n",
-				"t/x": "accounts: [{name: n, tokensPerSecond: 7, pools: [tt/c, a]}]\n",
-			},
-			rate: 7, burst: 7, pools: []string{"a"}, faultPath: "t/x", faultReason: "pool tt/c is not granted",
+			"a name that starts alike",
+			[]string{"top", "subtrees: {t: {pools: [a]}}", "tt/own", "pools: [{name: c}]", "t/x", taken + "[tt/c, a]}]"},
+			Account{TokensPerSecond: 7, Burst: 7, Pools: []string{"a"}},
+			"t/x", "pool tt/c is not granted",
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			c.docs["pools"] = pools
-			tree, faults := build(t, c.docs)
+			tree, faults := build(t, append(c.docs, "pools", "pools: [{name: a}, {name: b}]")...)
 			a, ok := tree.Account("t/n")
 			require.True(t, ok)
-			require.Equal(t, c.rate, a.TokensPerSecond)
-			require.Equal(t, c.burst, a.Burst)
-			require.Equal(t, int(c.priority), a.Priority)
-			require.Equal(t, c.pools, a.Pools)
-			if c.faultPath == "" {
+			c.want.ID, c.want.Class, c.want.Weight = "t/n", defaultClass, 1
+			require.Equal(t, c.want, *a)
+			if c.fault == "" {
 				require.Empty(t, faults)
 				return
 			}
-			match := func(f Fault) bool { return f.Path == c.faultPath && f.Line > 0 }
+			match := func(f Fault) bool { return f.Path == c.fault && f.Line > 0 }
 			i := slices.IndexFunc(faults, match)
 			require.GreaterOrEqual(t, i, 0, faults)
-			require.Contains(t, faults[i].Reason, c.faultReason)
+			require.Contains(t, faults[i].Reason, c.because)
 		})
 	}
 }
 
 func TestRoutesNeedGrants(t *testing.T) {
-	tree, faults := build(t, map[string]string{
-		"pools":    "pools: [{name: a}]\n",
-		"top":      "subtrees: {t: {routePrefixes: [/t]}}\nroutes: [{prefix: /x, pool: a}]\n",
-		"t/routes": "routes: [{prefix: /t/one, pool: a}, {prefix: /tt, pool: a}, {prefix: /x/y, pool: a}]\n",
-		"u/routes": "routes: [{prefix: /u, pool: a}]\n",
-	})
-	prefixes := make([]string, 0, len(tree.Routes))
-	for _, r := range tree.Routes {
-		prefixes = append(prefixes, r.Prefix)
-	}
-	require.Equal(t, []string{"/t/one", "/x"}, prefixes)
+	tree, faults := build(t,
+		"pools", "pools: [{name: a}]",
+		"top", "subtrees: {t: {routePrefixes: [/t]}}\nroutes: [{prefix: /x, pool: a}]",
+		"t/routes", "routes: [{prefix: /t/one, pool: a}, {prefix: /tt, pool: a}, {prefix: /x/y, pool: a}]",
+		"u/routes", "routes: [{prefix: /u, pool: a}]",
+	)
+	require.Equal(t, []Route{{Prefix: "/t/one", Pool: "a"}, {Prefix: "/x", Pool: "a"}}, tree.Routes)
 	require.Len(t, faults, 3)
 }
 
+// A key that two accounts declare goes to the lower ID among those that may have it.
 func TestKeysNeedGrants(t *testing.T) {
-	docs := map[string]string{
-		"pools": "pools: [{name: a}]\n",
-		"top":   "subtrees: {t: {keyPrefixes: [t-, u-]}, u: {keyPrefixes: [k]}}\n",
-		"t/top": "limits: {keyPrefixes: [k, t-]}\n",
-		"t/x":   "accounts: [{name: n, tokensPerSecond: 1, pools: [a], keys: [" + goodKey + "]}]\n",
-		"u/x":   "accounts: [{name: n, tokensPerSecond: 1, pools: [a], keys: [" + goodKey + "]}]\n",
-	}
-	tree, faults := build(t, docs)
+	const account = "accounts: [{name: n, tokensPerSecond: 1, pools: [a], keys: [" + goodKey + "]}]"
+	tree, faults := build(t,
+		"pools", "pools: [{name: a}]",
+		"top", "subtrees: {t: {keyPrefixes: [t-, u-]}, u: {keyPrefixes: [k]}}",
+		"t/top", "limits: {keyPrefixes: [k, t-]}",
+		"t/x", account,
+		"u/x", account,
+	)
 	k, ok := tree.Key("k1")
 	require.True(t, ok)
 	require.Equal(t, "u/n", k.Account)
@@ -136,12 +122,13 @@
 }
 
 func TestDeclaredTwice(t *testing.T) {
-	tree, faults := build(t, map[string]string{
-		"pools": "pools: [{name: a}]\n",
-		"t/x":   "accounts: [{name: n, tokensPerSecond: 1, pools: [a], keys: [" + goodKey + "]}]\n",
-		"t/y":   "accounts: [{name: n, tokensPerSecond: 2, pools: [a]}]\n",
-		"u/x":   "accounts: [{name: n, tokensPerSecond: 3, pools: [a], keys: [" + goodKey + "]}]\n",
-	})
+	const account = "accounts: [{name: n, tokensPerSecond: %d, pools: [a], keys: [%s]}]"
+	tree, faults := build(t,
+		"pools", "pools: [{name: a}]",
+		"t/x", fmt.Sprintf(account, 1, goodKey),
+		"t/y", fmt.Sprintf(account, 2, ""),
+		"u/x", fmt.Sprintf(account, 3, goodKey),
+	)
 	a, _ := tree.Account("t/n")
 	require.Equal(t, int64(1), a.TokensPerSecond)
 	k, _ := tree.Key("k1")
@@ -188,9 +175,19 @@
 		text += fmt.Sprintf("  - {name: n%d, tokensPerSecond: %d, pools: [p1, p%d], keys: [%s]}\n", i, number("rate"), number("pool"),
 			strings.Replace(goodKey, "k1", fmt.Sprint("k", i), 1))
 	}
-	d, faults := Parse(path, []byte(text))
-	require.Empty(t, faults)
-	return d
+	return parsed(t, path, text)
+}
+
+// requireSnapshot builds the next tree: the one in use does not change by it, and
+// the next one is another, with a higher version, if it holds anything else.
+func requireSnapshot(t *rapid.T, b *Builder) {
+	before, kept := b.tree, contents(b.tree)
+	after := b.Build()
+	require.Equal(t, kept, contents(before))
+	if contents(after) != kept {
+		require.Greater(t, after.Version, before.Version)
+	}
+	require.Same(t, after, b.Build())
 }
 
 // What is in force, and what is reported, depend on the documents held and not
@@ -208,7 +205,7 @@
 				b.Put(held[path])
 			}
 			if rapid.Bool().Draw(t, "build") {
-				b.Build()
+				requireSnapshot(t, b)
 			}
 		}
 		anew := NewBuilder()
@@ -220,21 +217,3 @@
 		require.Equal(t, anew.tree.AccountCount(), b.tree.AccountCount())
 	})
 }
-
-// A tree in use does not change when the next one is built.
-func TestTreeIsSnapshot(t *testing.T) {
-	b := NewBuilder()
-	put := func(text string) *Tree {
-		d, faults := Parse("t/x", []byte(text))
-		require.Empty(t, faults)
-		b.Put(d)
-		return b.Build()
-	}
-	before := put("accounts: [{name: n, tokensPerSecond: 1}, {name: m, tokensPerSecond: 1}]\n")
-	kept := contents(before)
-	after := put("accounts: [{name: n, tokensPerSecond: 2}]\n")
-	require.Equal(t, kept, contents(before))
-	require.NotEqual(t, kept, contents(after))
-	require.Greater(t, after.Version, before.Version)
-	require.Same(t, after, b.Build())
-}
--- a/internal/config/figtree/parse_test.go
+++ b/internal/config/figtree/parse_test.go
@@ -58,31 +58,32 @@
 	require.Len(t, faults, maxFaults)
 }
 
-func TestParseEmpty(t *testing.T) {
-	d, faults := Parse("a/b", nil)
+func TestParseEmpty(t *testing.T) { require.Equal(t, "a", parsed(t, "a/b", "").Dir) }
+
+// parsed returns the document of a text without faults.
+func parsed(t require.TestingT, path, text string) *Document {
+	d, faults := Parse(path, []byte(text))
 	require.Empty(t, faults)
-	require.Equal(t, "a", d.Dir)
+	return d
 }
 
-func build(t *testing.T, docs map[string]string) (*Tree, []Fault) {
+// build builds a tree of documents, given as paths and texts in turn.
+func build(t *testing.T, docs ...string) (*Tree, []Fault) {
 	t.Helper()
 	b := NewBuilder()
-	for path, text := range docs {
-		d, faults := Parse(path, []byte(text))
-		require.Empty(t, faults)
-		b.Put(d)
+	for i := 0; i < len(docs); i += 2 {
+		b.Put(parsed(t, docs[i], docs[i+1]))
 	}
 	return b.Build(), b.Faults()
 }
 
 func TestBuild(t *testing.T) {
-	tree, faults := build(t, map[string]string{
-		"places": "dataCentres: [{name: north, region: r}, {name: south, region: r, out: true}]\n",
-		"pools":  "pools: [{name: language, models: [m], firstToken: 1s}, {name: ledger}]\n",
-		"routes": "routes: [{prefix: /ledger, pool: ledger}, {prefix: /ledger/refunds, pool: ledger, methods: [POST]}]\n",
-		"huber/accounts": "accounts:\n  - {name: treasury, tokensPerSecond: 10, burst: 20, pools: [language, ledger],\n" +
-			"     keys: [" + goodKey + "]}\n",
-	})
+	tree, faults := build(t,
+		"places", "dataCentres: [{name: north, region: r}, {name: south, region: r, out: true}]",
+		"pools", "pools: [{name: language, models: [m], firstToken: 1s}, {name: ledger}]",
+		"routes", "routes: [{prefix: /ledger, pool: ledger}, {prefix: /ledger/refunds, pool: ledger, methods: [POST]}]",
+		"huber/accounts", "accounts: [{name: treasury, tokensPerSecond: 10, burst: 20, pools: [language, ledger], keys: ["+goodKey+"]}]",
+	)
 	require.Empty(t, faults)
 	a, ok := tree.Account("huber/treasury")
 	require.True(t, ok)
