--- a/internal/config/figplatform/http_test.go
+++ b/internal/config/figplatform/http_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -74,36 +75,25 @@
 }
 
 func TestWrongAnswers(t *testing.T) {
-	for _, c := range []struct{ name, body string }{
-		{"no JSON", "<html>"},
-		{"unknown state", `{"revision":1,"instances":[{"name":"a","state":"asleep"}]}`},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			p := figplatform.HTTP(answerWith(t, c.body, new(atomic.Int64)))
-			_, err := p.Instances(context.Background(), 0, 0)
-			require.Error(t, err)
-		})
+	for _, body := range []string{"<html>", `{"revision":1,"instances":[{"name":"a","state":"asleep"}]}`} {
+		_, err := figplatform.HTTP(answering(t, new(atomic.Int64), body)).Instances(context.Background(), 0, 0)
+		require.ErrorContains(t, err, "decode", body)
 	}
 }
 
 // A call is sent once, also when the service reads it and closes, on a fresh and
 // on a reused connection.
 func TestOneAttempt(t *testing.T) {
-	for _, c := range []struct {
-		name     string
-		answered int64
-	}{{"fresh", 0}, {"reused", 1}} {
-		t.Run(c.name, func(t *testing.T) {
-			var calls atomic.Int64
-			p := figplatform.HTTP(answerFirst(t, c.answered, &calls))
-			for range c.answered {
-				_, err := p.Instances(context.Background(), 0, 0)
-				require.NoError(t, err)
-			}
+	for _, answered := range []int{0, 1} {
+		var calls atomic.Int64
+		p := figplatform.HTTP(answering(t, &calls, slices.Repeat([]string{`{"revision":1}`}, answered)...))
+		for range answered {
 			_, err := p.Instances(context.Background(), 0, 0)
-			require.Error(t, err)
-			require.Equal(t, c.answered+1, calls.Load())
-		})
+			require.NoError(t, err)
+		}
+		_, err := p.Instances(context.Background(), 0, 0)
+		require.Error(t, err)
+		require.EqualValues(t, answered+1, calls.Load())
 	}
 }
 
@@ -133,42 +123,34 @@
 	require.ErrorIs(t, err, context.Canceled)
 }
 
-func answerWith(t *testing.T, body string, calls *atomic.Int64) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		calls.Add(1)
-		_, _ = w.Write([]byte(body))
-	})}
-	go func() { _ = s.Serve(l) }()
-	t.Cleanup(func() { require.NoError(t, s.Close()) })
-	return l.Addr().String()
-}
-
-// answerFirst answers the first calls; the later ones it reads and then closes
-// their connection.
-func answerFirst(t *testing.T, answered int64, calls *atomic.Int64) string {
+// answering returns the address of a service that answers the first calls with
+// bodies; the later ones it reads and then closes their connection.
+func answering(t *testing.T, calls *atomic.Int64, bodies ...string) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, l.Close()) })
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		r := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			n := int(calls.Add(1))
+			if n > len(bodies) {
+				return
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(bodies[n-1]), bodies[n-1])
+		}
+	}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r := bufio.NewReader(c)
-				for {
-					if _, err := http.ReadRequest(r); err != nil || calls.Add(1) > answered {
-						return
-					}
-					_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"revision\":1}"))
-				}
-			}()
+			go serve(c)
 		}
 	}()
 	return l.Addr().String()
--- a/internal/limit/figbudget/reservation.go
+++ b/internal/limit/figbudget/reservation.go
@@ -28,6 +28,7 @@
 		return
 	}
 	r.settled = true
-	now, _ := b.sync()
+	now := b.opts.Clock.Now()
+	b.sync(now)
 	b.ledger.settle(r.account, r.taken, used, now)
 }
