--- a/internal/limit/figbudget/budget.go
+++ b/internal/limit/figbudget/budget.go
@@ -90,19 +90,19 @@
 // Run ticks until ctx ends. It then ends the messages under way.
 func (b *Budget) Run(ctx context.Context, t *figtimer.Timer) error {
 	defer b.cancel()
-	for now := range t.Subscribe(ctx, tickTime) {
-		b.Tick(now)
+	for range t.Subscribe(ctx, tickTime) {
+		b.Tick()
 	}
 	return nil
 }
 
-// Tick does what is due at now: it takes in a new list of instances, hands
+// Tick does what is due: it takes in a new list of instances, hands
 // unspent leases back and pulls slots that were gained.
-func (b *Budget) Tick(now time.Time) {
+func (b *Budget) Tick() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.sync(now)
-	b.ledger.poll(now, b.acked)
+	now, _ := b.sync()
+	b.ledger.poll(b.opts.Clock.Now, b.acked)
 	b.send(b.ledger.tick(now))
 }
 
@@ -110,8 +110,7 @@
 func (b *Budget) Answer(_ context.Context, q *Request) (*Reply, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.opts.Clock.Now()
-	fresh := b.sync(now)
+	now, fresh := b.sync()
 	return b.ledger.answer(q, b.opts.Incarnation, now, fresh), nil
 }
 
@@ -125,8 +124,7 @@
 		return nil, refusal
 	}
 	for {
-		now := b.opts.Clock.Now()
-		fresh := b.sync(now)
+		now, fresh := b.sync()
 		taken, q, refusal := b.ledger.step(a, now, fresh)
 		if refusal != nil {
 			return nil, refusal
@@ -175,18 +173,23 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.opts.Clock.Now()
-	b.sync(now)
+	now, _ := b.sync()
 	b.ledger.takeIn(m, r, now)
 	b.send(b.ledger.due(m.peer, now))
 }
 
-// sync takes in the view in force and says whether it is fresh. Freshness is
-// read first: a view that comes in between is newer than the one vouched for.
-func (b *Budget) sync(now time.Time) bool {
-	fresh := b.opts.Fresh()
-	b.ledger.sync(b.opts.View(), now, fresh)
-	return fresh
+// sync takes in the view in force, and returns the time and whether the view is
+// fresh at it. Freshness is read first: a view that comes in between is newer
+// than the one vouched for. If the process was paused in between, what was read
+// may be old: it counts as not fresh.
+func (b *Budget) sync() (now time.Time, fresh bool) {
+	before := b.opts.Clock.Now()
+	fresh = b.opts.Fresh()
+	v := b.opts.View()
+	now = b.opts.Clock.Now()
+	fresh = fresh && now.Sub(before) < lookTime
+	b.ledger.sync(v, now, fresh)
+	return now, fresh
 }
 
 func (b *Budget) acked(version uint64) bool {
--- a/internal/limit/figbudget/budget_test.go
+++ b/internal/limit/figbudget/budget_test.go
@@ -84,7 +84,7 @@
 		f.now = f.now.Add(tickTime)
 		f.mu.Unlock()
 		for _, b := range f.budgets {
-			b.Tick(f.time())
+			b.Tick()
 		}
 	}
 }
@@ -154,6 +154,35 @@
 	}
 }
 
+// TestAPauseDuringALookCountsForNothing stops the process, as seen by its clock,
+// while it looks at its view: what it saw before is old by then.
+func TestAPauseDuringALookCountsForNothing(t *testing.T) {
+	f := newFleet(1, map[string]Limits{"a": {TokensPerSecond: 300, Burst: 900}})
+	pause := func() {
+		f.mu.Lock()
+		f.now = f.now.Add(time.Minute)
+		f.mu.Unlock()
+	}
+	b := f.budgets["i0"]
+	b.opts.AllAcked = func(uint64) (time.Time, bool) {
+		pause()
+		return time.Time{}, true
+	}
+	b.Tick()
+	_, err := b.Reserve(t.Context(), "a", 1)
+	_ = requireRefusal(t, err, Unavailable)
+	f.advance(20 * time.Second)
+	_, err = b.Reserve(t.Context(), "a", 1)
+	require.NoError(t, err)
+
+	b.opts.Fresh = func() bool {
+		pause()
+		return true
+	}
+	_, err = b.Reserve(t.Context(), "a", 1)
+	_ = requireRefusal(t, err, Unavailable)
+}
+
 func TestReserveEndsWithItsContext(t *testing.T) {
 	f := newFleet(9, map[string]Limits{"a": {TokensPerSecond: 300, Burst: 900}})
 	f.advance(20 * time.Second)
--- a/internal/limit/figbudget/history.go
+++ b/internal/limit/figbudget/history.go
@@ -23,7 +23,9 @@
 	// gapLimit is how long ago the instance may have been fresh when it misses
 	// versions of the list, for no other to have regenerated its slots in one of
 	// them: regeneration less twice the freshness and the error of two clocks.
-	gapLimit = regeneration - 2*(freshness+freshness/50) - 50*time.Millisecond
+	gapLimit = regeneration - 2*(freshness+freshness/50) - lookTime
+	// lookTime is how long a look at the view and its freshness may take and count.
+	lookTime = 50 * time.Millisecond
 	// epochsKept bounds the remembered views.
 	epochsKept = 16
 )
@@ -74,12 +76,13 @@
 	return true
 }
 
-// poll notes which views all other members have acknowledged.
-func (h *history) poll(now time.Time, acked func(version uint64) bool) {
+// poll notes which views all other members have acknowledged. The clock is read
+// after each answer, so that a pause in between counts for nothing.
+func (h *history) poll(clock func() time.Time, acked func(version uint64) bool) {
 	for i := range h.epochs {
 		e := &h.epochs[i]
 		if e.ripe.IsZero() && acked(e.view.Version) {
-			e.ripe = now.Add(regeneration)
+			e.ripe = clock().Add(regeneration)
 		}
 	}
 }
--- a/internal/limit/figbudget/measure_test.go
+++ b/internal/limit/figbudget/measure_test.go
@@ -23,8 +23,9 @@
 	listLag = 400 * time.Millisecond
 	// usedPart is what requests use of their reservation.
 	usedPart = 0.7
-	// offered is the load that accounts use, as a part of their rate.
-	offered = 0.8
+	// offered is the load that accounts use, as a part of their rate, and
+	// offeredMuch one close to it.
+	offered, offeredMuch = 0.8, 0.95
 )
 
 // bucket is an ideal token bucket: one place, no delay.
@@ -68,28 +69,52 @@
 // figures is what one measurement found.
 type figures struct {
 	inRate, refused int
+	// afterInRate and afterRefused are those from backAfter after the fault on.
+	afterInRate, afterRefused int
 	// last is when the last request inside its rate was refused, after the fault.
 	last     time.Duration
 	messages int
 }
 
-func (f figures) percent() float64 { return 100 * float64(f.refused) / float64(max(1, f.inRate)) }
+func (f *figures) percent() float64 { return 100 * float64(f.refused) / float64(max(1, f.inRate)) }
+
+func (f *figures) percentAfter() float64 {
+	return 100 * float64(f.afterRefused) / float64(max(1, f.afterInRate))
+}
+
+// count notes a request inside its rate that came at a time after the fault.
+func (f *figures) count(at time.Duration) {
+	f.inRate++
+	if at >= backAfter {
+		f.afterInRate++
+	}
+}
+
+func (f *figures) refuse(at time.Duration) {
+	f.refused++
+	if at >= backAfter {
+		f.afterRefused++
+	}
+	f.last = max(f.last, at)
+}
 
 // scenario is a fault and the way in which the balancer spreads requests.
 type scenario struct {
 	name string
+	// load is what accounts use, as a part of their rate.
+	load float64
 	// sticky sends all requests of an account to one node.
 	sticky bool
 	fault  func(w *world, holder string)
 }
 
-func scenarios() []scenario {
+func scenarios(load float64) []scenario {
 	return []scenario{
-		{name: "even", fault: func(*world, string) {}},
-		{name: "skew", sticky: true, fault: func(*world, string) {}},
-		{name: "deadHolder", fault: func(w *world, holder string) { w.lose(holder) }},
-		{name: "dataCentreGone", fault: func(w *world, _ string) { w.lose("a", "d", "g") }},
-		{name: "rolling", fault: rolling},
+		{name: "even", load: load, fault: func(*world, string) {}},
+		{name: "skew", load: load, sticky: true, fault: func(*world, string) {}},
+		{name: "deadHolder", load: load, fault: func(w *world, holder string) { w.lose(holder) }},
+		{name: "dataCentreGone", load: load, fault: func(w *world, _ string) { w.lose("a", "d", "g") }},
+		{name: "rolling", load: load, fault: rolling},
 	}
 }
 
@@ -146,8 +171,8 @@
 // offer schedules the requests of one account.
 func (w *world) offer(s scenario, by scheme, account string, l Limits, home *node, f *figures) {
 	ideal := newBucket(l, 1)
-	mean := float64(l.TokensPerSecond) / 10
-	arrivals := offered * float64(l.TokensPerSecond) / (mean * usedPart)
+	mean := meanRequest(l)
+	arrivals := s.load * float64(l.TokensPerSecond) / (mean * usedPart)
 	var next func()
 	next = func() {
 		w.at(time.Duration(w.random.ExpFloat64()/arrivals*1e9), nil, next)
@@ -156,16 +181,16 @@
 		if n == nil || w.now < warmUp {
 			return
 		}
+		came := w.now - faultAt
 		inRate := ideal.take(float64(tokens), w.now)
 		back := int64((1 - usedPart) * float64(tokens))
 		if inRate {
-			f.inRate++
+			f.count(came)
 			w.at(time.Second, nil, func() { ideal.credit(float64(back), w.now) })
 		}
 		by.admit(w, n, account, tokens, func(ok bool) {
 			if inRate && !ok {
-				f.refused++
-				f.last = max(f.last, w.now-faultAt)
+				f.refuse(came)
 			}
 		})
 	}
@@ -273,49 +298,64 @@
 	return scheme{admit: admit, holder: func(w *world) string { return owner(w, "0") }}
 }
 
-// measuredLimits holds large and small accounts with bursts of five seconds.
+// measuredLimits holds large and small accounts with bursts of five seconds, and
+// some whose requests are as large as five seconds of their rate.
 func measuredLimits() map[string]Limits {
 	limits := map[string]Limits{}
 	for i := range 10 {
-		rate := int64(20_000)
-		if i%2 == 1 {
-			rate = 500
+		l := Limits{TokensPerSecond: 20_000, Burst: 100_000}
+		switch i % 3 {
+		case 1:
+			l = Limits{TokensPerSecond: 500, Burst: 2500}
+		case 2:
+			l = Limits{TokensPerSecond: 500, Burst: 12_500}
 		}
-		limits[fmt.Sprint(i)] = Limits{TokensPerSecond: rate, Burst: 5 * rate}
+		limits[fmt.Sprint(i)] = l
 	}
 	return limits
 }
 
+// meanRequest is the mean size of an account's requests.
+func meanRequest(l Limits) float64 {
+	if l.Burst > 5*l.TokensPerSecond {
+		return 5 * float64(l.TokensPerSecond)
+	}
+	return float64(l.TokensPerSecond) / 10
+}
+
 // mostRefused is the target for the share of wrongful refusals, in percent.
 const mostRefused = 0.1
 
-// backAfter is the target for the service after a holder's death.
+// backAfter is the target for the time after a holder's death until no more
+// requests are refused than in calm.
 const backAfter = 5 * time.Second
 
 func TestRequestsInsideTheirRateAreNotRefused(t *testing.T) {
-	for _, s := range scenarios()[:3] {
+	for _, s := range scenarios(offered)[:3] {
 		t.Run(s.name, func(t *testing.T) {
 			f := measure(s, slots(), measuredLimits())
 			require.Greater(t, f.inRate, 5000)
 			require.Less(t, f.percent(), mostRefused)
-			require.Less(t, f.last, backAfter)
+			require.Less(t, f.percentAfter(), mostRefused)
+			require.Greater(t, f.afterInRate, 4000)
 		})
 	}
 }
 
 func BenchmarkWrongfulRefusals(b *testing.B) {
 	limits := measuredLimits()
-	for _, s := range scenarios() {
+	for _, s := range append(scenarios(offered), scenarios(offeredMuch)...) {
 		schemes := map[string]func() scheme{
 			"slots":       slots,
 			"staticSplit": func() scheme { return staticSplit(limits) },
 			"oneHolder":   func() scheme { return oneHolder(limits) },
 		}
 		for name, start := range schemes {
-			b.Run(s.name+"/"+name, func(b *testing.B) {
+			b.Run(fmt.Sprintf("%s/load=%g/%s", s.name, s.load, name), func(b *testing.B) {
 				for b.Loop() {
 					f := measure(s, start(), limits)
 					b.ReportMetric(f.percent(), "refused%")
+					b.ReportMetric(f.percentAfter(), "refusedAfter5s%")
 					b.ReportMetric(max(0, f.last.Seconds()), "lastRefusal-s")
 					b.ReportMetric(float64(f.messages)/float64(f.inRate), "messages/request")
 				}
--- a/internal/limit/figbudget/member_test.go
+++ b/internal/limit/figbudget/member_test.go
@@ -25,14 +25,13 @@
 	})
 }
 
-// learn adopts a list that is newer than the node's own, and tells the others.
+// learn adopts a list that is newer than the node's own.
 func (n *node) learn(v *figview.View) {
 	if v == nil || (n.known != nil && v.Version <= n.known.Version) {
 		return
 	}
 	n.known, n.confirmed = v, time.Time{}
 	n.newest = max(n.newest, v.Version)
-	n.world.at(0, n, n.beat)
 }
 
 // beat tells the other nodes what this one has and takes in what they have.
@@ -133,7 +132,7 @@
 	if n.known == nil {
 		return
 	}
-	n.poll(now, n.acked)
+	n.poll(n.clock, n.acked)
 	n.send(n.tick(now))
 }
 
--- a/internal/limit/figbudget/protection_test.go
+++ b/internal/limit/figbudget/protection_test.go
@@ -21,6 +21,9 @@
 
 func yes(uint64) bool { return true }
 
+// at returns a clock that stands still.
+func at(t time.Time) func() time.Time { return func() time.Time { return t } }
+
 // newMove returns a slot that was active and full at from until now. The list
 // that moves it is known to both; to hasn't had its acknowledgements yet.
 func newMove() *move {
@@ -35,7 +38,7 @@
 	m.share = limits.share(m.id.index)
 	m.now = time.Unix(1000, 0)
 	m.from.sync(before, m.now, true)
-	m.from.poll(m.now, yes)
+	m.from.poll(at(m.now), yes)
 	m.now = m.now.Add(time.Minute)
 	m.from.sync(after, m.now, true)
 	m.to.sync(after, m.now, true)
@@ -58,7 +61,7 @@
 func TestAGainedSlotStartsEmptyAndLate(t *testing.T) {
 	m := newMove()
 	require.Zero(t, m.to.spendable(m.id, m.now.Add(time.Hour), true), "not acknowledged")
-	m.to.poll(m.now, yes)
+	m.to.poll(at(m.now), yes)
 	require.Zero(t, m.to.spendable(m.id, m.now.Add(regeneration-1), true))
 	require.Zero(t, m.to.spendable(m.id, m.now.Add(regeneration), true))
 	later := m.now.Add(regeneration + 500*time.Millisecond)
@@ -66,7 +69,7 @@
 	require.Zero(t, m.to.spendable(m.id, later, false), "not fresh")
 	require.Equal(t, NotReady, m.to.grant(Ask{Account: m.id.account, Need: 1}, later, false).Status)
 	other := newMove()
-	other.to.poll(other.now, yes)
+	other.to.poll(at(other.now), yes)
 	require.InDelta(t, m.share.TokensPerSecond/2, other.to.spendable(m.id, later, true), 2, "never asked before")
 }
 
@@ -237,7 +240,7 @@
 
 func TestMessagesCountOnceAndForOneIncarnation(t *testing.T) {
 	m := newMove()
-	m.to.poll(m.now.Add(-time.Hour), yes)
+	m.to.poll(at(m.now.Add(-time.Hour)), yes)
 	m.to.held(m.id, m.now)
 	m.to.slots[m.id].take(200)
 	q := &Request{From: "a", Incarnation: 1, Sequence: 7, Peer: 2}
@@ -290,7 +293,7 @@
 
 func TestASpentSlotIsKeptThoughItsBalanceIsAsIfUnused(t *testing.T) {
 	m := newMove()
-	m.to.poll(m.now.Add(-regeneration-time.Second), yes)
+	m.to.poll(at(m.now.Add(-regeneration-time.Second)), yes)
 	s := m.to.held(m.id, m.now)
 	require.Less(t, s.balance.tokens(), m.share.Burst)
 	s.used = true
--- a/internal/limit/figbudget/purse.go
+++ b/internal/limit/figbudget/purse.go
@@ -20,7 +20,7 @@
 	demandTime = time.Second
 	// nearlyFull is how full, as a fraction, a slot must be to need no refunds: it
 	// fills up by itself, and a message for each request isn't worth it.
-	nearlyFull = 0.75
+	nearlyFull = 0.9
 	// purseKept is how long an account without leases is remembered.
 	purseKept = 5 * time.Second
 )
--- a/internal/limit/figbudget/reservation.go
+++ b/internal/limit/figbudget/reservation.go
@@ -28,7 +28,6 @@
 		return
 	}
 	r.settled = true
-	now := b.opts.Clock.Now()
-	b.sync(now)
+	now, _ := b.sync()
 	b.ledger.settle(r.account, r.taken, used, now)
 }
--- a/internal/limit/figbudget/scale_test.go
+++ b/internal/limit/figbudget/scale_test.go
@@ -69,7 +69,7 @@
 			return l, ok
 		})
 		g.sync(view, c.now, true)
-		g.poll(c.now, yes)
+		g.poll(at(c.now), yes)
 		c.ledgers = append(c.ledgers, g)
 		c.byName[m.Name] = g
 	}
--- a/internal/limit/figbudget/world_test.go
+++ b/internal/limit/figbudget/world_test.go
@@ -222,7 +222,7 @@
 	n.known, n.confirmed, n.newest = nil, time.Time{}, 0
 	n.heard = map[string]heard{}
 	n.every(300*time.Millisecond, n.read)
-	n.every(400*time.Millisecond, n.beat)
+	n.every(time.Second, n.beat)
 	n.every(n.ticks, n.tickNow)
 }
 
--- /dev/null
+++ b/internal/place/figowner/batch_test.go
@@ -0,0 +1,66 @@
+package figowner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestBatchFitsStepTime(t *testing.T) {
+	var b Batch
+	step := func(n int) time.Duration { return 14*time.Millisecond + time.Duration(n)*800*time.Microsecond }
+	require.True(t, b.Allows(50, 34*time.Millisecond))
+	for i := range 40 {
+		b.Add(5+i%10, step(5+i%10))
+	}
+	for n := 1; n < 60; n++ {
+		want := n <= fewRequests || float64(step(n)) <= batchShare*float64(34*time.Millisecond)
+		require.Equal(t, want, b.Allows(n, 34*time.Millisecond), n)
+	}
+}
+
+// A target that the server can't keep at any size of the batch bounds nothing, nor
+// does a step time that doesn't depend on the size. A batch that stays the same
+// keeps what was learned.
+func TestBatchBoundsOnlyWhereItHelps(t *testing.T) {
+	tests := []struct {
+		name   string
+		target time.Duration
+		step   func(n int) time.Duration
+		most   int
+	}{
+		{"out of reach", 10 * time.Millisecond, func(n int) time.Duration { return time.Duration(20+n) * time.Millisecond }, 100},
+		{"flat", 10 * time.Millisecond, func(int) time.Duration { return 12 * time.Millisecond }, 100},
+		{"within reach", 40 * time.Millisecond, func(n int) time.Duration { return time.Duration(10+n) * time.Millisecond }, 27},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			var b Batch
+			n := 1
+			for range 400 {
+				b.Add(n, x.step(n))
+				if n < 100 && b.Allows(n+1, x.target) {
+					n++
+				}
+			}
+			require.Equal(t, x.most, n)
+		})
+	}
+}
+
+// A longer step of a larger batch is not lost speed, whether the fit is known or not.
+func TestLargerBatchIsNotSlow(t *testing.T) {
+	step := func(n int) time.Duration { return 10*time.Millisecond + time.Duration(n)*time.Millisecond }
+	var b Batch
+	for range 20 {
+		b.Add(1, step(1))
+	}
+	require.False(t, b.Slow(64, step(64)))
+	require.True(t, b.Slow(1, 4*step(1)))
+	for n := range 20 {
+		b.Add(1+n, step(1+n))
+	}
+	require.False(t, b.Slow(64, step(64)))
+	require.True(t, b.Slow(64, 4*step(64)))
+}
--- a/internal/place/figowner/cold_test.go
+++ b/internal/place/figowner/cold_test.go
@@ -142,16 +142,3 @@
 	require.False(t, b.Failed(at(11*time.Second), ServerError))
 	require.False(t, b.Failed(at(30*time.Second), ServerError))
 }
-
-func TestBatchFitsStepTime(t *testing.T) {
-	var b Batch
-	step := func(n int) time.Duration { return 14*time.Millisecond + time.Duration(n)*800*time.Microsecond }
-	require.True(t, b.Allows(50, 34*time.Millisecond))
-	for i := range 40 {
-		b.Add(5+i%10, step(5+i%10))
-	}
-	for n := 1; n < 60; n++ {
-		want := n == 1 || float64(step(n)) <= batchShare*float64(34*time.Millisecond)
-		require.Equal(t, want, b.Allows(n, 34*time.Millisecond), n)
-	}
-}
--- a/internal/place/figowner/machine_test.go
+++ b/internal/place/figowner/machine_test.go
@@ -196,7 +196,7 @@
 		delete(m.engine, j.id)
 	}
 	if !lost {
-		j.owner.Release(m.now, j.from, Release{Lease: j.lease})
+		j.owner.Release(m.now, j.from, Release{Lease: j.lease, Abandoned: j.running && !noticed})
 	}
 }
 
--- a/internal/place/figowner/message.go
+++ b/internal/place/figowner/message.go
@@ -63,6 +63,8 @@
 	TookMillis int64 `cbor:"5,keyasint,omitempty"`
 	// AgoMillis is how long before the message was sent it ended.
 	AgoMillis int64 `cbor:"6,keyasint,omitempty"`
+	// Abandoned says that the server may still hold the request's memory.
+	Abandoned bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Evidence says what a server did wrong.
--- a/internal/place/figowner/ramp.go
+++ b/internal/place/figowner/ramp.go
@@ -62,14 +62,22 @@
 // whether it has fallen far below the usual for several samples.
 func (r *Ramp) LostSpeed(speed float64) bool {
 	if r.usual > 0 && speed < lostSpeed*r.usual {
-		r.slow++
-		return r.slow >= lostReports
+		return r.Lost(true)
 	}
-	r.slow = 0
 	if r.usual == 0 {
 		r.usual = speed
-		return false
 	}
 	r.usual += speedWeight * (speed - r.usual)
-	return false
+	return r.Lost(false)
+}
+
+// Lost takes whether a sample was far too slow, and says whether several in a row
+// were.
+func (r *Ramp) Lost(slow bool) bool {
+	if !slow {
+		r.slow = 0
+		return false
+	}
+	r.slow++
+	return r.slow >= lostReports
 }
--- a/internal/place/figowner/reconcile.go
+++ b/internal/place/figowner/reconcile.go
@@ -139,8 +139,8 @@
 		}
 		b.sight(x, taken, now)
 	}
-	for id := range b.strays {
-		if !listed[id] {
+	for id, s := range b.strays {
+		if !listed[id] && taken.After(s.since) {
 			delete(b.strays, id)
 		}
 	}
--- a/internal/place/figowner/reserve.go
+++ b/internal/place/figowner/reserve.go
@@ -166,7 +166,8 @@
 }
 
 // Release ends a lease by number or, if that is zero, by ID. It does nothing if
-// there is none, so that a release may be repeated.
+// there is none, so that a release may be repeated. The memory of an abandoned
+// request counts as taken until a later report doesn't list it.
 func (b *Book) Release(now time.Time, from string, r Release) {
 	l := b.leases[r.Lease]
 	if r.Lease == 0 {
@@ -176,6 +177,9 @@
 		return
 	}
 	b.drop(l)
+	if r.Abandoned && b.report != nil {
+		b.strays[l.ID] = &stray{pieces: l.Pieces, since: now, cancelAt: now.Add(ReleaseGrace)}
+	}
 	b.released[l.ID] = ending{at: now, result: b.Server.Role == figview.Prefill && r.Tokens > 0}
 	if r.Tokens <= 0 {
 		b.freeLink(l)
--- a/internal/place/figowner/speed.go
+++ b/internal/place/figowner/speed.go
@@ -71,10 +71,12 @@
 	if active == 0 {
 		return false
 	}
-	speed := float64(generated) / float64(active) / passed.Seconds()
-	lost := b.Ramp.LostSpeed(speed)
-	if generated > 0 && !lost && b.Ramp.Limit >= b.Ramp.Full/warmShare {
-		b.Batch.Add(active, seconds(1/speed))
+	step := seconds(passed.Seconds() * float64(active) / max(float64(generated), 0.5))
+	if b.Batch.Slow(active, step) {
+		return b.Ramp.Lost(true)
 	}
-	return lost
+	if b.Ramp.Limit >= b.Ramp.Full/warmShare {
+		b.Batch.Add(active, step)
+	}
+	return b.Ramp.Lost(false)
 }
--- a/internal/place/figplace/lease.go
+++ b/internal/place/figplace/lease.go
@@ -107,14 +107,14 @@
 }
 
 // end gives a lease back.
-func (p *Placer) end(l *lease, tokens int64, took time.Duration) {
+func (p *Placer) end(l *lease, tokens int64, took time.Duration, abandoned bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.ended = true
 	p.unhold(l)
 	p.table.row(l.server.Name).freed += l.ask.Pieces
 	r := l.release()
-	r.Tokens, r.TookMillis = tokens, took.Milliseconds()
+	r.Tokens, r.TookMillis, r.Abandoned = tokens, took.Milliseconds(), abandoned
 	r.ended = p.opts.Clock.Now()
 	p.box(l.owner).release(r)
 }
--- a/internal/place/figplace/placement.go
+++ b/internal/place/figplace/placement.go
@@ -27,6 +27,9 @@
 	decode   *lease
 	done     int64
 	released bool
+	// sent says that the decode server may have the request, abandoned that it may
+	// still have it at the release.
+	sent, abandoned bool
 }
 
 // take keeps a granted lease.
@@ -35,6 +38,7 @@
 		x.Prefill, x.prefill = l.server, l
 		return
 	}
+	x.sent = role == figview.Plain
 	x.Decode, x.decode = l.server, l
 	x.StartPrefillAt = now.Add(time.Duration(g.DelayMillis) * time.Millisecond)
 }
@@ -48,9 +52,9 @@
 	if x.released || x.prefill == nil {
 		return
 	}
-	x.placer.end(x.prefill, max(1, tokens), took)
+	x.placer.end(x.prefill, max(1, tokens), took, false)
 	x.placer.cached(x.request.Prefix, x.Prefill.Name)
-	x.prefill = nil
+	x.prefill, x.sent = nil, true
 }
 
 // TransferDone says that the KV cache has moved to the decode server.
@@ -81,6 +85,7 @@
 	}
 	for _, l := range []*lease{x.prefill, x.decode} {
 		if l != nil && l.server.Name == server {
+			x.abandoned = x.abandoned || l == x.decode
 			x.placer.failed(l, evidence)
 			return
 		}
@@ -88,6 +93,16 @@
 	x.placer.failedElsewhere(x.request.Pool, server, evidence)
 }
 
+// Abandon says that the decode server may still work on the request at the release:
+// its caller has left or its stream was cut. The memory then counts as taken until a
+// report shows that it is free. Requests that failed, or that were sent and have no
+// progress, count as abandoned without it.
+func (x *Placement) Abandon() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.abandoned = true
+}
+
 // Holds says whether the room on the decode server is still reserved, by this
 // instance's clock. Check it right before the request is sent there: a process that
 // was paused may hold a lease that has expired.
@@ -106,9 +121,9 @@
 	}
 	x.released = true
 	if x.prefill != nil {
-		x.placer.end(x.prefill, 0, 0)
+		x.placer.end(x.prefill, 0, 0, false)
 	}
 	if x.decode != nil {
-		x.placer.end(x.decode, x.done, 0)
+		x.placer.end(x.decode, x.done, 0, x.abandoned || x.sent && x.done == 0)
 	}
 }
--- a/internal/place/figplace/size_test.go
+++ b/internal/place/figplace/size_test.go
@@ -98,8 +98,9 @@
 	}
 }
 
-// TestControlBytes measures what one instance sends and receives for placement at
-// a steady rate: reservations, releases and renewals.
+// At a steady rate, an instance sends and receives for placement no more than what
+// its reservations, releases and renewals need one by one, however few of them share
+// an owner.
 func TestControlBytes(t *testing.T) {
 	const (
 		rate   = 23
@@ -128,7 +129,9 @@
 		t.Logf("%v: %.0f messages and %.0f bytes a second, %.1f and %.0f for each request", s,
 			float64(c.messages)/length.Seconds(), float64(c.bytes)/length.Seconds(),
 			float64(c.messages)/float64(n), float64(c.bytes)/float64(n))
-		require.Positive(t, c.bytes)
+		// Two reservations, two releases and the renewals, each asked and answered.
+		most := 2 * (2 + 2 + float64(stay/renewInterval))
+		require.LessOrEqual(t, float64(c.messages)/float64(n), most)
 	}
 }
 
--- a/internal/request/figflow/admit.go
+++ b/internal/request/figflow/admit.go
@@ -30,8 +30,13 @@
 		return figlife.CauseOf(figlife.OverBudget, err)
 	}
 	reason := figlife.OverBudget
-	if r.Reason == figbudget.AboveBurst {
+	switch r.Reason {
+	case figbudget.AboveBurst:
 		reason = figlife.OverBurst
+	case figbudget.Unavailable:
+		reason = figlife.BudgetUnavailable
+	case figbudget.UnknownAccount:
+		reason = figlife.Unauthorized
 	}
 	return figlife.Cause{Reason: reason, Err: err, RetryAfter: r.RetryAfter}
 }
--- a/internal/request/figlife/reason.go
+++ b/internal/request/figlife/reason.go
@@ -17,6 +17,9 @@
 	OverBudget
 	// OverBurst means that the request costs more than the account's burst.
 	OverBurst
+	// BudgetUnavailable means that the account's budget can't be spent from now,
+	// because its holders can't be reached or aren't sure of their place.
+	BudgetUnavailable
 	// QueueFull means that too many requests wait.
 	QueueFull
 	// Deadline means that the request's time is over.
@@ -65,24 +68,25 @@
 )
 
 var reasonTable = [reasons]reasonInfo{
-	Internal:     {"internal", http.StatusInternalServerError, classServer, "The router failed."},
-	Done:         {"done", http.StatusOK, "", "The request was answered."},
-	OverBudget:   {"overBudget", http.StatusTooManyRequests, classRate, "The account's token rate is used up."},
-	OverBurst:    {"overBurst", http.StatusRequestEntityTooLarge, classRequest, "The request needs more tokens than the account's burst."},
-	QueueFull:    {"queueFull", http.StatusServiceUnavailable, classServer, "Too many requests are waiting."},
-	Deadline:     {"deadline", http.StatusGatewayTimeout, classServer, "The request's time limit passed."},
-	NoServer:     {"noServer", http.StatusServiceUnavailable, classServer, "No backend server can take the request."},
-	Draining:     {"draining", http.StatusServiceUnavailable, classServer, "The instance is shutting down."},
-	BadRequest:   {"badRequest", http.StatusBadRequest, classRequest, "The request is not valid."},
-	Unauthorized: {"unauthorized", http.StatusUnauthorized, classAuth, "The key is missing or not valid."},
-	Forbidden:    {"forbidden", http.StatusForbidden, classAuth, "The key does not allow this request."},
-	NotFound:     {"notFound", http.StatusNotFound, classRequest, "There is no such route."},
-	TooLarge:     {"tooLarge", http.StatusRequestEntityTooLarge, classRequest, "The request or its answer is too large."},
-	ServerFailed: {"serverFailed", http.StatusBadGateway, classServer, "The backend server failed."},
-	StreamCut:    {"streamCut", http.StatusBadGateway, classServer, "The backend server's answer was cut."},
-	KeyWithdrawn: {"keyWithdrawn", http.StatusUnauthorized, classAuth, "The key was withdrawn."},
-	SlowCaller:   {"slowCaller", http.StatusRequestTimeout, classRequest, "The caller read the answer too slowly."},
-	CallerGone:   {"callerGone", statusCallerGone, classRequest, "The caller closed the connection."},
+	Internal:          {"internal", http.StatusInternalServerError, classServer, "The router failed."},
+	Done:              {"done", http.StatusOK, "", "The request was answered."},
+	OverBudget:        {"overBudget", http.StatusTooManyRequests, classRate, "The account's token rate is used up."},
+	OverBurst:         {"overBurst", http.StatusRequestEntityTooLarge, classRequest, "The request needs more tokens than the account's burst."},
+	BudgetUnavailable: {"budgetUnavailable", http.StatusServiceUnavailable, classServer, "The account's budget can't be reached."},
+	QueueFull:         {"queueFull", http.StatusServiceUnavailable, classServer, "Too many requests are waiting."},
+	Deadline:          {"deadline", http.StatusGatewayTimeout, classServer, "The request's time limit passed."},
+	NoServer:          {"noServer", http.StatusServiceUnavailable, classServer, "No backend server can take the request."},
+	Draining:          {"draining", http.StatusServiceUnavailable, classServer, "The instance is shutting down."},
+	BadRequest:        {"badRequest", http.StatusBadRequest, classRequest, "The request is not valid."},
+	Unauthorized:      {"unauthorized", http.StatusUnauthorized, classAuth, "The key is missing or not valid."},
+	Forbidden:         {"forbidden", http.StatusForbidden, classAuth, "The key does not allow this request."},
+	NotFound:          {"notFound", http.StatusNotFound, classRequest, "There is no such route."},
+	TooLarge:          {"tooLarge", http.StatusRequestEntityTooLarge, classRequest, "The request or its answer is too large."},
+	ServerFailed:      {"serverFailed", http.StatusBadGateway, classServer, "The backend server failed."},
+	StreamCut:         {"streamCut", http.StatusBadGateway, classServer, "The backend server's answer was cut."},
+	KeyWithdrawn:      {"keyWithdrawn", http.StatusUnauthorized, classAuth, "The key was withdrawn."},
+	SlowCaller:        {"slowCaller", http.StatusRequestTimeout, classRequest, "The caller read the answer too slowly."},
+	CallerGone:        {"callerGone", statusCallerGone, classRequest, "The caller closed the connection."},
 }
 
 // String returns the name used in answers, logs and metrics.
