Hold 5,000 open streams in 256 MB, and tell owners of abandoned decodes

Cause: 1,000 open streams took 58 KB each, 318 MB at 5,000; memory of a request whose caller left could be granted again before the server had freed it; a process that was paused before its decode used a place that was no longer its. Ruled out: a memory limit alone, which left 252 MB, because that much was live.

--- a/internal/app/figcommand/serve.go
+++ b/internal/app/figcommand/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 
@@ -29,6 +30,7 @@
 			if err := setVerbosity(s.Verbosity); err != nil {
 				return withCode(err, exitUsage)
 			}
+			debug.SetMemoryLimit(s.MemoryLimit)
 			return withCode(serve(ctx, s), exitFailed)
 		},
 	}
@@ -87,6 +89,7 @@
 		stringFlag("admin-listen", "address for operators", &s.AdminListen),
 		stringFlag("platform", "address of the platform's service, host:port", &s.Platform),
 		&cli.StringSliceFlag{Name: "seeds", Usage: "peer addresses to ask while the platform's service is down", Destination: &s.Seeds, Sources: env("seeds")},
+		&cli.Int64Flag{Name: "memory-limit", Usage: "memory that the process tries to stay below, in bytes", Value: s.MemoryLimit, Destination: &s.MemoryLimit, Sources: env("memory-limit")},
 		intFlag("workers", "most requests in progress", &s.Workers),
 		intFlag("body-limit", "largest request body, in bytes", &s.BodyLimit),
 		intFlag("header-limit", "largest request header, in bytes", &s.HeaderLimit),
--- a/internal/app/figserve/settings.go
+++ b/internal/app/figserve/settings.go
@@ -23,6 +23,8 @@
 	// Seeds holds peer addresses of other instances, to be asked for the
 	// configuration while the platform's service gives no answer.
 	Seeds []string
+	// MemoryLimit is the memory that the process tries to stay below, in bytes.
+	MemoryLimit int64
 	// Workers bounds the requests in progress.
 	Workers int
 	// BodyLimit and HeaderLimit bound a caller's request, in bytes.
@@ -49,7 +51,8 @@
 		Listen:         "127.0.0.1:8080",
 		PeerListen:     "127.0.0.1:8081",
 		AdminListen:    "127.0.0.1:8082",
-		Workers:        5000,
+		MemoryLimit:    208 << 20,
+		Workers:        6000,
 		BodyLimit:      8 << 20,
 		HeaderLimit:    16 << 10,
 		AnswerLimit:    16 << 20,
@@ -77,6 +80,7 @@
 	for _, seed := range s.Seeds {
 		add(isAddress(seed), "seeds", "must be a list of host:port")
 	}
+	add(s.MemoryLimit >= 64<<20, "memory-limit", "must be at least 64 MB, in bytes")
 	add(s.Workers > 0, "workers", "must be above 0")
 	add(s.BodyLimit >= 1<<10, "body-limit", "must be at least 1024 bytes")
 	add(s.HeaderLimit >= 1<<10, "header-limit", "must be at least 1024 bytes")
--- a/internal/edge/figfront/front.go
+++ b/internal/edge/figfront/front.go
@@ -46,6 +46,9 @@
 	defaultBodyLimit = 8 << 20
 	// defaultHeaderLimit bounds a caller's header, in bytes.
 	defaultHeaderLimit = 16 << 10
+	// writeBuffer is what each connection holds for writing, in bytes: a token's
+	// event, of which thousands are open at once. Larger answers pass it by.
+	writeBuffer = 1 << 10
 	// defaultIdleLimit closes callers' connections without a request.
 	defaultIdleLimit = 90 * time.Second
 	// defaultReadLimit bounds the reading of one request.
@@ -118,6 +121,7 @@
 		NoDefaultContentType:          true,
 		DisableHeaderNamesNormalizing: false,
 		ReadBufferSize:                o.HeaderLimit,
+		WriteBufferSize:               writeBuffer,
 		ReadTimeout:                   defaultReadLimit,
 		IdleTimeout:                   defaultIdleLimit,
 		MaxRequestBodySize:            o.BodyLimit,
--- a/internal/edge/figfront/reply.go
+++ b/internal/edge/figfront/reply.go
@@ -21,7 +21,7 @@
 	// no engine memory any more.
 	endPatience = 30 * time.Second
 	// partsBuffered bounds the parts of a stream that wait for the caller.
-	partsBuffered = 64
+	partsBuffered = 16
 )
 
 var errCut = errors.New("the answer was cut")
--- a/internal/request/figflow/model.go
+++ b/internal/request/figflow/model.go
@@ -22,18 +22,24 @@
 			return x.failed(p, p.Prefill.Name, err)
 		}
 	}
+	if !p.Holds() {
+		return again, errLeaseOver
+	}
 	send, err := x.send()
 	if err != nil {
 		return ended, err
 	}
 	x.life.Advance(figlife.Transferring)
+	x.decoding.Store(true)
 	stream, err := x.Engine.Decode(ctx, p.Decode, prompt, result)
 	if err != nil {
+		x.decoding.Store(figsend.RanOf(err) != figsend.NotRun)
 		send.fail(err)
 		return x.failed(p, p.Decode.Name, err)
 	}
 	defer stream.Close()
 	if stream.Answer != nil {
+		x.decoding.Store(false)
 		return x.engineRefusal(p, send, stream.Answer)
 	}
 	err = x.relay(ctx, p, stream)
--- a/internal/request/figflow/place.go
+++ b/internal/request/figflow/place.go
@@ -32,12 +32,21 @@
 		x.life.End(x.queueCause(err, refused))
 		return nil, false
 	}
-	if !x.life.Hold("placement", p.Release) {
+	if !x.life.Hold("placement", func() { x.leave(p) }) {
 		return nil, false
 	}
 	return p, x.life.Advance(figlife.Placed)
 }
 
+// leave gives up a placement. A decode that was not read to its end may still run
+// on the server for a while.
+func (x *run) leave(p *figplace.Placement) {
+	if x.decoding.Swap(false) {
+		p.Abandon()
+	}
+	p.Release()
+}
+
 func (x *run) placeRequest() figplace.Request {
 	r := figplace.Request{
 		ID:       x.ID,
--- a/internal/request/figflow/relay.go
+++ b/internal/request/figflow/relay.go
@@ -18,7 +18,10 @@
 
 var (
 	errEngine = errors.New("the engine answered with a server error")
-	errEnded  = errors.New("the request has ended")
+	// errLeaseOver says that the place on a server was held too long without a
+	// renewal, as after a pause of this process.
+	errLeaseOver = errors.New("the lease of the placement is over")
+	errEnded     = errors.New("the request has ended")
 	// endEvent is the marker that ends a whole stream.
 	endEvent = []byte("data: [DONE]\n\n")
 )
@@ -32,6 +35,7 @@
 	for {
 		e, err := s.Next(ctx, x.Pool.StallLimit)
 		if errors.Is(err, io.EOF) {
+			x.decoding.Store(false)
 			break
 		}
 		if err != nil {
--- a/internal/request/figflow/run.go
+++ b/internal/request/figflow/run.go
@@ -29,6 +29,8 @@
 	passed int
 	avoid  []string
 
+	// decoding says that a server may be making the answer.
+	decoding atomic.Bool
 	// sent says that a server may have worked on the request.
 	sent                       atomic.Bool
 	promptTokens, outputTokens atomic.Int64
