Say the travel of both published lists once

Cause: the lists of instances and of backend servers had the same two functions each to tell changes and take them in, and the latest of several times was looked up in two places. Change: ListChanges, changesSince and takeChanges serve both; the bytes on the wire are the same. latest serves the role and the status. The tests of figstore pass.

--- a/internal/config/figstore/message.go
+++ b/internal/config/figstore/message.go
@@ -41,8 +41,8 @@
 	// Values holds values that the asker lacks.
 	Values []Value `cbor:"5,keyasint,omitempty"`
 	// Instances and Servers hold the changes of the lists, nil if the asker has them.
-	Instances *InstanceChanges `cbor:"6,keyasint,omitempty"`
-	Servers   *ServerChanges   `cbor:"7,keyasint,omitempty"`
+	Instances *ListChanges[InstanceChange] `cbor:"6,keyasint,omitempty"`
+	Servers   *ListChanges[ServerChange]   `cbor:"7,keyasint,omitempty"`
 	// AgeMillis is how long ago the service last answered the peer or one whom it
 	// heard of, in milliseconds; negative for never.
 	AgeMillis int64 `cbor:"8,keyasint"`
@@ -60,11 +60,12 @@
 	Packed []byte `cbor:"5,keyasint,omitempty"`
 }
 
-// InstanceChanges holds changes of the list of instances up to a revision.
-type InstanceChanges struct {
-	Revision uint64           `cbor:"1,keyasint"`
-	All      bool             `cbor:"2,keyasint,omitempty"`
-	Rows     []InstanceChange `cbor:"3,keyasint"`
+// ListChanges holds changes of a published list up to a revision.
+type ListChanges[R any] struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	// All says that Rows are the whole list.
+	All  bool `cbor:"2,keyasint,omitempty"`
+	Rows []R  `cbor:"3,keyasint"`
 }
 
 // InstanceChange is a changed row of the list of instances.
@@ -76,13 +77,6 @@
 	Gone       bool          `cbor:"5,keyasint,omitempty"`
 }
 
-// ServerChanges holds changes of the list of backend servers up to a revision.
-type ServerChanges struct {
-	Revision uint64         `cbor:"1,keyasint"`
-	All      bool           `cbor:"2,keyasint,omitempty"`
-	Rows     []ServerChange `cbor:"3,keyasint"`
-}
-
 // ServerChange is a changed row of the list of backend servers.
 type ServerChange struct {
 	Name       string        `cbor:"1,keyasint"`
@@ -104,51 +98,54 @@
 	return out
 }
 
-func instanceChanges(l *list[figview.Member], since uint64) *InstanceChanges {
-	if l.revision <= since {
+// changesSince returns what an asker lacks of a list, each row as it travels; nil
+// for nothing.
+func changesSince[T, R any](l *list[T], revision uint64, travelling func(change[T]) R) *ListChanges[R] {
+	if l.revision <= revision {
 		return nil
 	}
-	rows, all := l.after(since)
-	c := &InstanceChanges{Revision: l.revision, All: all}
+	rows, all := l.after(revision)
+	c := &ListChanges[R]{Revision: l.revision, All: all}
 	for _, r := range rows {
-		m := r.value
-		c.Rows = append(c.Rows, InstanceChange{m.Name, m.Address, m.DataCentre, m.State, r.gone})
+		c.Rows = append(c.Rows, travelling(r))
 	}
 	return c
 }
 
-func (c *InstanceChanges) changes() []change[figview.Member] {
-	rows := make([]change[figview.Member], 0, len(c.Rows))
+// takeChanges takes in changes that have travelled. It returns true if there was
+// something new.
+func takeChanges[T, R any](l *list[T], c *ListChanges[R], arrived func(R) change[T]) bool {
+	if c == nil {
+		return false
+	}
+	rows := make([]change[T], 0, len(c.Rows))
 	for _, r := range c.Rows {
-		m := figview.Member{Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, State: r.State}
-		rows = append(rows, change[figview.Member]{r.Name, m, r.Gone})
+		rows = append(rows, arrived(r))
 	}
-	return rows
+	return l.apply(c.Revision, c.All, rows)
 }
 
-func serverChanges(l *list[figview.Server], since uint64) *ServerChanges {
-	if l.revision <= since {
-		return nil
-	}
-	rows, all := l.after(since)
-	c := &ServerChanges{Revision: l.revision, All: all}
-	for _, r := range rows {
-		v := r.value
-		c.Rows = append(c.Rows, ServerChange{
-			v.Name, v.Address, v.DataCentre, v.Pool, v.Role, v.State, v.StartedAt.UnixMilli(), r.gone,
-		})
+func travellingInstance(c change[figview.Member]) InstanceChange {
+	m := c.value
+	return InstanceChange{m.Name, m.Address, m.DataCentre, m.State, c.gone}
+}
+
+func arrivedInstance(r InstanceChange) change[figview.Member] {
+	m := figview.Member{Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, State: r.State}
+	return change[figview.Member]{r.Name, m, r.Gone}
+}
+
+func travellingServer(c change[figview.Server]) ServerChange {
+	v := c.value
+	return ServerChange{
+		v.Name, v.Address, v.DataCentre, v.Pool, v.Role, v.State, v.StartedAt.UnixMilli(), c.gone,
 	}
-	return c
 }
 
-func (c *ServerChanges) changes() []change[figview.Server] {
-	rows := make([]change[figview.Server], 0, len(c.Rows))
-	for _, r := range c.Rows {
-		v := figview.Server{
-			Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, Pool: r.Pool,
-			Role: r.Role, State: r.State, StartedAt: time.UnixMilli(r.StartedMillis).UTC(),
-		}
-		rows = append(rows, change[figview.Server]{r.Name, v, r.Gone})
+func arrivedServer(r ServerChange) change[figview.Server] {
+	v := figview.Server{
+		Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, Pool: r.Pool,
+		Role: r.Role, State: r.State, StartedAt: time.UnixMilli(r.StartedMillis).UTC(),
 	}
-	return rows
+	return change[figview.Server]{r.Name, v, r.Gone}
 }
--- a/internal/config/figstore/relay.go
+++ b/internal/config/figstore/relay.go
@@ -58,8 +58,8 @@
 		Ready:     s.Ready(),
 		Highest:   s.table.highest,
 		Digest:    s.table.digest(),
-		Instances: instanceChanges(&s.instances, q.Instances),
-		Servers:   serverChanges(&s.serverList, q.Servers),
+		Instances: changesSince(&s.instances, q.Instances, travellingInstance),
+		Servers:   changesSince(&s.serverList, q.Servers, travellingServer),
 	}
 	r.Source, r.AgeMillis = s.source.age(s.opts.Clock.Now(), s.opts.Self)
 	var values []figplatform.Value
@@ -222,12 +222,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := s.offer(wanted)
-	if c := r.Instances; c != nil {
-		changed = s.instances.apply(c.Revision, c.All, c.changes()) || changed
-	}
-	if c := r.Servers; c != nil {
-		changed = s.serverList.apply(c.Revision, c.All, c.changes()) || changed
-	}
+	changed = takeChanges(&s.instances, r.Instances, arrivedInstance) || changed
+	changed = takeChanges(&s.serverList, r.Servers, arrivedServer) || changed
 	if r.Source != s.opts.Self {
 		s.source.heard(asked, r)
 	}
--- a/internal/config/figstore/relay_test.go
+++ b/internal/config/figstore/relay_test.go
@@ -14,7 +14,7 @@
 func storeOf(version uint64) *Store {
 	s := New(Options{Self: "a"})
 	rows := []InstanceChange{{Name: "a", DataCentre: "x"}, {Name: "b", DataCentre: "x"}}
-	s.take(&Reply{Instances: &InstanceChanges{Revision: 1, All: true, Rows: rows}, AgeMillis: -1}, s.started)
+	s.take(&Reply{Instances: &ListChanges[InstanceChange]{Revision: 1, All: true, Rows: rows}, AgeMillis: -1}, s.started)
 	s.takeValues(&figplatform.Values{Revision: version, Values: []figplatform.Value{
 		{Path: "a/x", Version: version, Text: document(1)},
 	}}, s.started)
--- a/internal/config/figstore/role.go
+++ b/internal/config/figstore/role.go
@@ -20,15 +20,12 @@
 	if s.roleNow().reader {
 		return true
 	}
-	last := s.started
-	for _, at := range []time.Time{s.source.elsewhere, elsewhere} {
-		if at.After(last) {
-			last = at
-		}
-	}
+	last := latest(s.started, s.source.elsewhere, elsewhere)
 	return s.opts.Clock.Now().Sub(last) > s.patience
 }
 
+func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
+
 // role is what a list of instances makes of this one.
 type role struct {
 	view       *figview.View
--- a/internal/config/figstore/status.go
+++ b/internal/config/figstore/status.go
@@ -68,12 +68,7 @@
 // sinceAnswer returns how long ago the service answered anyone heard of, by pulls
 // or, as elsewhere, by beats; negative for never. The caller holds the lock.
 func (s *Store) sinceAnswer(elsewhere time.Time) time.Duration {
-	last := s.source.answered
-	for _, at := range []time.Time{s.source.elsewhere, elsewhere} {
-		if at.After(last) {
-			last = at
-		}
-	}
+	last := latest(s.source.answered, s.source.elsewhere, elsewhere)
 	if last.IsZero() {
 		return -1
 	}
