Wait half a second for a budget that can't be spent from right now

Cause: a script on a loaded machine once saw a request within its rate refused, because the budget was unavailable for a moment. Change: such a request asks again every 50 ms for half a second before it is refused; one whose rate is used up is refused at once, as before.

--- a/internal/request/figflow/admit.go
+++ b/internal/request/figflow/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -9,13 +10,21 @@
 	"figtrail.dev/figtrail/internal/request/figlife"
 )
 
+const (
+	// unavailableWait is how long a request waits for a budget that can't be spent
+	// from; it leaves most of the time to the first token.
+	unavailableWait = 500 * time.Millisecond
+	// unavailablePause is the time between two asks.
+	unavailablePause = 50 * time.Millisecond
+)
+
 // admit reserves the cost of the call. The reservation is settled on what was
 // used when the request ends, however it ends.
 func (x *run) admit(ctx context.Context) bool {
 	if x.Account == nil {
 		return x.life.Advance(figlife.Admitted)
 	}
-	res, err := x.Reserve(ctx, x.Account.ID, x.cost())
+	res, err := x.reserve(ctx)
 	if err != nil {
 		x.life.End(budgetCause(err))
 		return false
@@ -24,6 +33,23 @@
 	return x.life.Advance(figlife.Admitted)
 }
 
+// reserve asks the budget, again for a short while if it can't be spent from
+// right now: a holder that is just being replaced, or a view that is being
+// confirmed, is no reason to refuse a caller who is within the rate.
+func (x *run) reserve(ctx context.Context) (*figbudget.Reservation, error) {
+	until := x.Clock.Now().Add(unavailableWait)
+	for {
+		res, err := x.Reserve(ctx, x.Account.ID, x.cost())
+		var r *figbudget.Refusal
+		if !errors.As(err, &r) || r.Reason != figbudget.Unavailable || x.Clock.Now().After(until) {
+			return res, err
+		}
+		if x.Timer.Sleep(ctx, unavailablePause) != nil {
+			return res, err
+		}
+	}
+}
+
 func budgetCause(err error) figlife.Cause {
 	var r *figbudget.Refusal
 	if !errors.As(err, &r) {
