Share servers, calls and cancellation in the tests of figsend

The same server that answers once, the same call that must answer or fail and the same cancelled call were written out in each test. No case, bound or fault changed.

--- a/internal/request/figsend/alloc_test.go
+++ b/internal/request/figsend/alloc_test.go
@@ -23,8 +23,9 @@
 	streamEvents = 20_000
 )
 
-// quietServer answers every request of a connection without allocating.
-func quietServer(tb testing.TB) *Call {
+// quietCall returns a step that calls a server which answers every request of a
+// connection without allocating.
+func quietCall(tb testing.TB) func() {
 	answer := []byte(ok)
 	l := listen(tb, func(c net.Conn) {
 		b := make([]byte, 4096)
@@ -40,24 +41,23 @@
 	})
 	c := callTo(l.server(), http.MethodGet, true)
 	c.Header = []Header{{"Accept", "application/json"}}
-	return c
+	s := New(Options{})
+	tb.Cleanup(s.Close)
+	ctx, cancel := context.WithCancel(tb.Context())
+	tb.Cleanup(cancel)
+	return func() {
+		if _, err := s.Do(ctx, c); err != nil {
+			tb.Error(err)
+		}
+	}
 }
 
 func TestDoAllocations(t *testing.T) {
-	c := quietServer(t)
-	s := newSender(t, Options{})
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	allocations := testing.AllocsPerRun(500, func() {
-		if _, err := s.Do(ctx, c); err != nil {
-			t.Error(err)
-		}
-	})
-	require.LessOrEqual(t, allocations, float64(doAllocations))
+	require.LessOrEqual(t, testing.AllocsPerRun(500, quietCall(t)), float64(doAllocations))
 }
 
-// openStream returns a stream that doesn't end.
-func openStream(tb testing.TB, s *Sender) *Stream {
+// nextEvent returns a step that reads an event of a stream that doesn't end.
+func nextEvent(tb testing.TB) func() {
 	event := []byte(chunked(false, "data: {\"id\":\"r1\",\"choices\":[{\"delta\":{\"content\":\"word\"}}]}\n\n"))
 	l := listen(tb, func(c net.Conn) {
 		_, _ = c.Read(make([]byte, 4096))
@@ -68,42 +68,36 @@
 	})
 	c := callTo(l.server(), http.MethodPost, false)
 	c.MatchEvents = true
+	s := New(Options{})
+	tb.Cleanup(s.Close)
 	stream, err := s.Stream(context.Background(), c)
 	require.NoError(tb, err)
 	tb.Cleanup(stream.Close)
-	return stream
+	return func() {
+		if _, err := stream.Next(stream.exchange.ctx, patience); err != nil {
+			tb.Error(err)
+		}
+	}
 }
 
 func TestStreamAllocations(t *testing.T) {
-	stream := openStream(t, newSender(t, Options{}))
-	ctx := stream.exchange.ctx
-	allocations := testing.AllocsPerRun(streamEvents, func() {
-		if _, err := stream.Next(ctx, patience); err != nil {
-			t.Error(err)
-		}
-	})
+	allocations := testing.AllocsPerRun(streamEvents, nextEvent(t))
 	require.LessOrEqual(t, allocations, float64(eventAllocations))
 }
 
 func BenchmarkDo(b *testing.B) {
-	c := quietServer(b)
-	s := New(Options{})
+	call := quietCall(b)
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := s.Do(b.Context(), c); err != nil {
-			b.Fatal(err)
-		}
+		call()
 	}
 }
 
 func BenchmarkStreamEvent(b *testing.B) {
-	stream := openStream(b, New(Options{}))
-	ctx := stream.exchange.ctx
+	next := nextEvent(b)
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := stream.Next(ctx, patience); err != nil {
-			b.Fatal(err)
-		}
+		next()
 	}
 }
 
--- a/internal/request/figsend/do_test.go
+++ b/internal/request/figsend/do_test.go
@@ -40,13 +40,9 @@
 	s := newSender(t, Options{})
 	c := callTo(server.server(), method, idempotent)
 	for range answered {
-		_, err := s.Do(t.Context(), c)
-		require.NoError(t, err)
+		doAnswers(t, s, c)
 	}
-	_, err := s.Do(t.Context(), c)
-	require.Error(t, err)
-	require.Equal(t, Unknown, RanOf(err))
-	require.Equal(t, KindCut, KindOf(err))
+	doFails(t, s, c, KindCut, Unknown)
 	require.Equal(t, answered+1, server.runs.Load())
 	reuses := uint64(0)
 	if idempotent {
--- a/internal/request/figsend/fail_test.go
+++ b/internal/request/figsend/fail_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"figtrail.dev/figtrail/internal/core/figerror"
+	"figtrail.dev/figtrail/internal/fleet/figview"
 	"figtrail.dev/figtrail/internal/stand/figstand"
 )
 
@@ -50,13 +51,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			server := listen(t, func(c net.Conn) {
-				_, _ = http.ReadRequest(newReader(c))
-				_, _ = c.Write([]byte(tt.answer))
-				_ = c.Close()
-			})
 			s := newSender(t, Options{MaxAnswer: 50})
-			answer, err := s.Do(t.Context(), callTo(server.server(), http.MethodGet, false))
+			answer, err := s.Do(t.Context(), callTo(onceServer(t, tt.answer, true), http.MethodGet, false))
 			if tt.status != 0 {
 				require.NoError(t, err)
 				require.Equal(t, tt.status, answer.Status)
@@ -79,18 +75,12 @@
 }
 
 func TestNothingSent(t *testing.T) {
-	server := newRawServer(t, func(int64, *http.Request) string { return ok })
+	server := okServer(t)
 	refuse := func(context.Context, string, time.Duration) (net.Conn, error) {
 		return nil, errors.New("no route")
 	}
 	// reset gives a connection whose first write fails.
-	reset := func(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
-		c, err := dial(ctx, address, limit)
-		if err == nil {
-			err = c.(*net.TCPConn).CloseWrite()
-		}
-		return c, err
-	}
+	reset := dialThen(func(c net.Conn) (net.Conn, error) { return c, c.(*net.TCPConn).CloseWrite() })
 	closed := listen(t, func(net.Conn) {})
 	closed.end()
 	tests := []struct {
@@ -116,8 +106,7 @@
 			s := newSender(t, tt.opts)
 			c := callTo(server.server(), http.MethodPost, false)
 			tt.edit(c)
-			_, err := s.Do(t.Context(), c)
-			kindIs(t, err, tt.kind, NotRun)
+			doFails(t, s, c, tt.kind, NotRun)
 			require.Zero(t, s.Sends.Load())
 		})
 	}
@@ -152,14 +141,12 @@
 		require.Equal(t, 2, s.host(c.Server.Address).IdleConnsCount())
 
 		r.Swallow(d, true)
-		_, err := s.Do(t.Context(), c)
-		kindIs(t, err, KindSilent, Unknown)
+		doFails(t, s, c, KindSilent, Unknown)
 		require.EqualValues(t, 1, s.Silent.Load())
 		require.Zero(t, s.host(c.Server.Address).ConnsCount(), "connections to a silent server are given up")
 
 		r.Swallow(d, false)
-		_, err = s.Do(t.Context(), c)
-		require.NoError(t, err)
+		doAnswers(t, s, c)
 		require.EqualValues(t, 3, s.Dials.Load())
 	}
 }
@@ -173,13 +160,9 @@
 }
 
 func TestPartlySentIsUnknown(t *testing.T) {
-	server := newRawServer(t, func(int64, *http.Request) string { return ok })
-	s := newSender(t, Options{AnswerLimit: soon, Dial: func(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
-		c, err := dial(ctx, address, limit)
-		return halfConn{c}, err
-	}})
-	_, err := s.Do(t.Context(), callTo(server.server(), http.MethodPost, false))
-	kindIs(t, err, KindCut, Unknown)
+	half := dialThen(func(c net.Conn) (net.Conn, error) { return halfConn{c}, nil })
+	s := newSender(t, Options{AnswerLimit: soon, Dial: half})
+	doFails(t, s, callTo(okServer(t).server(), http.MethodPost, false), KindCut, Unknown)
 	require.EqualValues(t, 1, s.Sends.Load())
 }
 
@@ -188,27 +171,20 @@
 	const answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n"
 	s := newSender(t, Options{AnswerLimit: soon / 10, ProgressLimit: soon / 10})
 	for n := range len(answer) {
-		server := listen(t, func(c net.Conn) {
-			_, _ = http.ReadRequest(newReader(c))
-			_, _ = c.Write([]byte(answer[:n]))
-		})
-		_, err := s.Do(t.Context(), callTo(server.server(), http.MethodGet, false))
-		kindIs(t, err, KindSilent, Unknown)
+		c := callTo(onceServer(t, answer[:n], false), http.MethodGet, false)
+		doFails(t, s, c, KindSilent, Unknown)
 	}
 }
 
 func TestSilentServerOnNewConnection(t *testing.T) {
 	for _, d := range []figstand.Direction{figstand.ToServer, figstand.ToClient} {
-		server := newRawServer(t, func(int64, *http.Request) string { return ok })
-		r, to := relayTo(t, server.server())
+		r, to := relayTo(t, okServer(t).server())
 		r.Swallow(d, true)
 		s := newSender(t, Options{AnswerLimit: soon})
-		_, err := s.Do(t.Context(), callTo(to, http.MethodPost, false))
-		kindIs(t, err, KindSilent, Unknown)
 		c := callTo(to, http.MethodPost, false)
+		doFails(t, s, c, KindSilent, Unknown)
 		c.Deadline = time.Now().Add(soon / 2)
-		_, err = s.Do(t.Context(), c)
-		kindIs(t, err, KindDeadline, Unknown)
+		doFails(t, s, c, KindDeadline, Unknown)
 	}
 }
 
@@ -226,21 +202,17 @@
 		}
 	})
 	var kept net.Conn
-	s := newSender(t, Options{Dial: func(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
-		c, err := dial(ctx, address, limit)
+	s := newSender(t, Options{Dial: dialThen(func(c net.Conn) (net.Conn, error) {
 		kept = c
-		return c, err
-	}})
+		return c, nil
+	})})
 	c := callTo(server.server(), http.MethodGet, true)
-	_, err := s.Do(t.Context(), c)
-	require.NoError(t, err)
+	doAnswers(t, s, c)
 	_, _ = (<-more).Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"))
 	require.Equal(t, 1, s.host(c.Server.Address).IdleConnsCount())
 	require.Eventually(t, func() bool { return peek(kept) == peekData }, patience, time.Millisecond)
 	for range 3 {
-		answer, err := s.Do(t.Context(), c)
-		require.NoError(t, err)
-		require.Equal(t, "yes", string(answer.Body))
+		require.Equal(t, "yes", string(doAnswers(t, s, c).Body))
 	}
 	require.EqualValues(t, 1, s.Late.Load())
 }
@@ -249,15 +221,14 @@
 	server := newRawServer(t, func(int64, *http.Request) string { return ok + ok })
 	s := newSender(t, Options{})
 	for range 2 {
-		_, err := s.Do(t.Context(), callTo(server.server(), http.MethodGet, true))
-		require.NoError(t, err)
+		doAnswers(t, s, callTo(server.server(), http.MethodGet, true))
 	}
 	require.EqualValues(t, 2, s.Late.Load())
 	require.EqualValues(t, 2, s.Dials.Load())
 }
 
 func TestKeptConnectionsAge(t *testing.T) {
-	server := newRawServer(t, func(int64, *http.Request) string { return ok })
+	server := okServer(t)
 	now := time.Now()
 	opts := Options{IdleLimit: time.Minute, AgeLimit: time.Hour}
 	opts.Clock.Now = func() time.Time { return now }
@@ -267,42 +238,29 @@
 		dials uint64
 	}{{0, 1}, {59 * time.Second, 1}, {61 * time.Second, 2}, {30 * time.Second, 2}} {
 		now = now.Add(step.wait)
-		_, err := s.Do(t.Context(), callTo(server.server(), http.MethodGet, true))
-		require.NoError(t, err)
+		doAnswers(t, s, callTo(server.server(), http.MethodGet, true))
 		require.Equal(t, step.dials, s.Dials.Load())
 	}
 }
 
 func TestCancelClosesConnection(t *testing.T) {
 	for _, idempotent := range []bool{true, false} {
-		arrived := make(chan (<-chan struct{}), 1)
-		server := listen(t, func(c net.Conn) {
-			_, _ = http.ReadRequest(newReader(c))
-			arrived <- untilClosed(c)
-		})
 		ctx, cancel := context.WithCancel(t.Context())
-		failed := make(chan error, 1)
 		s := newSender(t, Options{})
-		go func() {
-			_, err := s.Do(ctx, callTo(server.server(), http.MethodGet, idempotent))
-			failed <- err
-		}()
-		closed := <-arrived
-		cancel()
-		<-closed
-		kindIs(t, <-failed, KindCancelled, Unknown)
+		cancelCloses(t, "", cancel, func(server figview.Server) error {
+			_, err := s.Do(ctx, callTo(server, http.MethodGet, idempotent))
+			return err
+		})
 	}
 }
 
 func TestOtherCallsAreNotHeldUp(t *testing.T) {
-	server := newRawServer(t, func(int64, *http.Request) string { return ok })
+	server := okServer(t)
 	s := newSender(t, Options{Connections: 1})
 	cc, err := s.host(server.server().Address).AcquireConn(time.Second, false)
 	require.NoError(t, err)
-	_, err = s.Do(t.Context(), callTo(server.server(), http.MethodGet, true))
-	kindIs(t, err, KindBusy, NotRun)
-	_, err = s.Do(t.Context(), callTo(server.server(), http.MethodPost, false))
-	require.NoError(t, err)
+	doFails(t, s, callTo(server.server(), http.MethodGet, true), KindBusy, NotRun)
+	doAnswers(t, s, callTo(server.server(), http.MethodPost, false))
 	s.host(server.server().Address).CloseConn(cc)
 }
 
@@ -316,22 +274,15 @@
 
 // TestEarlyRefusal has a server refuse a large request before it has read it.
 func TestEarlyRefusal(t *testing.T) {
-	server := listen(t, func(c net.Conn) {
-		_, _ = http.ReadRequest(newReader(c))
-		_, _ = c.Write([]byte("HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n"))
-		_ = c.Close()
-	})
-	c := callTo(server.server(), http.MethodPost, false)
+	c := callTo(onceServer(t, refusal, true), http.MethodPost, false)
 	c.Body = make([]byte, 64<<20)
-	_, err := newSender(t, Options{}).Do(t.Context(), c)
-	kindIs(t, err, KindRefused, NotRun)
+	doFails(t, newSender(t, Options{}), c, KindRefused, NotRun)
 }
 
 func TestLargeHeader(t *testing.T) {
 	large := "HTTP/1.1 200 OK\r\nX-Large: " + strings.Repeat("x", headerLimit/2) + "\r\nContent-Length: 3\r\n\r\nyes"
 	server := newRawServer(t, func(int64, *http.Request) string { return large })
-	answer, err := newSender(t, Options{}).Do(t.Context(), callTo(server.server(), http.MethodGet, true))
-	require.NoError(t, err)
+	answer := doAnswers(t, newSender(t, Options{}), callTo(server.server(), http.MethodGet, true))
 	require.Len(t, answer.Get("X-Large"), headerLimit/2)
 }
 
@@ -346,11 +297,8 @@
 	})
 	s := newSender(t, Options{})
 	c := callTo(server.server(), http.MethodGet, true)
-	_, err := s.Do(t.Context(), c)
-	require.NoError(t, err)
-	_, err = s.Do(t.Context(), c)
-	kindIs(t, err, KindCut, Unknown)
+	doAnswers(t, s, c)
+	doFails(t, s, c, KindCut, Unknown)
 	require.EqualValues(t, 1, s.Late.Load())
-	_, err = s.Do(t.Context(), c)
-	require.NoError(t, err)
+	doAnswers(t, s, c)
 }
--- a/internal/request/figsend/header_test.go
+++ b/internal/request/figsend/header_test.go
@@ -35,8 +35,7 @@
 		{"X-Twice", "1"},
 		{"X-Twice", "2"},
 	}
-	answer, err := newSender(t, Options{}).Do(t.Context(), c)
-	require.NoError(t, err)
+	answer := doAnswers(t, newSender(t, Options{}), c)
 	require.Equal(t, []Header{{"Set-Cookie", "a=1"}, {"Set-Cookie", "b=2"}, {"X-End", "2"}}, answer.Header)
 	q := <-got
 	require.Equal(t, http.Header{
--- a/internal/request/figsend/serve_test.go
+++ b/internal/request/figsend/serve_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -89,6 +91,28 @@
 	return s
 }
 
+func okServer(t *testing.T) *rawServer {
+	t.Helper()
+	return newRawServer(t, func(int64, *http.Request) string { return ok })
+}
+
+// onceServer writes text to each connection after its request, then closes it
+// if asked to.
+func onceServer(t *testing.T, text string, closes bool) figview.Server {
+	t.Helper()
+	l := listen(t, func(c net.Conn) {
+		_, _ = http.ReadRequest(newReader(c))
+		_, _ = io.WriteString(c, text)
+		if closes {
+			_ = c.Close()
+		}
+	})
+	return l.server()
+}
+
+// refusal is a server's own "not run".
+const refusal = "HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n"
+
 // ok is a whole answer with the body "yes".
 const ok = okHead + "yes"
 
@@ -129,6 +153,48 @@
 	require.Equal(t, ran.String(), RanOf(err).String(), err)
 }
 
+func doFails(t *testing.T, s *Sender, c *Call, kind Kind, ran Ran) {
+	t.Helper()
+	_, err := s.Do(t.Context(), c)
+	kindIs(t, err, kind, ran)
+}
+
+func doAnswers(t *testing.T, s *Sender, c *Call) *Answer {
+	t.Helper()
+	answer, err := s.Do(t.Context(), c)
+	require.NoError(t, err)
+	return answer
+}
+
+// dialThen dials and passes the connection through then.
+func dialThen(then func(net.Conn) (net.Conn, error)) func(context.Context, string, time.Duration) (net.Conn, error) {
+	return func(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+		c, err := dial(ctx, address, limit)
+		if err != nil {
+			return nil, err
+		}
+		return then(c)
+	}
+}
+
+// cancelCloses cancels do when its request and the begin of the answer are under
+// way: it fails, and its connection is closed.
+func cancelCloses(t *testing.T, begin string, cancel func(), do func(figview.Server) error) {
+	t.Helper()
+	arrived := make(chan (<-chan struct{}), 1)
+	server := listen(t, func(c net.Conn) {
+		_, _ = http.ReadRequest(newReader(c))
+		_, _ = io.WriteString(c, begin)
+		arrived <- untilClosed(c)
+	})
+	failed := make(chan error, 1)
+	go func() { failed <- do(server.server()) }()
+	closed := <-arrived
+	cancel()
+	<-closed
+	kindIs(t, <-failed, KindCancelled, Unknown)
+}
+
 // relayTo stands between a sender and a server.
 func relayTo(t *testing.T, to figview.Server) (*figstand.Relay, figview.Server) {
 	t.Helper()
--- a/internal/request/figsend/stream_test.go
+++ b/internal/request/figsend/stream_test.go
@@ -33,20 +33,6 @@
 	return b.String()
 }
 
-// streamServer writes text to each connection after its request, then closes it
-// if asked to.
-func streamServer(t *testing.T, text string, closes bool) figview.Server {
-	t.Helper()
-	l := listen(t, func(c net.Conn) {
-		_, _ = http.ReadRequest(newReader(c))
-		_, _ = io.WriteString(c, text)
-		if closes {
-			_ = c.Close()
-		}
-	})
-	return l.server()
-}
-
 func TestStreamEnds(t *testing.T) {
 	const (
 		one  = "data: {\"id\":\"cmpl-r1\",\"n\":1}\n\n"
@@ -83,7 +69,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			s := newSender(t, Options{})
-			c := callTo(streamServer(t, tt.text, true), http.MethodPost, false)
+			c := callTo(onceServer(t, tt.text, true), http.MethodPost, false)
 			c.MatchEvents = tt.match
 			stream, err := s.Stream(t.Context(), c)
 			require.NoError(t, err)
@@ -111,15 +97,14 @@
 
 func TestStreamOfAnotherType(t *testing.T) {
 	s := newSender(t, Options{})
-	stream, err := s.Stream(t.Context(), callTo(streamServer(t, ok, true), http.MethodPost, false))
+	stream, err := s.Stream(t.Context(), callTo(onceServer(t, ok, true), http.MethodPost, false))
 	require.NoError(t, err)
 	defer stream.Close()
 	require.Equal(t, "yes", string(stream.Answer.Body))
 	_, err = stream.Next(t.Context(), patience)
 	require.Equal(t, io.EOF, err)
 
-	refused := streamServer(t, "HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n", true)
-	_, err = s.Stream(t.Context(), callTo(refused, http.MethodPost, false))
+	_, err = s.Stream(t.Context(), callTo(onceServer(t, refusal, true), http.MethodPost, false))
 	kindIs(t, err, KindRefused, NotRun)
 }
 
@@ -160,28 +145,22 @@
 	}
 	for name, cancel := range cancels {
 		t.Run(name, func(t *testing.T) {
-			arrived := make(chan (<-chan struct{}), 1)
-			server := listen(t, func(c net.Conn) {
-				_, _ = http.ReadRequest(newReader(c))
-				_, _ = io.WriteString(c, streamHead)
-				arrived <- untilClosed(c)
-			})
 			sendCtx, cancelSend := context.WithCancel(t.Context())
 			defer cancelSend()
 			nextCtx, cancelNext := context.WithCancel(t.Context())
 			defer cancelNext()
 			s := newSender(t, Options{})
-			stream, err := s.Stream(sendCtx, callTo(server.server(), http.MethodPost, false))
-			require.NoError(t, err)
-			failed := make(chan error, 1)
-			go func() {
-				_, err := stream.Next(nextCtx, time.Hour)
-				failed <- err
-			}()
-			closed := <-arrived
-			cancel(stream, cancelSend, cancelNext)
-			<-closed
-			kindIs(t, <-failed, KindCancelled, Unknown)
+			open := make(chan *Stream, 1)
+			cancelAll := func() { cancel(<-open, cancelSend, cancelNext) }
+			cancelCloses(t, streamHead, cancelAll, func(server figview.Server) error {
+				stream, err := s.Stream(sendCtx, callTo(server, http.MethodPost, false))
+				open <- stream
+				if err != nil {
+					return err
+				}
+				_, err = stream.Next(nextCtx, time.Hour)
+				return err
+			})
 		})
 	}
 }
