Say the tests of figqueue with fewer lines

TestEventsDuringPlace holds both cases of the two tests that it replaces (TestDoReturnsPlacedToACallerThatLeftMeanwhile and TestWakeDuringPlaceIsNotLost).

--- a/internal/limit/figqueue/core_test.go
+++ b/internal/limit/figqueue/core_test.go
@@ -18,26 +18,35 @@
 	return e
 }
 
-func TestPushKeepsTheBounds(t *testing.T) {
+func mustRefuse(t *testing.T, c *core, item Item, now time.Time, want Reason) *Refusal {
+	t.Helper()
+	_, refusal := c.push(t.Context(), item, now)
+	require.NotNil(t, refusal)
+	require.Equal(t, want, refusal.Reason)
+	return refusal
+}
+
+// fill returns a core in which account a holds as many requests as it may.
+func fill(t *testing.T) *core {
+	t.Helper()
 	c := newCore(testOptions())
 	for range 4 {
 		mustPush(t, c, Item{Account: "a", Tokens: 10, Bytes: 10}, start)
 	}
-	_, refusal := c.push(t.Context(), Item{Account: "a"}, start)
-	require.Equal(t, AccountFull, refusal.Reason)
-	_, refusal = c.push(t.Context(), Item{Account: "b", Bytes: 401}, start)
-	require.Equal(t, AccountFull, refusal.Reason)
+	return c
+}
+
+func TestPushKeepsTheBounds(t *testing.T) {
+	c := fill(t)
+	mustRefuse(t, c, Item{Account: "a"}, start, AccountFull)
+	mustRefuse(t, c, Item{Account: "b", Bytes: 401}, start, AccountFull)
 	mustPush(t, c, Item{Account: "b", Tokens: 10, Bytes: 400}, start)
-	_, refusal = c.push(t.Context(), Item{Account: "c", Tokens: 50, Bytes: 161}, start)
-	require.Equal(t, Full, refusal.Reason)
+	refusal := mustRefuse(t, c, Item{Account: "c", Tokens: 50, Bytes: 161}, start, Full)
 	require.Positive(t, refusal.RetryAfter)
 }
 
 func TestPushMakesRoomAtTheCostOfTheLargest(t *testing.T) {
-	c := newCore(testOptions())
-	for range 4 {
-		mustPush(t, c, Item{Account: "a", Tokens: 10}, start)
-	}
+	c := fill(t)
 	last := c.flows["a"].waiting[3]
 	mustPush(t, c, Item{Account: "b", Tokens: 10}, start)
 	mustPush(t, c, Item{Account: "b", Tokens: 10}, start)
@@ -70,12 +79,10 @@
 	}
 	require.InDelta(t, 1000, c.rate.perSecond(), 100)
 	mustPush(t, c, Item{Account: "a", Tokens: 3000}, now)
-	_, refusal := c.push(t.Context(), Item{Account: "a", Tokens: 10, Deadline: now.Add(2 * time.Second)}, now)
-	require.Equal(t, Late, refusal.Reason)
+	refusal := mustRefuse(t, c, Item{Account: "a", Tokens: 10, Deadline: now.Add(2 * time.Second)}, now, Late)
 	require.InDelta(t, 3, refusal.RetryAfter.Seconds(), 0.5)
 	mustPush(t, c, Item{Account: "b", Tokens: 10, Deadline: now.Add(2 * time.Second)}, now)
-	_, refusal = c.push(t.Context(), Item{Account: "c", Deadline: now}, now)
-	require.Equal(t, Late, refusal.Reason)
+	mustRefuse(t, c, Item{Account: "c", Deadline: now}, now, Late)
 }
 
 func popped(t *testing.T, c *core, item Item, now time.Time) *entry {
--- a/internal/limit/figqueue/queue_test.go
+++ b/internal/limit/figqueue/queue_test.go
@@ -48,6 +48,13 @@
 	q.Wake()
 }
 
+// enter returns how the item ends.
+func enter(ctx context.Context, q *Queue, item Item) <-chan error {
+	got := make(chan error, 1)
+	go func() { got <- q.Do(ctx, item) }()
+	return got
+}
+
 func requireRefusal(t *testing.T, err error, want Reason) {
 	t.Helper()
 	var r *Refusal
@@ -66,24 +73,20 @@
 		o := testOptions()
 		o.Placing = 1
 		q, r := New(o), &room{}
-		var callers sync.WaitGroup
-		enter := func(name, account string, weight, tokens int64) {
-			callers.Go(func() {
-				item := Item{Account: account, Weight: weight, Tokens: tokens, Place: r.place(name)}
-				require.NoError(t, q.Do(t.Context(), item))
-			})
+		var ends []<-chan error
+		for _, name := range []string{"a1", "a2", "a3", "b1", "b2"} {
+			account := name[:1]
+			tokens := map[string]int64{"a": 100, "b": 250}[account]
+			ends = append(ends, enter(t.Context(), q, Item{Account: account, Weight: 1, Tokens: tokens, Place: r.place(name)}))
 			synctest.Wait()
 		}
-		enter("a1", "a", 1, 100)
-		enter("a2", "a", 1, 100)
-		enter("a3", "a", 1, 100)
-		enter("b1", "b", 1, 250)
-		enter("b2", "b", 1, 250)
-		for range 5 {
+		for range ends {
 			r.release(q, 1)
 			synctest.Wait()
 		}
-		callers.Wait()
+		for _, got := range ends {
+			require.NoError(t, <-got)
+		}
 		require.Equal(t, []string{"a1", "b1", "a2", "a3", "b2"}, r.placed)
 	})
 }
@@ -92,13 +95,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		q, r := New(testOptions()), &room{}
 		ctx, cancel := context.WithCancel(t.Context())
-		var got error
-		go func() { got = q.Do(ctx, Item{Account: "a", Bytes: 10, Place: r.place("a")}) }()
+		got := enter(ctx, q, Item{Account: "a", Bytes: 10, Place: r.place("a")})
 		synctest.Wait()
 		require.Equal(t, 1, q.Status().Waiting)
 		cancel()
 		synctest.Wait()
-		requireRefusal(t, got, Ended)
+		require.Len(t, got, 1)
+		requireRefusal(t, <-got, Ended)
 		require.Zero(t, q.Status().Waiting)
 		require.Zero(t, q.Status().Bytes)
 		require.Empty(t, q.core.flows)
@@ -106,38 +109,32 @@
 	})
 }
 
-func TestDoReturnsPlacedToACallerThatLeftMeanwhile(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		q := New(testOptions())
-		ctx, cancel := context.WithCancel(t.Context())
-		answer := make(chan Verdict)
-		got := make(chan error, 1)
-		go func() {
-			got <- q.Do(ctx, Item{Account: "a", Place: func(context.Context) Verdict { return <-answer }})
-		}()
-		synctest.Wait()
-		cancel()
-		synctest.Wait()
-		require.Empty(t, got)
-		answer <- Placed
-		require.NoError(t, <-got)
-	})
-}
-
-func TestWakeDuringPlaceIsNotLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		q := New(testOptions())
-		answer := make(chan Verdict)
-		got := make(chan error, 1)
-		go func() {
-			got <- q.Do(t.Context(), Item{Account: "a", Place: func(context.Context) Verdict { return <-answer }})
-		}()
-		synctest.Wait()
-		q.Wake()
-		answer <- NoRoom
-		answer <- Placed
-		require.NoError(t, <-got)
-	})
+// TestEventsDuringPlace has a caller leave, or a wake come, while Place runs:
+// the place is the caller's, and the wake isn't lost.
+func TestEventsDuringPlace(t *testing.T) {
+	for name, answers := range map[string][]Verdict{"leave": {Placed}, "wake": {NoRoom, Placed}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := New(testOptions())
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				answer := make(chan Verdict)
+				got := enter(ctx, q, Item{Account: "a", Place: func(context.Context) Verdict { return <-answer }})
+				synctest.Wait()
+				if name == "leave" {
+					cancel()
+				} else {
+					q.Wake()
+				}
+				synctest.Wait()
+				require.Empty(t, got)
+				for _, v := range answers {
+					answer <- v
+				}
+				require.NoError(t, <-got)
+			})
+		})
+	}
 }
 
 func TestRunTriesAgainAndRefusesTheLate(t *testing.T) {
@@ -151,8 +148,7 @@
 		requireRefusal(t, q.Do(ctx, item), Late)
 		require.Less(t, time.Since(start), time.Second+2*tickTime)
 
-		got := make(chan error, 1)
-		go func() { got <- q.Do(ctx, Item{Account: "b", Place: r.place("b")}) }()
+		got := enter(ctx, q, Item{Account: "b", Place: r.place("b")})
 		synctest.Wait()
 		r.mu.Lock()
 		r.free = 1
--- a/internal/limit/figqueue/sim_test.go
+++ b/internal/limit/figqueue/sim_test.go
@@ -1,7 +1,6 @@
 package figqueue
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -84,31 +83,29 @@
 	}
 }
 
-func fifo() policy {
-	var waiting []*request
-	return policy{
-		push: func(r *request, _ time.Time) bool {
-			waiting = append(waiting, r)
-			return len(waiting) <= simBounds.Requests || drop(&waiting)
-		},
-		pop: func(time.Time) *request { return shift(&waiting) },
-	}
-}
+func fifo() policy { return lanes(1, simBounds.Requests) }
+
+func roundRobin() policy { return lanes(simAccounts, simBounds.AccountRequests) }
 
-func roundRobin() policy {
-	var waiting [simAccounts][]*request
+// lanes spreads the accounts over bounded lanes and takes from each in turn.
+func lanes(number, bound int) policy {
+	waiting := make([][]*request, number)
 	next := 0
 	return policy{
 		push: func(r *request, _ time.Time) bool {
-			w := &waiting[r.account]
+			w := &waiting[r.account%number]
+			if len(*w) == bound {
+				return false
+			}
 			*w = append(*w, r)
-			return len(*w) <= simBounds.AccountRequests || drop(w)
+			return true
 		},
 		pop: func(time.Time) *request {
-			for range simAccounts {
-				next = (next + 1) % simAccounts
-				if r := shift(&waiting[next]); r != nil {
-					return r
+			for range number {
+				next = (next + 1) % number
+				if w := waiting[next]; len(w) > 0 {
+					waiting[next] = w[1:]
+					return w[0]
 				}
 			}
 			return nil
@@ -116,33 +113,6 @@
 	}
 }
 
-func drop(w *[]*request) bool {
-	*w = (*w)[:len(*w)-1]
-	return false
-}
-
-func shift(w *[]*request) *request {
-	if len(*w) == 0 {
-		return nil
-	}
-	r := (*w)[0]
-	*w = (*w)[1:]
-	return r
-}
-
-// ends is a heap of the times at which servers become free.
-type ends []time.Duration
-
-func (e ends) Len() int           { return len(e) }
-func (e ends) Less(i, j int) bool { return e[i] < e[j] }
-func (e ends) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *ends) Push(x any)        { *e = append(*e, x.(time.Duration)) }
-func (e *ends) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // arrivals draws the requests of all accounts, oldest first. An account's
 // requests don't depend on the load of the others.
 func arrivals(loads [simAccounts]load) []*request {
@@ -161,7 +131,8 @@
 
 // simulate runs the requests through the servers and returns those of each account.
 func simulate(p policy, loads [simAccounts]load) [simAccounts][]*request {
-	var busy ends
+	// busy holds the times at which servers become free, the first one first.
+	var busy []time.Duration
 	var out [simAccounts][]*request
 	serve := func(now time.Duration) {
 		for len(busy) < simSlots {
@@ -171,12 +142,16 @@
 			}
 			hold := float64(r.tokens) / simSpeed * 1e9
 			r.first = now + time.Duration(hold*simPrefill)
-			heap.Push(&busy, now+time.Duration(hold))
+			free := now + time.Duration(hold)
+			i, _ := slices.BinarySearch(busy, free)
+			busy = slices.Insert(busy, i, free)
 		}
 	}
 	for _, r := range arrivals(loads) {
 		for len(busy) > 0 && busy[0] <= r.at {
-			serve(heap.Pop(&busy).(time.Duration))
+			free := busy[0]
+			busy = busy[1:]
+			serve(free)
 		}
 		out[r.account] = append(out[r.account], r)
 		p.push(r, start.Add(r.at))
