--- a/internal/limit/figbudget/actions_test.go
+++ b/internal/limit/figbudget/actions_test.go
@@ -2,20 +2,30 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
+func (t *trial) pick(r *rapid.T) *node { return t.nodes[rapid.IntRange(0, 4).Draw(r, "node")] }
+
+// pause stops a node for a time that is drawn.
+func (t *trial) pause(r *rapid.T, n *node, least, most int) {
+	n.pausedUntil = t.now + time.Duration(rapid.IntRange(least, most).Draw(r, "ms"))*time.Millisecond
+}
+
+// draw draws a state for a node, and lists it.
+func (t *trial) draw(r *rapid.T, name string) { t.list(name, rapid.IntRange(0, 2).Draw(r, "state")) }
+
 func (t *trial) actions(victim string) map[string]func(*rapid.T) {
-	pick := func(r *rapid.T) *node { return t.nodes[rapid.IntRange(0, 4).Draw(r, "node")] }
 	step := func(r *rapid.T) {
 		ms := rapid.OneOf(rapid.IntRange(1, 100), rapid.IntRange(100, 2000)).Draw(r, "ms")
 		t.advance(time.Duration(ms) * time.Millisecond)
 	}
 	drain := func(r *rapid.T) {
-		t.drain(pick(r), t.limits[account].Burst)
+		t.drain(t.pick(r), t.limits[account].Burst)
 		t.advance(50 * time.Millisecond)
 	}
 	heal := func(*rapid.T) {
@@ -32,7 +42,7 @@
 		"advance":      step,
 		"advanceAgain": step,
 		"hoard": func(r *rapid.T) {
-			t.hoard(pick(r), rapid.Int64Range(1, t.limits[account].Burst).Draw(r, "tokens"))
+			t.hoard(t.pick(r), rapid.Int64Range(1, t.limits[account].Burst).Draw(r, "tokens"))
 			t.advance(20 * time.Millisecond)
 		},
 		"drain":      drain,
@@ -41,18 +51,16 @@
 			t.drainAll()
 			t.advance(100 * time.Millisecond)
 		},
-		"settle": func(r *rapid.T) { t.settleOne(rapid.Float64Range(0, 1.2).Draw(r, "part")) },
-		"pause": func(r *rapid.T) {
-			pick(r).pausedUntil = t.now + time.Duration(rapid.IntRange(100, 8000).Draw(r, "ms"))*time.Millisecond
-		},
-		"restart": func(r *rapid.T) { pick(r).start() },
-		"kill":    func(r *rapid.T) { pick(r).alive = false },
+		"settle":  func(r *rapid.T) { t.settleOne(rapid.Float64Range(0, 1.2).Draw(r, "part")) },
+		"pause":   func(r *rapid.T) { t.pause(r, t.pick(r), 100, 8000) },
+		"restart": func(r *rapid.T) { t.pick(r).start() },
+		"kill":    func(r *rapid.T) { t.pick(r).alive = false },
 		"list": func(r *rapid.T) {
 			name := victim
 			if !t.majority {
-				name = pick(r).name
+				name = t.pick(r).name
 			}
-			t.list(name, rapid.IntRange(0, 2).Draw(r, "state"))
+			t.draw(r, name)
 		},
 		"cut": func(r *rapid.T) {
 			clear(t.apart)
@@ -62,7 +70,7 @@
 		},
 		"heal":           heal,
 		"healAgain":      heal,
-		"cutFromService": func(r *rapid.T) { pick(r).cutOff = true },
+		"cutFromService": func(r *rapid.T) { t.pick(r).cutOff = true },
 		"serviceDown":    func(*rapid.T) { t.serviceDown = true },
 		"limits": func(r *rapid.T) {
 			t.limits = map[string]Limits{account: drawLimits(r)}
@@ -89,7 +97,7 @@
 	return map[string]func(*rapid.T){
 		"soak": func(*rapid.T) { t.soak(30, 300*time.Millisecond) },
 		"spendLate": func(r *rapid.T) {
-			n := t.nodes[rapid.IntRange(0, 4).Draw(r, "node")]
+			n := t.pick(r)
 			t.hoard(n, t.limits[account].Burst)
 			wait := rapid.IntRange(1300, 1700).Draw(r, "ms")
 			t.advance(time.Duration(wait) * time.Millisecond)
@@ -100,14 +108,14 @@
 			n := target(r)
 			clear(t.apart)
 			t.apart[n.name] = true
-			t.list(n.name, rapid.IntRange(0, 2).Draw(r, "state"))
+			t.draw(r, n.name)
 			t.soak(12, 500*time.Millisecond)
 		},
 		"pauseHolder": func(r *rapid.T) {
 			n := target(r)
-			t.hoard(t.nodes[rapid.IntRange(0, 4).Draw(r, "node")], t.limits[account].Burst)
-			n.pausedUntil = t.now + time.Duration(rapid.IntRange(500, 9000).Draw(r, "ms"))*time.Millisecond
-			t.list(n.name, rapid.IntRange(0, 2).Draw(r, "state"))
+			t.hoard(t.pick(r), t.limits[account].Burst)
+			t.pause(r, n, 500, 9000)
+			t.draw(r, n.name)
 			t.soak(14, 500*time.Millisecond)
 		},
 		"flap": func(r *rapid.T) {
@@ -123,12 +131,11 @@
 }
 
 func (w *world) byName(name string) *node {
-	for _, n := range w.nodes {
-		if n.name == name {
-			return n
-		}
+	i := slices.IndexFunc(w.nodes, func(n *node) bool { return n.name == name })
+	if i < 0 {
+		return nil
 	}
-	return nil
+	return w.nodes[i]
 }
 
 func (t *trial) drainAll() {
--- a/internal/limit/figbudget/budget_test.go
+++ b/internal/limit/figbudget/budget_test.go
@@ -22,7 +22,6 @@
 	budgets map[string]*Budget
 	limits  map[string]Limits
 	down    map[string]bool
-	calls   int
 }
 
 func newFleet(size int, limits map[string]Limits) *fleet {
@@ -44,6 +43,13 @@
 	return f
 }
 
+// fullFleet returns a fleet whose slots are full.
+func fullFleet(size int) *fleet {
+	f := newFleet(size, map[string]Limits{"a": {TokensPerSecond: 300, Burst: 900}})
+	f.advance(20 * time.Second)
+	return f
+}
+
 func (f *fleet) start(name string) *Budget {
 	return New(Options{
 		Self:        name,
@@ -52,11 +58,8 @@
 		View:        func() *figview.View { return f.view },
 		Fresh:       func() bool { return true },
 		AllAcked:    func(uint64) (time.Time, bool) { return time.Time{}, true },
-		Limits: func(account string) (Limits, bool) {
-			l, ok := f.limits[account]
-			return l, ok
-		},
-		Ask: f.ask,
+		Limits:      declared(&f.limits),
+		Ask:         f.ask,
 	})
 }
 
@@ -68,7 +71,6 @@
 
 func (f *fleet) ask(ctx context.Context, m figview.Member, q *Request) (*Reply, error) {
 	f.mu.Lock()
-	f.calls++
 	down := f.down[m.Name]
 	f.mu.Unlock()
 	if down {
@@ -77,12 +79,16 @@
 	return f.budgets[m.Name].Answer(ctx, q)
 }
 
+func (f *fleet) move(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = f.now.Add(d)
+}
+
 // advance moves the clock in ticks.
 func (f *fleet) advance(d time.Duration) {
 	for end := f.time().Add(d); f.time().Before(end); {
-		f.mu.Lock()
-		f.now = f.now.Add(tickTime)
-		f.mu.Unlock()
+		f.move(tickTime)
 		for _, b := range f.budgets {
 			b.Tick()
 		}
@@ -139,8 +145,7 @@
 }
 
 func TestReserveGoesRoundADeadHolder(t *testing.T) {
-	f := newFleet(9, map[string]Limits{"a": {TokensPerSecond: 300, Burst: 900}})
-	f.advance(20 * time.Second)
+	f := fullFleet(9)
 	holder, ok := newPlacement(f.view).holder(slotID{"a", 0})
 	require.True(t, ok)
 	f.down[holder.Name] = true
@@ -158,11 +163,7 @@
 // while it looks at its view: what it saw before is old by then.
 func TestAPauseDuringALookCountsForNothing(t *testing.T) {
 	f := newFleet(1, map[string]Limits{"a": {TokensPerSecond: 300, Burst: 900}})
-	pause := func() {
-		f.mu.Lock()
-		f.now = f.now.Add(time.Minute)
-		f.mu.Unlock()
-	}
+	pause := func() { f.move(time.Minute) }
 	b := f.budgets["i0"]
 	b.opts.AllAcked = func(uint64) (time.Time, bool) {
 		pause()
@@ -184,8 +185,7 @@
 }
 
 func TestReserveEndsWithItsContext(t *testing.T) {
-	f := newFleet(9, map[string]Limits{"a": {TokensPerSecond: 300, Burst: 900}})
-	f.advance(20 * time.Second)
+	f := fullFleet(9)
 	ctx, cancel := context.WithCancel(t.Context())
 	var asker *Budget
 	for name, b := range f.budgets {
@@ -213,8 +213,7 @@
 }
 
 func TestIdleAccountsLeaveNoState(t *testing.T) {
-	f := newFleet(3, map[string]Limits{"a": {TokensPerSecond: 300, Burst: 900}})
-	f.advance(20 * time.Second)
+	f := fullFleet(3)
 	r, err := f.budgets["i0"].Reserve(t.Context(), "a", 60)
 	require.NoError(t, err)
 	r.Settle(30)
--- a/internal/limit/figbudget/invariant_test.go
+++ b/internal/limit/figbudget/invariant_test.go
@@ -132,8 +132,6 @@
 	t.declare(t.now, l)
 }
 
-func always() bool { return true }
-
 // spend charges tokens at n and tells whether it could.
 func (t *trial) spend(n *node, tokens int64, ended func(bool)) {
 	t.at(0, n, func() {
@@ -231,7 +229,7 @@
 func (t *trial) requireRecovery(r *rapid.T) {
 	t.network = network{}
 	t.limits = map[string]Limits{account: {TokensPerSecond: 400, Burst: 900}}
-	t.publish(func(*figview.Member) bool { return true })
+	t.publish(everyone)
 	t.advance(20 * time.Second)
 	t.reserved = 0
 	for range 6 {
--- a/internal/limit/figbudget/scale_test.go
+++ b/internal/limit/figbudget/scale_test.go
@@ -45,8 +45,7 @@
 func newCrowd(members, accounts int) *crowd {
 	c := &crowd{random: rand.New(rand.NewPCG(5, 5)), now: time.Unix(1e6, 0), byName: map[string]*ledger{}}
 	c.load = rand.NewZipf(c.random, zipfPower, zipfOffset, uint64(accounts-1))
-	limits := map[string]Limits{}
-	c.limits = limits
+	c.limits = map[string]Limits{}
 	sum := 0.0
 	for i := range accounts {
 		sum += popularity(i)
@@ -56,7 +55,7 @@
 		c.names = append(c.names, name)
 		load := popularity(i) / sum * float64(members*requestsPerMember*meanCost)
 		rate := int64(load/offered) + meanCost/2
-		limits[name] = Limits{TokensPerSecond: rate, Burst: 10 * rate}
+		c.limits[name] = Limits{TokensPerSecond: rate, Burst: 10 * rate}
 	}
 	list := make([]figview.Member, 0, members)
 	for i := range members {
@@ -64,10 +63,7 @@
 	}
 	view := figview.NewView(1, list)
 	for _, m := range list {
-		g := newLedger(m.Name, crowdIncarnation, func(account string) (Limits, bool) {
-			l, ok := limits[account]
-			return l, ok
-		})
+		g := newLedger(m.Name, crowdIncarnation, declared(&c.limits))
 		g.sync(view, c.now, true)
 		g.poll(at(c.now), yes)
 		c.ledgers = append(c.ledgers, g)
--- a/internal/limit/figbudget/schedule_test.go
+++ b/internal/limit/figbudget/schedule_test.go
@@ -1,6 +1,7 @@
 package figbudget
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -43,16 +44,22 @@
 	return holder, next, lessee
 }
 
+// cutMajority cuts the holder, the lessee and one more off, but not the next holder.
+func (t *trial) cutMajority(holder, next, lessee *node) []*node {
+	cut := []*node{holder, lessee}
+	i := slices.IndexFunc(t.nodes, func(n *node) bool { return n != next && !slices.Contains(cut, n) })
+	cut = append(cut, t.nodes[i])
+	for _, n := range cut {
+		t.apart[n.name] = true
+	}
+	return cut
+}
+
 // unlist publishes a list without some nodes, after messages under way.
 func (t *trial) unlist(nodes ...*node) {
 	t.advance(10 * time.Millisecond)
 	t.publish(func(m *figview.Member) bool {
-		for _, n := range nodes {
-			if n.name == m.Name {
-				return false
-			}
-		}
-		return true
+		return !slices.Contains(nodes, t.byName(m.Name))
 	})
 }
 
@@ -79,15 +86,7 @@
 func TestAHolderLeftWithAMajority(t *testing.T) {
 	c := calmTrial(true)
 	holder, next, lessee := c.parties()
-	others := 0
-	for _, n := range c.nodes {
-		if n != next && (n == holder || n == lessee || others == 0) {
-			c.apart[n.name] = true
-			if n != holder && n != lessee {
-				others++
-			}
-		}
-	}
+	c.cutMajority(holder, next, lessee)
 	require.Len(t, c.apart, 3)
 	c.unlist(holder)
 	c.soak(100, 200*time.Millisecond)
@@ -128,15 +127,7 @@
 func TestTheCornerGoesNoFurther(t *testing.T) {
 	c := calmTrial(true)
 	holder, next, lessee := c.parties()
-	cut := []*node{holder, lessee}
-	for _, n := range c.nodes {
-		if n != next && n != holder && n != lessee && len(cut) < 3 {
-			cut = append(cut, n)
-		}
-	}
-	for _, n := range cut {
-		c.apart[n.name] = true
-	}
+	cut := c.cutMajority(holder, next, lessee)
 	for i := range cut {
 		c.unlist(cut[:i+1]...)
 		c.advance(50 * time.Millisecond)
--- a/internal/limit/figbudget/world_test.go
+++ b/internal/limit/figbudget/world_test.go
@@ -1,7 +1,7 @@
 package figbudget
 
 import (
-	"container/heap"
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,9 +13,10 @@
 // loses, delays and doubles messages, and a published list that each node reads
 // for itself. Membership follows the rules that Options.Fresh and AllAcked state.
 type world struct {
-	random  *rand.Rand
-	now     time.Duration
-	events  events
+	random *rand.Rand
+	now    time.Duration
+	// events are those to come, the first one first.
+	events  []event
 	serial  uint64
 	nodes   []*node
 	view    *figview.View
@@ -72,29 +73,17 @@
 	run    func()
 }
 
-type events []event
-
-func (e events) Len() int      { return len(e) }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].serial < e[j].serial)
-}
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
+func (e event) compare(other event) int {
+	return cmp.Or(cmp.Compare(e.at, other.at), cmp.Compare(e.serial, other.serial))
 }
 
 func newWorld(random *rand.Rand, centres []string, limits map[string]Limits) *world {
 	w := &world{random: random, limits: limits, apart: map[string]bool{}, observe: func(*node) {}}
-	members := make([]figview.Member, 0, len(centres))
 	for i, c := range centres {
 		n := &node{world: w, name: string(rune('a' + i)), centre: c, speed: 1, ticks: tickTime}
 		w.nodes = append(w.nodes, n)
-		members = append(members, figview.Member{Name: n.name, Address: n.name, DataCentre: c})
 	}
-	w.view = figview.NewView(1, members)
+	w.view = figview.NewView(1, w.members(everyone))
 	for _, n := range w.nodes {
 		n.start()
 	}
@@ -109,14 +98,20 @@
 	if n != nil {
 		e.life = n.incarnation
 	}
-	heap.Push(&w.events, e)
+	w.push(e)
+}
+
+func (w *world) push(e event) {
+	i, _ := slices.BinarySearchFunc(w.events, e, event.compare)
+	w.events = slices.Insert(w.events, i, e)
 }
 
 // advance runs all events of the next d.
 func (w *world) advance(d time.Duration) {
 	end := w.now + d
 	for len(w.events) > 0 && w.events[0].at <= end {
-		e := heap.Pop(&w.events).(event)
+		e := w.events[0]
+		w.events = w.events[1:]
 		w.now = max(w.now, e.at)
 		if e.node != nil {
 			if !e.node.alive || e.node.incarnation != e.life {
@@ -124,7 +119,7 @@
 			}
 			if e.node.pausedUntil > w.now {
 				e.at = e.node.pausedUntil
-				heap.Push(&w.events, e)
+				w.push(e)
 				continue
 			}
 		}
@@ -138,6 +133,18 @@
 
 // publish puts a new list in force. Nodes wait for it in a long poll.
 func (w *world) publish(change func(m *figview.Member) bool) {
+	w.view = figview.NewView(w.view.Version+1, w.members(change))
+	for _, n := range w.nodes {
+		w.at(0, n, n.read)
+	}
+}
+
+func always() bool { return true }
+
+func everyone(*figview.Member) bool { return true }
+
+// members returns the nodes that change keeps, as it has changed them.
+func (w *world) members(change func(m *figview.Member) bool) []figview.Member {
 	var members []figview.Member
 	for _, n := range w.nodes {
 		m := figview.Member{Name: n.name, Address: n.name, DataCentre: n.centre}
@@ -145,9 +152,14 @@
 			members = append(members, m)
 		}
 	}
-	w.view = figview.NewView(w.view.Version+1, members)
-	for _, n := range w.nodes {
-		w.at(0, n, n.read)
+	return members
+}
+
+// declared returns the limits of an account as Options.Limits does.
+func declared(limits *map[string]Limits) func(account string) (Limits, bool) {
+	return func(account string) (Limits, bool) {
+		l, ok := (*limits)[account]
+		return l, ok
 	}
 }
 
@@ -162,12 +174,8 @@
 		}
 	}
 	w.at(askTimeout, n, func() { finish(false) })
-	i := slices.IndexFunc(w.nodes, func(m *node) bool { return m.name == to })
-	if i < 0 {
-		return
-	}
-	peer := w.nodes[i]
-	if w.apart[n.name] != w.apart[to] || w.chance(w.network.lose) {
+	peer := w.byName(to)
+	if peer == nil || w.apart[n.name] != w.apart[to] || w.chance(w.network.lose) {
 		return
 	}
 	answer := func() {
@@ -214,10 +222,7 @@
 		incarnation = n.incarnation + 1
 	}
 	n.declared = n.world.limits
-	n.ledger = newLedger(n.name, incarnation, func(account string) (Limits, bool) {
-		l, ok := n.declared[account]
-		return l, ok
-	})
+	n.ledger = newLedger(n.name, incarnation, declared(&n.declared))
 	n.alive, n.pausedUntil, n.credited = true, 0, 0
 	n.known, n.confirmed, n.newest = nil, time.Time{}, 0
 	n.heard = map[string]heard{}
