--- a/internal/limit/figbudget/schedule_test.go
+++ b/internal/limit/figbudget/schedule_test.go
@@ -46,9 +46,8 @@
 
 // cutMajority cuts the holder, the lessee and one more off, but not the next holder.
 func (t *trial) cutMajority(holder, next, lessee *node) []*node {
-	cut := []*node{holder, lessee}
-	i := slices.IndexFunc(t.nodes, func(n *node) bool { return n != next && !slices.Contains(cut, n) })
-	cut = append(cut, t.nodes[i])
+	i := slices.IndexFunc(t.nodes, func(n *node) bool { return n != next && n != holder && n != lessee })
+	cut := []*node{holder, lessee, t.nodes[i]}
 	for _, n := range cut {
 		t.apart[n.name] = true
 	}
--- a/internal/limit/figqueue/core_test.go
+++ b/internal/limit/figqueue/core_test.go
@@ -18,12 +18,13 @@
 	return e
 }
 
-func mustRefuse(t *testing.T, c *core, item Item, now time.Time, want Reason) *Refusal {
+// mustRefuse returns when the caller may come back.
+func mustRefuse(t *testing.T, c *core, item Item, now time.Time, want Reason) time.Duration {
 	t.Helper()
 	_, refusal := c.push(t.Context(), item, now)
 	require.NotNil(t, refusal)
 	require.Equal(t, want, refusal.Reason)
-	return refusal
+	return refusal.RetryAfter
 }
 
 // fill returns a core in which account a holds as many requests as it may.
@@ -41,8 +42,7 @@
 	mustRefuse(t, c, Item{Account: "a"}, start, AccountFull)
 	mustRefuse(t, c, Item{Account: "b", Bytes: 401}, start, AccountFull)
 	mustPush(t, c, Item{Account: "b", Tokens: 10, Bytes: 400}, start)
-	refusal := mustRefuse(t, c, Item{Account: "c", Tokens: 50, Bytes: 161}, start, Full)
-	require.Positive(t, refusal.RetryAfter)
+	require.Positive(t, mustRefuse(t, c, Item{Account: "c", Tokens: 50, Bytes: 161}, start, Full))
 }
 
 func TestPushMakesRoomAtTheCostOfTheLargest(t *testing.T) {
@@ -79,8 +79,8 @@
 	}
 	require.InDelta(t, 1000, c.rate.perSecond(), 100)
 	mustPush(t, c, Item{Account: "a", Tokens: 3000}, now)
-	refusal := mustRefuse(t, c, Item{Account: "a", Tokens: 10, Deadline: now.Add(2 * time.Second)}, now, Late)
-	require.InDelta(t, 3, refusal.RetryAfter.Seconds(), 0.5)
+	after := mustRefuse(t, c, Item{Account: "a", Tokens: 10, Deadline: now.Add(2 * time.Second)}, now, Late)
+	require.InDelta(t, 3, after.Seconds(), 0.5)
 	mustPush(t, c, Item{Account: "b", Tokens: 10, Deadline: now.Add(2 * time.Second)}, now)
 	mustRefuse(t, c, Item{Account: "c", Deadline: now}, now, Late)
 }
--- a/internal/limit/figqueue/queue_test.go
+++ b/internal/limit/figqueue/queue_test.go
@@ -73,8 +73,9 @@
 		o := testOptions()
 		o.Placing = 1
 		q, r := New(o), &room{}
-		var ends []<-chan error
-		for _, name := range []string{"a1", "a2", "a3", "b1", "b2"} {
+		names := []string{"a1", "a2", "a3", "b1", "b2"}
+		ends := make([]<-chan error, 0, len(names))
+		for _, name := range names {
 			account := name[:1]
 			tokens := map[string]int64{"a": 100, "b": 250}[account]
 			ends = append(ends, enter(t.Context(), q, Item{Account: account, Weight: 1, Tokens: tokens, Place: r.place(name)}))
