--- a/internal/limit/figbudget/budget_test.go
+++ b/internal/limit/figbudget/budget_test.go
@@ -189,7 +189,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var asker *Budget
 	for name, b := range f.budgets {
-		if !holdsAny(f.view, name, "a") {
+		if _, holds := slotOf(f.view, name, "a"); !holds {
 			asker = b
 		}
 	}
@@ -202,14 +202,15 @@
 	_ = requireRefusal(t, err, Ended)
 }
 
-func holdsAny(v *figview.View, name, account string) bool {
+// slotOf returns a slot of the account that the instance holds.
+func slotOf(v *figview.View, name, account string) (id slotID, ok bool) {
 	p := newPlacement(v)
 	for i := range Slots {
-		if p.holds(name, slotID{account, i}) {
-			return true
+		if id = (slotID{account, i}); p.holds(name, id) {
+			return id, true
 		}
 	}
-	return false
+	return id, false
 }
 
 func TestIdleAccountsLeaveNoState(t *testing.T) {
--- a/internal/limit/figbudget/invariant_test.go
+++ b/internal/limit/figbudget/invariant_test.go
@@ -132,11 +132,12 @@
 	t.declare(t.now, l)
 }
 
-// spend charges tokens at n and tells whether it could.
-func (t *trial) spend(n *node, tokens int64, ended func(bool)) {
+// spend charges tokens at n, if its caller waits for them as wanted says, and
+// tells whether it could.
+func (t *trial) spend(n *node, tokens int64, wanted func() bool, ended func(bool)) {
 	t.at(0, n, func() {
 		life := n.incarnation
-		n.reserve(account, tokens, always, func(o outcome) {
+		n.reserve(account, tokens, wanted, func(o outcome) {
 			if o.taken != nil {
 				t.charge(n, life, o.taken, tokens)
 			}
@@ -160,7 +161,7 @@
 	if tokens < 1 || tokens < t.limits[account].Burst/100 {
 		return
 	}
-	t.spend(n, tokens, func(ok bool) {
+	t.spend(n, tokens, always, func(ok bool) {
 		if !ok {
 			tokens /= 2
 		}
@@ -170,18 +171,12 @@
 
 // hoard leases tokens at n for a caller that has left when they come.
 func (t *trial) hoard(n *node, tokens int64) {
-	t.at(0, n, func() {
-		asked := false
-		n.reserve(account, tokens, func() bool {
-			first := !asked
-			asked = true
-			return first
-		}, func(o outcome) {
-			if o.taken != nil {
-				t.charge(n, n.incarnation, o.taken, tokens)
-			}
-		})
-	})
+	asked := false
+	t.spend(n, tokens, func() bool {
+		first := !asked
+		asked = true
+		return first
+	}, func(bool) {})
 }
 
 // settleOne ends the oldest reservation that is open.
@@ -233,7 +228,7 @@
 	t.advance(20 * time.Second)
 	t.reserved = 0
 	for range 6 {
-		t.spend(t.nodes[0], 150, func(bool) {})
+		t.spend(t.nodes[0], 150, always, func(bool) {})
 		t.advance(100 * time.Millisecond)
 	}
 	require.EqualValues(r, 900, t.reserved)
--- a/internal/limit/figbudget/measure_test.go
+++ b/internal/limit/figbudget/measure_test.go
@@ -66,36 +66,35 @@
 	holder func(w *world) string
 }
 
+// tally counts requests inside their rate, and those of them that were refused.
+type tally struct{ inRate, refused int }
+
+func (t *tally) percent() float64 { return 100 * float64(t.refused) / float64(max(1, t.inRate)) }
+
+func (t *tally) add(other tally) {
+	t.inRate += other.inRate
+	t.refused += other.refused
+}
+
 // figures is what one measurement found.
 type figures struct {
-	inRate, refused int
-	// afterInRate and afterRefused are those from backAfter after the fault on.
-	afterInRate, afterRefused int
+	tally
+	// after holds what came from backAfter after the fault on.
+	after tally
 	// last is when the last request inside its rate was refused, after the fault.
 	last     time.Duration
 	messages int
 }
 
-func (f *figures) percent() float64 { return 100 * float64(f.refused) / float64(max(1, f.inRate)) }
-
-func (f *figures) percentAfter() float64 {
-	return 100 * float64(f.afterRefused) / float64(max(1, f.afterInRate))
-}
-
-// count notes a request inside its rate that came at a time after the fault.
-func (f *figures) count(at time.Duration) {
-	f.inRate++
+// note counts what came at a time after the fault.
+func (f *figures) note(at time.Duration, seen tally) {
+	f.add(seen)
 	if at >= backAfter {
-		f.afterInRate++
+		f.after.add(seen)
 	}
-}
-
-func (f *figures) refuse(at time.Duration) {
-	f.refused++
-	if at >= backAfter {
-		f.afterRefused++
+	if seen.refused > 0 {
+		f.last = max(f.last, at)
 	}
-	f.last = max(f.last, at)
 }
 
 // scenario is a fault and the way in which the balancer spreads requests.
@@ -185,12 +184,12 @@
 		inRate := ideal.take(float64(tokens), w.now)
 		back := int64((1 - usedPart) * float64(tokens))
 		if inRate {
-			f.count(came)
+			f.note(came, tally{inRate: 1})
 			w.at(time.Second, nil, func() { ideal.credit(float64(back), w.now) })
 		}
 		by.admit(w, n, account, tokens, func(ok bool) {
 			if inRate && !ok {
-				f.refuse(came)
+				f.note(came, tally{refused: 1})
 			}
 		})
 	}
@@ -336,8 +335,8 @@
 			f := measure(s, slots(), measuredLimits())
 			require.Greater(t, f.inRate, 5000)
 			require.Less(t, f.percent(), mostRefused)
-			require.Less(t, f.percentAfter(), mostRefused)
-			require.Greater(t, f.afterInRate, 4000)
+			require.Less(t, f.after.percent(), mostRefused)
+			require.Greater(t, f.after.inRate, 4000)
 		})
 	}
 }
@@ -355,7 +354,7 @@
 				for b.Loop() {
 					f := measure(s, start(), limits)
 					b.ReportMetric(f.percent(), "refused%")
-					b.ReportMetric(f.percentAfter(), "refusedAfter5s%")
+					b.ReportMetric(f.after.percent(), "refusedAfter5s%")
 					b.ReportMetric(max(0, f.last.Seconds()), "lastRefusal-s")
 					b.ReportMetric(float64(f.messages)/float64(f.inRate), "messages/request")
 				}
--- a/internal/limit/figbudget/member_test.go
+++ b/internal/limit/figbudget/member_test.go
@@ -75,18 +75,13 @@
 func (n *node) hear(name string, h heard) {
 	old := n.heard[name]
 	if h.incarnation > old.incarnation || (h.incarnation == old.incarnation && h.version >= old.version) {
-		h.at = later(h.at, old.at)
+		if old.at.After(h.at) {
+			h.at = old.at
+		}
 		n.heard[name] = h
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // fresh is Options.Fresh.
 func (n *node) fresh() bool {
 	if n.known == nil || n.newest > n.known.Version {
--- a/internal/limit/figbudget/scale_test.go
+++ b/internal/limit/figbudget/scale_test.go
@@ -183,7 +183,7 @@
 // pick returns a ledger that holds a slot of the account, or one that doesn't.
 func (c *crowd) pick(account string, holds bool) *ledger {
 	for _, g := range c.ledgers {
-		if holdsAny(g.current().view, g.self, account) == holds {
+		if _, ok := slotOf(g.current().view, g.self, account); ok == holds {
 			return g
 		}
 	}
--- a/internal/limit/figbudget/schedule_test.go
+++ b/internal/limit/figbudget/schedule_test.go
@@ -37,7 +37,7 @@
 		}
 	}
 	for _, n := range t.nodes {
-		if n != next && !holdsAny(t.view, n.name, account) {
+		if _, holds := slotOf(t.view, n.name, account); n != next && !holds {
 			lessee = n
 		}
 	}
@@ -101,7 +101,9 @@
 	c.apart[holder.name] = true
 	c.unlist(holder)
 	c.advance(15 * time.Second)
-	require.Equal(t, active, next.held(slotOf(c, next), next.clock()).state)
+	id, ok := slotOf(c.view, next.name, account)
+	require.True(t, ok)
+	require.Equal(t, active, next.held(id, next.clock()).state)
 	c.soak(5, 20*time.Millisecond)
 	c.apart[holder.name] = false
 	c.unlist()
@@ -109,16 +111,6 @@
 	require.NoError(t, c.err)
 }
 
-// slotOf returns the slot that n holds by the list in force.
-func slotOf(t *trial, n *node) slotID {
-	for i := range Slots {
-		if newPlacement(t.view).holds(n.name, slotID{account, i}) {
-			return slotID{account, i}
-		}
-	}
-	return slotID{}
-}
-
 // TestTheCornerGoesNoFurther takes a majority that lives off the list, one after
 // the other, while it is cut off from the service and from all who know. This is
 // the one way to two holders. Each side alone keeps the bound, and the overspend
