--- a/internal/limit/figbudget/actions_test.go
+++ b/internal/limit/figbudget/actions_test.go
@@ -17,7 +17,9 @@
 }
 
 // draw draws a state for a node, and lists it.
-func (t *trial) draw(r *rapid.T, name string) { t.list(name, rapid.IntRange(0, 2).Draw(r, "state")) }
+func (t *trial) draw(r *rapid.T, name string) {
+	t.list(name, rapid.IntRange(0, unlisted).Draw(r, "state"))
+}
 
 func (t *trial) actions(victim string) map[string]func(*rapid.T) {
 	step := func(r *rapid.T) {
@@ -121,7 +123,7 @@
 		"flap": func(r *rapid.T) {
 			n := target(r)
 			t.apart[n.name] = true
-			t.list(n.name, 2)
+			t.list(n.name, unlisted)
 			t.soak(rapid.IntRange(1, 14).Draw(r, "steps"), 500*time.Millisecond)
 			t.list(n.name, 0)
 			t.apart[n.name] = false
--- a/internal/limit/figbudget/invariant_test.go
+++ b/internal/limit/figbudget/invariant_test.go
@@ -8,8 +8,6 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
-
-	"figtrail.dev/figtrail/internal/fleet/figview"
 )
 
 // mark is a charge, or a credit if it is negative, in true time.
@@ -199,19 +197,6 @@
 	})
 }
 
-// list publishes a change of one member.
-func (t *trial) list(name string, state int) {
-	t.publish(func(m *figview.Member) bool {
-		old, listed := t.view.Find(m.Name)
-		m.State = old.State
-		if m.Name == name {
-			m.State = figview.State(state % 2)
-			listed = state < 2
-		}
-		return listed
-	})
-}
-
 func drawLimits(r *rapid.T) Limits {
 	return Limits{
 		TokensPerSecond: rapid.Int64Range(1, 400).Draw(r, "rate"),
--- a/internal/limit/figbudget/measure_test.go
+++ b/internal/limit/figbudget/measure_test.go
@@ -131,22 +131,15 @@
 func rolling(w *world, _ string) {
 	each := time.Minute / time.Duration(len(w.nodes))
 	for i, n := range w.nodes {
-		list := func(after time.Duration, listed bool, state figview.State) {
-			w.at(each*time.Duration(i)+after, nil, func() {
-				w.publish(func(m *figview.Member) bool {
-					if m.Name == n.name {
-						m.State = state
-						return listed
-					}
-					return true
-				})
-			})
+		start := each * time.Duration(i)
+		list := func(after time.Duration, state int) {
+			w.at(start+after, nil, func() { w.list(n.name, state) })
 		}
-		list(0, true, figview.Leaving)
-		w.at(each*time.Duration(i)+3*time.Second, nil, func() { n.alive = false })
-		list(3*time.Second+listLag, false, 0)
-		w.at(each*time.Duration(i)+4*time.Second, nil, n.start)
-		list(4*time.Second+listLag, true, figview.Live)
+		list(0, int(figview.Leaving))
+		w.at(start+3*time.Second, nil, func() { n.alive = false })
+		list(3*time.Second+listLag, unlisted)
+		w.at(start+4*time.Second, nil, n.start)
+		list(4*time.Second+listLag, int(figview.Live))
 	}
 }
 
--- a/internal/limit/figbudget/world_test.go
+++ b/internal/limit/figbudget/world_test.go
@@ -155,6 +155,22 @@
 	return members
 }
 
+// unlisted is the state of a member that list takes off the list.
+const unlisted = 2
+
+// list publishes a change of one member.
+func (w *world) list(name string, state int) {
+	w.publish(func(m *figview.Member) bool {
+		old, listed := w.view.Find(m.Name)
+		m.State = old.State
+		if m.Name == name {
+			m.State = figview.State(state % unlisted)
+			listed = state < unlisted
+		}
+		return listed
+	})
+}
+
 // declared returns the limits of an account as Options.Limits does.
 func declared(limits *map[string]Limits) func(account string) (Limits, bool) {
 	return func(account string) (Limits, bool) {
--- a/internal/request/figsend/alloc_test.go
+++ b/internal/request/figsend/alloc_test.go
@@ -41,8 +41,7 @@
 	})
 	c := callTo(l.server(), http.MethodGet, true)
 	c.Header = []Header{{"Accept", "application/json"}}
-	s := New(Options{})
-	tb.Cleanup(s.Close)
+	s := newSender(tb, Options{})
 	ctx, cancel := context.WithCancel(tb.Context())
 	tb.Cleanup(cancel)
 	return func() {
@@ -68,8 +67,7 @@
 	})
 	c := callTo(l.server(), http.MethodPost, false)
 	c.MatchEvents = true
-	s := New(Options{})
-	tb.Cleanup(s.Close)
+	s := newSender(tb, Options{})
 	stream, err := s.Stream(context.Background(), c)
 	require.NoError(tb, err)
 	tb.Cleanup(stream.Close)
--- a/internal/request/figsend/serve_test.go
+++ b/internal/request/figsend/serve_test.go
@@ -119,7 +119,7 @@
 // okHead is its header.
 const okHead = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"
 
-func newSender(t *testing.T, opts Options) *Sender {
+func newSender(t testing.TB, opts Options) *Sender {
 	t.Helper()
 	s := New(opts)
 	t.Cleanup(s.Close)
