Table the calls on kept connections in figsend

TestKeptConnections holds the cases of TestBytesAfterAnswerEndItsConnection, TestKeptConnectionsAge and TestIdleTimeoutIsNoAnswer, and checks late answers and dials after each call in all of them; before, each looked at some.

--- a/internal/request/figsend/fail_test.go
+++ b/internal/request/figsend/fail_test.go
@@ -217,29 +217,43 @@
 	require.EqualValues(t, 1, s.Late.Load())
 }
 
-func TestBytesAfterAnswerEndItsConnection(t *testing.T) {
-	server := newRawServer(t, func(int64, *http.Request) string { return ok + ok })
-	s := newSender(t, Options{})
-	for range 2 {
-		doAnswers(t, s, callTo(server.server(), http.MethodGet, true))
-	}
-	require.EqualValues(t, 2, s.Late.Load())
-	require.EqualValues(t, 2, s.Dials.Load())
+// keptStep is a call on a connection that may be kept. It is answered if kind is
+// zero. late and dials are the counts after it.
+type keptStep struct {
+	wait        time.Duration
+	kind        Kind
+	late, dials uint64
 }
 
-func TestKeptConnectionsAge(t *testing.T) {
-	server := okServer(t)
-	now := time.Now()
-	opts := Options{IdleLimit: time.Minute, AgeLimit: time.Hour}
-	opts.Clock.Now = func() time.Time { return now }
-	s := newSender(t, opts)
-	for _, step := range []struct {
-		wait  time.Duration
-		dials uint64
-	}{{0, 1}, {59 * time.Second, 1}, {61 * time.Second, 2}, {30 * time.Second, 2}} {
-		now = now.Add(step.wait)
-		doAnswers(t, s, callTo(server.server(), http.MethodGet, true))
-		require.Equal(t, step.dials, s.Dials.Load())
+func TestKeptConnections(t *testing.T) {
+	const idle = "HTTP/1.1 408 Idle\r\nContent-Length: 0\r\n\r\n"
+	for _, tt := range []struct {
+		name    string
+		answers []string
+		steps   []keptStep
+	}{
+		{"age", []string{ok, ok, ok, ok}, []keptStep{{0, 0, 0, 1}, {59 * time.Second, 0, 0, 1}, {61 * time.Second, 0, 0, 2}, {30 * time.Second, 0, 0, 2}}},
+		{"bytes after the answer", []string{ok + ok, ok + ok}, []keptStep{{0, 0, 1, 1}, {0, 0, 2, 2}}},
+		{"given up by a 408, as some servers do", []string{ok, idle, ok}, []keptStep{{0, 0, 0, 1}, {0, KindCut, 1, 1}, {0, 0, 1, 2}}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			server := newRawServer(t, func(run int64, _ *http.Request) string { return tt.answers[run-1] })
+			now := time.Now()
+			opts := Options{IdleLimit: time.Minute, AgeLimit: time.Hour}
+			opts.Clock.Now = func() time.Time { return now }
+			s := newSender(t, opts)
+			c := callTo(server.server(), http.MethodGet, true)
+			for _, step := range tt.steps {
+				now = now.Add(step.wait)
+				if step.kind == 0 {
+					doAnswers(t, s, c)
+				} else {
+					doFails(t, s, c, step.kind, Unknown)
+				}
+				require.Equal(t, step.late, s.Late.Load())
+				require.Equal(t, step.dials, s.Dials.Load())
+			}
+		})
 	}
 }
 
@@ -285,20 +299,3 @@
 	answer := doAnswers(t, newSender(t, Options{}), callTo(server.server(), http.MethodGet, true))
 	require.Len(t, answer.Get("X-Large"), headerLimit/2)
 }
-
-// TestIdleTimeoutIsNoAnswer has a server say 408 on a kept connection, as some do
-// when they give it up.
-func TestIdleTimeoutIsNoAnswer(t *testing.T) {
-	server := newRawServer(t, func(run int64, _ *http.Request) string {
-		if run == 2 {
-			return "HTTP/1.1 408 Idle\r\nContent-Length: 0\r\n\r\n"
-		}
-		return ok
-	})
-	s := newSender(t, Options{})
-	c := callTo(server.server(), http.MethodGet, true)
-	doAnswers(t, s, c)
-	doFails(t, s, c, KindCut, Unknown)
-	require.EqualValues(t, 1, s.Late.Load())
-	doAnswers(t, s, c)
-}
