Draw outages in TestSafety, so that it passes each time

Change: a rare act publishes a list while the service is away for all. No property or bound is changed. Beats, their answers and those of the service wait in one queue, from which any may arrive; reaches says for all of them who gets it.

--- a/internal/fleet/figmember/safety_test.go
+++ b/internal/fleet/figmember/safety_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,6 +17,9 @@
 const (
 	worldSize = 5
 	steps     = 150
+	// outageDraws makes outages rare, as they leave lists outdated for long. The
+	// highest draw is one, as low ones are drawn more often.
+	outageDraws = 50
 	// drift is how far a clock may run fast or slow.
 	drift = 0.01
 	// moreThanFreshness is the freshness bound on the slowest clock.
@@ -40,21 +44,6 @@
 	paused      bool
 }
 
-// message is a beat on the way, in either direction.
-type message struct {
-	from, to *process
-	sent     time.Time
-	beat     *Beat
-	answer   bool
-}
-
-// reading is an answer of the service on its way to a reader.
-type reading struct {
-	by    *process
-	asked time.Time
-	view  *figview.View
-}
-
 // world is a fleet in which time, messages, pauses and restarts are drawn.
 type world struct {
 	now       time.Duration
@@ -64,9 +53,9 @@
 	up        []*process
 	history   map[string][]held
 	links     map[[2]string]bool
-	messages  []message
-	readings  []reading
-	starts    uint64
+	// onTheWay holds what happens when a beat, its answer or that of the service arrives.
+	onTheWay []func()
+	starts   uint64
 }
 
 func (p *process) clock(w *world) time.Time {
@@ -146,42 +135,56 @@
 	return nil
 }
 
-func (w *world) cut(a, b string) bool { return w.links[[2]string{a, b}] || w.links[[2]string{b, a}] }
+// reaches says whether p lives, runs and has a way to another one.
+func (w *world) reaches(p *process, other string) bool {
+	cut := w.links[[2]string{p.name, other}] || w.links[[2]string{other, p.name}]
+	return !p.paused && !cut && w.find(p.name) == p
+}
 
-// send puts a beat on the way, as the duty of a process does at its interval.
-func (w *world) send(from *process, to string) {
-	peer := w.find(to)
-	w.messages = append(w.messages, message{
-		from: from, to: peer, sent: from.clock(w), beat: from.members.beatTo(to),
+// later puts on the way to p what the other one sends it. It is lost if p can't
+// be reached when it arrives, however late that is.
+func (w *world) later(p *process, from string, arrive func()) {
+	w.onTheWay = append(w.onTheWay, func() {
+		if w.reaches(p, from) {
+			arrive()
+		}
 	})
 }
 
-// deliver hands over one message, however old it is. Those of dead processes and
-// over cut links are lost.
 func (w *world) deliver(i int) {
-	m := w.messages[i]
-	w.messages = append(w.messages[:i:i], w.messages[i+1:]...)
-	if m.to.paused || w.find(m.to.name) != m.to || w.cut(m.from.name, m.to.name) {
-		return
-	}
-	if m.answer {
-		m.to.members.finish(figview.Member{Name: m.from.name}, m.sent, m.beat)
-		return
+	arrive := w.onTheWay[i]
+	w.onTheWay = slices.Delete(w.onTheWay, i, i+1)
+	arrive()
+}
+
+// deliverFrom delivers all that is on the way from a place in the queue on.
+func (w *world) deliverFrom(first int) {
+	for len(w.onTheWay) > first {
+		w.deliver(first)
 	}
-	r, _ := m.to.members.Answer(context.Background(), m.beat)
-	w.messages = append(w.messages, message{from: m.to, to: m.from, sent: m.sent, beat: r, answer: true})
 }
 
-func (w *world) finishReading(i int) {
-	r := w.readings[i]
-	w.readings = append(w.readings[:i:i], w.readings[i+1:]...)
-	if r.by.paused || w.find(r.by.name) != r.by || w.cut(r.by.name, "service") {
+// send sends a beat, as the duty of a process does at its interval.
+func (w *world) send(p *process, to string) {
+	peer, sent, beat := w.find(to), p.clock(w), p.members.beatTo(to)
+	w.later(peer, p.name, func() {
+		r, _ := peer.members.Answer(context.Background(), beat)
+		w.later(p, to, func() { p.members.finish(figview.Member{Name: to}, sent, r) })
+	})
+}
+
+// read has a process ask the service for its list, if it can.
+func (w *world) read(p *process) {
+	if !w.reaches(p, "service") {
 		return
 	}
-	r.by.take(w, r.view)
-	if r.view.Version == r.by.view.Version && r.asked.After(r.by.confirmed) {
-		r.by.confirmed = r.asked
-	}
+	asked, v := p.clock(w), w.lists[len(w.lists)-1]
+	w.later(p, "service", func() {
+		p.take(w, v)
+		if v.Version == p.view.Version && asked.After(p.confirmed) {
+			p.confirmed = asked
+		}
+	})
 }
 
 // act does one drawn thing.
@@ -190,27 +193,21 @@
 	j := rapid.IntRange(0, worldSize-1).Draw(t, "whom")
 	p, q := w.up[i], w.up[j]
 	switch rapid.SampledFrom([]string{
-		"beat", "beat", "beat", "beat", "deliver", "deliver", "deliver", "deliver", "read", "read", "answer", "answer",
-		"relay", "pass", "pass", "pass", "pause", "publish", "restart", "cut", "round", "round", "settle",
+		"beat", "beat", "beat", "beat", "deliver", "deliver", "deliver", "deliver", "deliver", "deliver", "read", "read",
+		"relay", "pass", "pass", "pass", "pause", "publish", "restart", "cut", "round", "round", "settle", "outage",
 	}).Draw(t, "act") {
 	case "beat":
 		if i != j && !p.paused {
 			w.send(p, q.name)
 		}
 	case "deliver":
-		if n := len(w.messages); n > 0 {
+		if n := len(w.onTheWay); n > 0 {
 			w.deliver(rapid.IntRange(0, n-1).Draw(t, "message"))
 		}
 	case "read":
-		if !p.paused && !w.cut(p.name, "service") {
-			w.readings = append(w.readings, reading{p, p.clock(w), w.lists[len(w.lists)-1]})
-		}
-	case "answer":
-		if n := len(w.readings); n > 0 {
-			w.finishReading(rapid.IntRange(0, n-1).Draw(t, "reading"))
-		}
+		w.read(p)
 	case "relay":
-		if !p.paused && !q.paused && !w.cut(p.name, q.name) {
+		if !q.paused && w.reaches(p, q.name) {
 			p.take(w, q.view)
 		}
 	case "pass":
@@ -229,31 +226,43 @@
 		w.round()
 	case "settle":
 		w.settle()
+	case "outage":
+		if rapid.IntRange(1, outageDraws).Draw(t, "outage") == outageDraws {
+			w.outage()
+		}
 	}
 }
 
 // settle lets those that reach the service read it at once, and all exchange beats.
 func (w *world) settle() {
 	for _, p := range w.up {
-		if !p.paused && !w.cut(p.name, "service") {
-			w.readings = append(w.readings, reading{p, p.clock(w), w.lists[len(w.lists)-1]})
-			w.finishReading(len(w.readings) - 1)
-		}
+		first := len(w.onTheWay)
+		w.read(p)
+		w.deliverFrom(first)
 	}
 	w.round()
 	w.round()
 }
 
+// outage has the service publish a list and be away for all from then on, for
+// longer than an earlier word of it counts.
+func (w *world) outage() {
+	for _, p := range w.up {
+		w.links[[2]string{p.name, "service"}] = true
+	}
+	w.publish()
+	w.now += moreThanFreshness + time.Second
+	w.round()
+}
+
 // round lets all exchange beats with all, without delay.
 func (w *world) round() {
 	for _, p := range w.up {
 		for _, q := range w.up {
 			if p != q && !p.paused {
+				first := len(w.onTheWay)
 				w.send(p, q.name)
-				w.deliver(len(w.messages) - 1)
-				if n := len(w.messages); n > 0 && w.messages[n-1].answer {
-					w.deliver(n - 1)
-				}
+				w.deliverFrom(first)
 			}
 		}
 	}
