--- a/internal/core/figtimer/timer.go
+++ b/internal/core/figtimer/timer.go
@@ -59,6 +59,12 @@
 	}
 }
 
+// After calls f on a goroutine of its own once d has passed, unless stop is called
+// before. Stop returns false if f was called.
+func (t *Timer) After(d time.Duration, f func()) (stop func() bool) {
+	return time.AfterFunc(d, f).Stop
+}
+
 func (t *Timer) run(ctx context.Context, interval time.Duration, c chan time.Time) {
 	defer close(c)
 	first := time.Duration(rand.Int64N(int64(interval)) + 1)
--- a/internal/request/figflow/model.go
+++ b/internal/request/figflow/model.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"time"
 
+	"figtrail.dev/figtrail/internal/core/figerror"
 	"figtrail.dev/figtrail/internal/engine/figengine"
 	"figtrail.dev/figtrail/internal/place/figplace"
 	"figtrail.dev/figtrail/internal/request/figlife"
 	"figtrail.dev/figtrail/internal/request/figsend"
 )
 
+// prefillStalls is how many times the stall limit a whole prefill may take, queue
+// of the server included.
+const prefillStalls = 2
+
 // tryModel runs prefill and decode on the placed servers and relays the tokens.
 func (x *run) tryModel(ctx context.Context, p *figplace.Placement) (verdict, error) {
 	prompt := x.prompt()
@@ -31,7 +37,13 @@
 	}
 	x.life.Advance(figlife.Transferring)
 	x.decoding.Store(true)
-	stream, err := x.Engine.Decode(ctx, p.Decode, prompt, result)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var stream *figsend.Stream
+	err = x.limited(cancel, p.Decode.Name, x.Pool.StallLimit, func() (err error) {
+		stream, err = x.Engine.Decode(ctx, p.Decode, prompt, result)
+		return err
+	})
 	if err != nil {
 		x.decoding.Store(figsend.RanOf(err) != figsend.NotRun)
 		send.fail(err)
@@ -58,6 +70,17 @@
 	return ended, err
 }
 
+// limited runs a step that answers with its whole result or its beginning. The
+// step counts as stalled, and is cancelled, when it takes longer than limit.
+func (x *run) limited(cancel context.CancelCauseFunc, server string, limit time.Duration, step func() error) error {
+	stop := x.Timer.After(limit, func() { cancel(errStalled) })
+	err := step()
+	if stop() || err == nil {
+		return err
+	}
+	return &figsend.Failure{Kind: figsend.KindStalled, Err: figerror.Wrap(errStalled, x.life.Phase().String(), server)}
+}
+
 func (x *run) prompt() *figengine.Prompt {
 	return &figengine.Prompt{
 		ID:        x.ID,
@@ -85,7 +108,13 @@
 	}
 	x.life.Advance(figlife.Prefilling)
 	begun := x.Clock.Now()
-	result, err := x.Engine.Prefill(ctx, p.Prefill, prompt)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var result *figengine.PrefillResult
+	err = x.limited(cancel, p.Prefill.Name, prefillStalls*x.Pool.StallLimit, func() (err error) {
+		result, err = x.Engine.Prefill(ctx, p.Prefill, prompt)
+		return err
+	})
 	if err != nil {
 		send.fail(err)
 		return nil, err
--- a/internal/request/figflow/place.go
+++ b/internal/request/figflow/place.go
@@ -16,6 +16,7 @@
 	x.life.Advance(figlife.Queued)
 	var p *figplace.Placement
 	var refused error
+	avoid := x.avoid
 	item := figqueue.Item{
 		Account:  x.accountID(),
 		Weight:   x.weight(),
@@ -24,7 +25,11 @@
 		Bytes:    int64(len(x.Body)),
 		Deadline: x.placeBy(),
 		Place: func(ctx context.Context) figqueue.Verdict {
-			p, refused = x.Place(ctx, x.placeRequest())
+			p, refused = x.Place(ctx, x.placeRequest(avoid))
+			if refused != nil && len(avoid) > 0 {
+				// Rather a server that has failed before than none at all.
+				avoid = avoid[1:]
+			}
 			return placeVerdict(refused)
 		},
 	}
@@ -47,16 +52,16 @@
 	p.Release()
 }
 
-func (x *run) placeRequest() figplace.Request {
+func (x *run) placeRequest(avoid []string) figplace.Request {
 	r := figplace.Request{
 		ID:       x.ID,
 		Pool:     x.Pool.ID,
 		Arrived:  x.Arrived,
 		Deadline: x.Deadline,
-		Avoid:    x.avoid,
+		Avoid:    avoid,
 	}
-	if x.streaming {
-		r.Arrived = time.Time{} // the first token has gone out
+	if x.accepted() {
+		r.Arrived = time.Time{} // late is better than never
 	}
 	if x.Model != nil {
 		r.Model = x.Model.Name
@@ -91,7 +96,7 @@
 // placeBy returns when the request must have been placed: a first token after
 // its target is worth nothing, so that room goes to those that can still meet it.
 func (x *run) placeBy() time.Time {
-	if x.Model == nil || x.streaming || x.Pool.FirstToken <= 0 {
+	if x.Model == nil || x.accepted() || x.Pool.FirstToken <= 0 {
 		return x.Deadline
 	}
 	if by := x.Arrived.Add(x.Pool.FirstToken); by.Before(x.Deadline) {
@@ -100,6 +105,10 @@
 	return x.Deadline
 }
 
+// accepted says that servers have worked on the request already: what was spent on
+// it is not thrown away because it is late.
+func (x *run) accepted() bool { return x.streaming || len(x.avoid) > 0 }
+
 func placeVerdict(err error) figqueue.Verdict {
 	var none *figplace.NoServer
 	var full *figplace.NoRoom
--- a/internal/request/figflow/plain.go
+++ b/internal/request/figflow/plain.go
@@ -37,6 +37,7 @@
 		return x.failed(p, p.Decode.Name, err)
 	}
 	send.OK()
+	p.Progress(1) // for a plain call any progress says that it is over
 	if x.Idempotent && answer.Status >= fasthttp.StatusBadGateway && answer.Status <= fasthttp.StatusGatewayTimeout {
 		p.Fail(p.Decode.Name, figowner.ServerError)
 	}
--- a/internal/request/figflow/relay.go
+++ b/internal/request/figflow/relay.go
@@ -21,6 +21,7 @@
 	// errLeaseOver says that the place on a server was held too long without a
 	// renewal, as after a pause of this process.
 	errLeaseOver = errors.New("the lease of the placement is over")
+	errStalled   = errors.New("nothing came within the stall limit")
 	errEnded     = errors.New("the request has ended")
 	// endEvent is the marker that ends a whole stream.
 	endEvent = []byte("data: [DONE]\n\n")
@@ -32,6 +33,7 @@
 // wants no stream gets them joined.
 func (x *run) relay(ctx context.Context, p *figplace.Placement, s *figsend.Stream) error {
 	whole := &collector{}
+	tokens := int64(0)
 	for {
 		e, err := s.Next(ctx, x.Pool.StallLimit)
 		if errors.Is(err, io.EOF) {
@@ -45,7 +47,10 @@
 		if data.Get("error").Exists() {
 			return errors.Newf("the engine sent an error: %s", data.Get("error.type").Str)
 		}
-		x.count(p, data)
+		if x.count(data) {
+			tokens++
+			p.Progress(tokens)
+		}
 		if !x.Model.Stream {
 			whole.add(data)
 			continue
@@ -61,15 +66,15 @@
 }
 
 // count follows the progress of the answer: each event with choices is a token,
-// until the engine's own usage says better.
-func (x *run) count(p *figplace.Placement, data gjson.Result) {
+// until the engine's own usage says better. It returns whether the event is one.
+func (x *run) count(data gjson.Result) bool {
 	usage := data.Get("usage")
 	if usage.IsObject() {
 		x.promptTokens.Store(usage.Get("prompt_tokens").Int())
 		x.outputTokens.Store(usage.Get("completion_tokens").Int())
 	}
 	if len(data.Get("choices").Array()) == 0 {
-		return
+		return false
 	}
 	if !usage.IsObject() {
 		x.outputTokens.Add(1)
@@ -78,10 +83,9 @@
 	if x.firstToken.IsZero() {
 		x.life.Advance(figlife.Decoding)
 		x.firstToken = now
-		p.TransferDone(0, 0)
 	}
 	x.lastToken = now
-	p.Progress(1)
+	return true
 }
 
 // pass hands one event to the caller. The usage event goes only to callers that
