--- a/internal/request/figflow/failure.go
+++ b/internal/request/figflow/failure.go
@@ -1,6 +1,8 @@
 package figflow
 
 import (
+	"context"
+
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
@@ -63,6 +65,9 @@
 	if errors.As(err, &f) && f.Answer != nil && f.Answer.Status == fasthttp.StatusConflict {
 		return figowner.ResultExpired
 	}
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return figowner.CallerError
+	}
 	switch figsend.KindOf(err) {
 	case figsend.KindConnect, figsend.KindSilent:
 		return figowner.Unreachable
--- a/internal/request/figflow/flow.go
+++ b/internal/request/figflow/flow.go
@@ -77,14 +77,18 @@
 	x := &run{Flow: f, Call: q, reply: r, life: life}
 	defer x.finish()
 	defer life.Recover()
-	defer context.AfterFunc(ctx, func() { life.End(parentCause(ctx)) })()
+	endWith := func(ctx context.Context) {
+		if c, ok := contextCause(ctx); ok {
+			life.End(c)
+		}
+	}
+	defer context.AfterFunc(ctx, func() { endWith(ctx) })()
 	deadline, cancel := context.WithDeadline(inner, q.Deadline)
 	defer cancel()
-	defer context.AfterFunc(deadline, func() {
-		if errors.Is(deadline.Err(), context.DeadlineExceeded) {
-			life.End(figlife.Cause{Reason: figlife.Deadline})
-		}
-	})()
+	defer context.AfterFunc(deadline, func() { endWith(deadline) })()
+	// A stage that returns because a context ended may be here before its function.
+	defer endWith(deadline)
+	defer endWith(ctx)
 	if q.KeyID != "" {
 		life.Hold("key", f.Sessions.Add(q.KeyID, func(err error) {
 			life.End(figlife.CauseOf(figlife.KeyWithdrawn, err))
@@ -100,11 +104,19 @@
 	x.serve(deadline, x.tryPlain)
 }
 
-func parentCause(ctx context.Context) figlife.Cause {
-	if errors.Is(context.Cause(ctx), ErrCallerLeft) {
-		return figlife.Cause{Reason: figlife.CallerGone}
+// contextCause says how a request ends whose context has ended, and false if it has
+// not or if the request itself ended it.
+func contextCause(ctx context.Context) (figlife.Cause, bool) {
+	switch {
+	case ctx.Err() == nil:
+		return figlife.Cause{}, false
+	case errors.Is(context.Cause(ctx), ErrCallerLeft):
+		return figlife.Cause{Reason: figlife.CallerGone}, true
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return figlife.Cause{Reason: figlife.Deadline}, true
+	default:
+		return figlife.Cause{Reason: figlife.Draining}, true
 	}
-	return figlife.Cause{Reason: figlife.Draining}
 }
 
 // finish gives the caller the end of its answer and reports the request. It waits
--- a/cmd/figtrail/script_check_test.go
+++ b/internal/stand/figscript/check.go
@@ -1,4 +1,4 @@
-package main
+package figscript
 
 import (
 	"strconv"
--- a/cmd/figtrail/script_fleet_test.go
+++ b/internal/stand/figscript/fleet.go
@@ -1,4 +1,4 @@
-package main
+package figscript
 
 import (
 	"encoding/hex"
@@ -21,6 +21,8 @@
 
 // fleet is what one script has started.
 type fleet struct {
+	// tree holds the declarations that are published first.
+	tree      fs.FS
 	path      string
 	platform  *figstand.Platform
 	marked    *figstand.Snapshot
@@ -43,13 +45,14 @@
 	plain  *figstand.Plain
 }
 
-func newFleet() (*fleet, error) {
+func newFleet(tree fs.FS) (*fleet, error) {
 	p, err := figstand.StartPlatform(figstand.PlatformOptions{})
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{
 		platform:  p,
+		tree:      tree,
 		keys:      map[string]figkey.Made{},
 		vars:      map[string]string{"OUT_A": "false", "OUT_B": "false", "OUT_C": "false"},
 		servers:   map[string]*server{},
@@ -135,11 +138,11 @@
 
 // publishAll publishes the default declarations that have changed.
 func (f *fleet) publishAll() error {
-	return fs.WalkDir(testdata, ".", func(name string, d fs.DirEntry, err error) error {
+	return fs.WalkDir(f.tree, ".", func(name string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() {
 			return err
 		}
-		text, err := fs.ReadFile(testdata, name)
+		text, err := fs.ReadFile(f.tree, name)
 		if err != nil {
 			return err
 		}
