Doubt a server whose stream broke until a younger report shows its state

Between the restart and the next report the owner went on granting by the old ramp, and requests whose prefill was still running were sent on old grants. Change: an owner grants nothing on a server from the news of a cut or silent stream until a report that is younger; an instance doesn't use a grant that is older than its own last failure there. Ruled out: polling at once on such news, as reports lag and would show the old process.

--- a/internal/place/figowner/book.go
+++ b/internal/place/figowner/book.go
@@ -108,6 +108,9 @@
 	away bool
 	// unproved says that the ramp is for lack of knowledge and not for a cold start.
 	unproved bool
+	// doubted is when a stream of the server was cut or fell silent, until a report
+	// that is younger shows what has become of it.
+	doubted time.Time
 	// refused is set from the server's own refusal until its next report.
 	refused  bool
 	leases   map[uint64]*Lease
--- a/internal/place/figowner/reconcile.go
+++ b/internal/place/figowner/reconcile.go
@@ -51,6 +51,9 @@
 	b.match(taken, now)
 	b.asks = 0
 	b.refused = false
+	if taken.After(b.doubted) {
+		b.doubted = time.Time{}
+	}
 }
 
 // Missed takes the news that a poll failed.
--- a/internal/place/figowner/reserve.go
+++ b/internal/place/figowner/reserve.go
@@ -58,6 +58,9 @@
 		return b.refusePlain()
 	case b.report == nil || now.Sub(b.reported) > staleReport:
 		return Broken, warmingRetry
+	case !b.doubted.IsZero():
+		// It may have started anew: its ramp is then not the one known here.
+		return Broken, warmingRetry
 	case b.refused && b.Len() > 0:
 		return Full, warmingRetry
 	case b.coldStart() && (!fresh || b.handover(now)):
@@ -211,6 +214,9 @@
 // Fail takes evidence against the server. A breaker that opens restarts the ramp.
 func (b *Book) Fail(now time.Time, e Evidence) {
 	b.refused = b.refused || e == Refused
+	if e == Stalled || e == Unreachable {
+		b.doubted = now
+	}
 	if b.Breaker.Failed(now, e) {
 		b.restart()
 	}
--- a/internal/place/figplace/lease.go
+++ b/internal/place/figplace/lease.go
@@ -24,6 +24,8 @@
 	pool   string
 	server figview.Server
 	ask    figowner.Ask
+	// granted is when the lease was asked for.
+	granted time.Time
 	// renewed is when the last renewal that succeeded was asked for.
 	renewed time.Time
 	// tried is when a new owner was last told of it.
@@ -63,7 +65,7 @@
 	}
 	l := &lease{
 		number: g.Lease, epoch: reply.Epoch, owner: c.owner.Name, pool: pool,
-		server: c.server, ask: ask, renewed: now,
+		server: c.server, ask: ask, granted: now, renewed: now,
 	}
 	p.hold(l)
 	return g, l
@@ -73,6 +75,9 @@
 func (p *Placer) current(l *lease) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.table.row(l.server.Name).failed.After(l.granted) {
+		return false
+	}
 	return p.opts.Clock.Now().Sub(l.renewed) < figowner.LeaseTime
 }
 
@@ -178,6 +183,7 @@
 	if e == figowner.Refused {
 		r.full, r.fullUntil = 1, now.Add(closedLife)
 	} else {
+		r.failed = now
 		r.shut = now.Add(failurePause)
 		p.prefixes.forget(server)
 	}
--- a/internal/place/figplace/placement.go
+++ b/internal/place/figplace/placement.go
@@ -104,8 +104,9 @@
 }
 
 // Holds says whether the room on the decode server is still reserved, by this
-// instance's clock. Check it right before the request is sent there: a process that
-// was paused may hold a lease that has expired.
+// instance's clock, and no request of this instance has failed there since. Check it
+// right before the request is sent there: a process that was paused may hold a lease
+// that has expired, and a server that has started anew may not bear what was granted.
 func (x *Placement) Holds() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/place/figplace/table.go
+++ b/internal/place/figplace/table.go
@@ -24,6 +24,8 @@
 	at   time.Time
 	// freed is the memory that was released here since the load index came.
 	freed int64
+	// failed is when a request of this instance last failed there.
+	failed time.Time
 	// shut is until when the server gets nothing from here.
 	shut time.Time
 	// full is the least number of pieces that was refused, and until when.
