Hold a lost connection against nobody

Change: a failure on a kept connection is no evidence, and the call is repeated at once on a new connection.

--- a/internal/request/figflow/failure.go
+++ b/internal/request/figflow/failure.go
@@ -15,6 +15,9 @@
 // failed tells the placement of a server's failure and says whether the request
 // may be tried again. A server is avoided in the next try.
 func (x *run) failed(p *figplace.Placement, server string, err error) (verdict, error) {
+	if lostConnection(err) {
+		return again, err
+	}
 	p.Fail(server, evidenceOf(err))
 	x.avoid = append(x.avoid, server)
 	unsent := figsend.RanOf(err) == figsend.NotRun && figsend.KindOf(err) != figsend.KindRefused
@@ -41,6 +44,17 @@
 	}
 }
 
+// lostConnection says that a kept connection failed, which shows nothing of the
+// server: something between the two ends may have lost track of it. Only
+// idempotent calls use kept connections, so another one may be tried at once.
+func lostConnection(err error) bool {
+	var f *figsend.Failure
+	if !errors.As(err, &f) || !f.Reused {
+		return false
+	}
+	return f.Kind == figsend.KindSilent || f.Kind == figsend.KindCut
+}
+
 // mayMend says that another server can succeed where this one failed.
 func mayMend(err error) bool {
 	return figsend.Repeatable(err) || errors.Is(err, errEngine) || figsend.KindOf(err) == figsend.KindStatus
--- a/internal/request/figflow/run.go
+++ b/internal/request/figflow/run.go
@@ -98,7 +98,7 @@
 			x.life.End(figlife.CauseOf(x.failureReason(err), err))
 			return
 		}
-		if x.Timer.Sleep(ctx, x.Backoff.Delay(n-1)) != nil {
+		if !lostConnection(err) && x.Timer.Sleep(ctx, x.Backoff.Delay(n-1)) != nil {
 			return
 		}
 	}
