--- a/internal/app/figserve/admin_test.go
+++ b/internal/app/figserve/admin_test.go
@@ -1,6 +1,7 @@
 package figserve_test
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -83,3 +84,24 @@
 	})
 	require.Equal(t, http.StatusOK, f.ask("/ledger/balance"))
 }
+
+// An instance that starts while the configuration service is down must learn the
+// configuration from the instances that its settings name.
+func TestStartWhileTheServiceIsDown(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t, 1)
+	f.Platform.Down(true)
+	s := figserve.Defaults()
+	s.Name, s.DataCentre, s.Platform = "late", "east", f.Platform.Address()
+	s.Listen, s.PeerListen, s.AdminListen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.Seeds = []string{f.Instances[0].PeerAddress()}
+	i, err := figserve.New(s)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- i.Run(ctx) }()
+	f.eventually(func() bool { return get("http://"+i.AdminAddress()+"/readyz", "") == http.StatusOK })
+	require.Equal(t, http.StatusOK, get("http://"+i.CallerAddress()+"/open/hours", ""))
+	cancel()
+	require.NoError(t, <-ended)
+}
