--- /dev/null
+++ b/internal/core/figtimer/timer_test.go
@@ -0,0 +1,43 @@
+package figtimer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Ticks come at the interval, a slow subscriber gets the latest one only, and the
+// channel ends with the context.
+func TestSubscribe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		ticks := New(System()).Subscribe(ctx, time.Second)
+		first := <-ticks
+		require.Equal(t, time.Second, (<-ticks).Sub(first))
+		<-time.After(10500 * time.Millisecond)
+		require.Equal(t, 11*time.Second, (<-ticks).Sub(first))
+		cancel()
+		_, open := <-ticks
+		require.False(t, open)
+	})
+}
+
+func TestSleepAndAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New(System())
+		begun := m.Now()
+		require.NoError(t, m.Sleep(t.Context(), time.Minute))
+		require.Equal(t, time.Minute, m.Now().Sub(begun))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.ErrorIs(t, m.Sleep(ctx, time.Minute), context.DeadlineExceeded)
+		called := false
+		stop := m.After(time.Second, func() { called = true })
+		require.True(t, stop())
+		<-time.After(2 * time.Second)
+		require.False(t, called)
+	})
+}
--- /dev/null
+++ b/internal/core/figworker/pool_test.go
@@ -0,0 +1,37 @@
+package figworker
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A full pool must refuse at once, and work that panics must give its place back.
+func TestPool(t *testing.T) {
+	p, err := New(1)
+	require.NoError(t, err)
+	defer p.Close()
+	release := make(chan struct{})
+	started := make(chan struct{})
+	require.True(t, p.Go(func() {
+		close(started)
+		<-release
+		panic("broken")
+	}))
+	<-started
+	require.False(t, p.Go(func() {}))
+	require.Equal(t, 1, p.Running())
+	close(release)
+	done := make(chan struct{})
+	for !p.Go(func() { close(done) }) {
+	}
+	<-done
+}
+
+// A closed pool refuses.
+func TestClosedPoolRefuses(t *testing.T) {
+	p, err := New(1)
+	require.NoError(t, err)
+	p.Close()
+	require.False(t, p.Go(func() {}))
+}
--- /dev/null
+++ b/internal/edge/figmetric/metric_test.go
@@ -0,0 +1,60 @@
+package figmetric
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var accountLabel = regexp.MustCompile(`account="([^"]*)"`)
+
+// accounts returns the client accounts that the metrics name.
+func accounts(m *Metrics) map[string]bool {
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+	named := map[string]bool{}
+	for _, label := range accountLabel.FindAllStringSubmatch(w.Body.String(), -1) {
+		named[label[1]] = true
+	}
+	return named
+}
+
+// Only busy accounts get a scope of their own, and only up to the cap, whatever
+// the number of accounts.
+func TestOwnScopesAreCapped(t *testing.T) {
+	m := New(Options{OwnScopes: 2})
+	for n := range 3 * seenLimit {
+		m.Ended(Request{Account: fmt.Sprint("idle", n), Class: "small", Outcome: "answered"})
+	}
+	for _, name := range []string{"busy1", "busy2", "busy3"} {
+		for range ownScopeAfter {
+			m.Ended(Request{Account: name, Class: "large", Outcome: "answered", FirstToken: time.Second, Took: time.Second})
+		}
+	}
+	m.Ended(Request{Outcome: "answered"})
+	require.NoError(t, m.Close())
+	require.Equal(t, map[string]bool{"busy1": true, "busy2": true, sharedAccount: true}, accounts(m))
+	require.LessOrEqual(t, len(m.seen), seenLimit)
+}
+
+// The outcome and its reason must be labels, and times must be histograms.
+func TestEndedIsCounted(t *testing.T) {
+	m := New(Options{})
+	m.Ended(Request{Class: "large", Outcome: "notRun", Reason: "overBudget", Took: time.Millisecond})
+	m.Count("keys_refused", "reason", "unknown", 2)
+	require.NoError(t, m.Close())
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+	for _, want := range []string{
+		`figtrail_requests{account="other",class="large",outcome="notRun",reason="overBudget"} 1`,
+		`figtrail_keys_refused{reason="unknown"} 2`,
+		`figtrail_request_seconds_count{account="other",class="large"} 1`,
+	} {
+		require.Contains(t, w.Body.String(), want)
+	}
+}
