--- a/internal/app/figcommand/log.go
+++ b/internal/app/figcommand/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"io"
 	"strconv"
 
 	"k8s.io/klog/v2"
@@ -13,3 +14,9 @@
 	klog.InitFlags(f)
 	return f.Set("v", strconv.Itoa(level))
 }
+
+// discardLogs keeps log lines out of what a command shows on the terminal.
+func discardLogs() {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+}
