Let a hanging call no longer keep a failed server shut

Cause: after its breaker's pause, a server gets one request at a time. Every live lease counted as that request, also one that was granted before the breaker opened. A call that a plain server answers 6 s late kept it shut for those 6 s, though it was well again after one.

Ruled out: the ramp (it allows a second call beside the late one), the pauses themselves (1 s and 2 s of 6), the wait for a younger report (0.5 s a fault).

Change: only a request that was granted while the breaker was probing keeps others away, and for no longer than the pause was, so that a probe that hangs isn't the last one.

--- a/internal/place/figowner/book.go
+++ b/internal/place/figowner/book.go
@@ -100,9 +100,10 @@
 	resident []uint32
 	// wanted is an adapter that a placed request needs and that isn't resident;
 	// ordered is when the last one was ordered.
-	wanted  string
-	ordered time.Time
-	misses  int
+	wanted   string
+	ordered  time.Time
+	misses   int
+	refusals map[Refusal]int64
 	// asks counts grants since the last report.
 	asks int
 	away bool
@@ -111,6 +112,8 @@
 	// doubted is when a stream of the server was cut or fell silent, until a report
 	// that is younger shows what has become of it.
 	doubted time.Time
+	// probe is the last lease that was granted while the breaker was probing.
+	probe *Lease
 	// refused is set from the server's own refusal until its next report.
 	refused  bool
 	leases   map[uint64]*Lease
@@ -144,6 +147,7 @@
 		byID:          map[string]*Lease{},
 		strays:        map[string]*stray{},
 		released:      map[string]ending{},
+		refusals:      map[Refusal]int64{},
 	}
 }
 
--- a/internal/place/figowner/breaker.go
+++ b/internal/place/figowner/breaker.go
@@ -19,6 +19,7 @@
 	until  time.Time
 	pause  time.Duration
 	probes bool
+	probed time.Time
 }
 
 // weight is how much a piece of evidence counts.
@@ -72,5 +73,14 @@
 // one request at a time may go.
 func (b *Breaker) Probing(now time.Time) bool { return b.probes && !b.Open(now) }
 
+// Probed takes the news that a request was granted while the breaker was probing.
+func (b *Breaker) Probed(now time.Time) { b.probed = now }
+
+// ProbeWait returns how long a probe that has no outcome yet keeps others away.
+// It is the breaker's pause at most, so that a probe that hangs isn't the last.
+func (b *Breaker) ProbeWait(now time.Time) time.Duration {
+	return max(0, b.pause-now.Sub(b.probed))
+}
+
 // Wait returns how long the breaker stays open.
 func (b *Breaker) Wait(now time.Time) time.Duration { return max(0, b.until.Sub(now)) }
--- a/internal/place/figowner/load.go
+++ b/internal/place/figowner/load.go
@@ -1,7 +1,10 @@
 package figowner
 
 import (
+	"maps"
 	"time"
+
+	"figtrail.dev/figtrail/internal/core/figtimer"
 )
 
 // Load returns the load index of the server.
@@ -27,21 +30,31 @@
 // Status is the state of one owned server, for operators.
 type Status struct {
 	// Server is the name of the server, Pool its pool, Role what it does there.
-	Server, Pool, Role string
+	Server string `json:"server"`
+	Pool   string `json:"pool"`
+	Role   string `json:"role"`
 	// Free and Total are its engine memory, in pieces.
-	Free, Total int64
+	Free  int64 `json:"free"`
+	Total int64 `json:"total"`
 	// Leases is the number of live leases, Strays of running requests without one.
-	Leases, Strays int
+	Leases int `json:"leases"`
+	Strays int `json:"strays"`
 	// InProgress is the tokens of work that isn't done.
-	InProgress int64
+	InProgress int64 `json:"inProgress"`
 	// RampLimit and RampFull bound it after a cold start.
-	RampLimit, RampFull int64
-	// Cold, Broken and Handover say what holds new work back.
-	Cold, Broken, Handover bool
-	// ReportAge is the time since the last report.
-	ReportAge time.Duration
+	RampLimit int64 `json:"rampLimit"`
+	RampFull  int64 `json:"rampFull"`
+	// Cold, Broken, Doubted and Handover say what holds new work back.
+	Cold     bool `json:"cold"`
+	Broken   bool `json:"broken"`
+	Doubted  bool `json:"doubted"`
+	Handover bool `json:"handover"`
+	// Refused counts the asks that were refused since the instance gained the server.
+	Refused map[Refusal]int64 `json:"refused"`
+	// ReportAgeMillis is the time since the last report, in milliseconds; -1 for never.
+	ReportAgeMillis int64 `json:"reportAgeMillis"`
 	// Fence is the last fencing number that the server has accepted.
-	Fence uint64
+	Fence uint64 `json:"fence"`
 }
 
 // Status returns the state of the server.
@@ -59,10 +72,14 @@
 		RampFull:   b.Ramp.Full,
 		Cold:       b.coldStart(),
 		Broken:     b.Breaker.Open(now),
+		Doubted:    !b.doubted.IsZero(),
 		Handover:   b.handover(now),
+		Refused:    maps.Clone(b.refusals),
+
+		ReportAgeMillis: -1,
 	}
 	if b.report != nil {
-		s.ReportAge = now.Sub(b.reported)
+		s.ReportAgeMillis = figtimer.Millis(now.Sub(b.reported))
 		s.Fence = b.report.Fence
 	}
 	return s
--- a/internal/place/figowner/message.go
+++ b/internal/place/figowner/message.go
@@ -122,6 +122,14 @@
 	Broken
 )
 
+// String returns the reason as logs and metrics write it.
+func (r Refusal) String() string {
+	return [...]string{"granted", "notOwner", "leaving", "full", "warming", "broken"}[r]
+}
+
+// MarshalText lets JSON show counts by name.
+func (r Refusal) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
 // Grant answers one Ask.
 type Grant struct {
 	// Refusal is Granted or the reason.
--- a/internal/place/figowner/reserve.go
+++ b/internal/place/figowner/reserve.go
@@ -27,6 +27,7 @@
 	}
 	if !a.Held {
 		if r, wait := b.refuse(now, a, fresh); r != Granted {
+			b.refusals[r]++
 			return Grant{Refusal: r, RetryMillis: millis(min(max(wait, retryFloor), retryCeiling))}
 		}
 	}
@@ -39,6 +40,10 @@
 	b.want(a.Adapter)
 	queue := b.InProgress()
 	b.add(l)
+	if b.Breaker.Probing(now) {
+		b.Breaker.Probed(now)
+		b.probe = l
+	}
 	b.asks++
 	g := b.grant(now, l, a)
 	if b.Server.Role == figview.Prefill {
@@ -52,8 +57,8 @@
 	switch {
 	case b.Breaker.Open(now):
 		return Broken, b.Breaker.Wait(now)
-	case b.Breaker.Probing(now) && b.Len() > 0:
-		return Broken, warmingRetry
+	case b.probeWait(now) > 0:
+		return Broken, min(warmingRetry, b.probeWait(now))
 	case b.report == nil && b.Server.Role == figview.Plain:
 		return b.refusePlain()
 	case b.report == nil || now.Sub(b.reported) > staleReport:
@@ -76,6 +81,16 @@
 	return b.refuseMemory(now, a)
 }
 
+// probeWait returns how long the probe under way keeps other requests away. What
+// was granted before the breaker opened is no probe: a call that hangs since then
+// says nothing of the server's state now.
+func (b *Book) probeWait(now time.Time) time.Duration {
+	if !b.Breaker.Probing(now) || b.probe == nil || b.leases[b.probe.Number] != b.probe {
+		return 0
+	}
+	return b.Breaker.ProbeWait(now)
+}
+
 // beyondShare says whether an ask goes beyond what may be granted while another
 // owner may be granting too: a part of the free memory until the grants show in a
 // report, which the other one sees as well. One request is always granted.
