Show statuses in camel case with units in the names

Cause: the status of figtrail serve showed Go's field names and bare nanoseconds (Reads, ReportAge, sinceAnswer), refusals of queues as a list of five numbers, and faults of documents as Path and Line; our own formats are in camel case.

Change: names in camel case, ages as whole milliseconds with Millis in the name (-1 for never), refusals by reason.

--- a/internal/config/figstore/status.go
+++ b/internal/config/figstore/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"figtrail.dev/figtrail/internal/config/figtree"
+	"figtrail.dev/figtrail/internal/core/figtimer"
 )
 
 // staleAfter is how long the service may leave everyone without an answer before
@@ -19,9 +20,9 @@
 	// Service is "reachable", "stale" (it answers with older values than are in
 	// force) or "unreachable" (it has not answered anyone heard of for a while).
 	Service string `json:"service"`
-	// SinceAnswer is how long ago the service last answered anyone heard of;
-	// negative for never.
-	SinceAnswer time.Duration `json:"sinceAnswer"`
+	// SinceAnswerMillis is how long ago the service last answered anyone heard of,
+	// in milliseconds; -1 for never.
+	SinceAnswerMillis int64 `json:"sinceAnswerMillis"`
 	// Highest is the highest version of any value, Digest stands for all of them.
 	Highest uint64 `json:"highest"`
 	Digest  uint64 `json:"digest"`
@@ -48,20 +49,20 @@
 	defer s.mu.Unlock()
 	age := s.sinceAnswer(elsewhere)
 	return Status{
-		Ready:       s.Ready(),
-		Reader:      reader,
-		Service:     s.serviceState(age),
-		SinceAnswer: age,
-		Highest:     s.table.highest,
-		Digest:      s.table.digest(),
-		Instances:   s.instances.revision,
-		Servers:     s.serverList.revision,
-		Documents:   len(s.table.entries),
-		Accounts:    s.Tree().AccountCount(),
-		Keys:        s.Tree().KeyCount(),
-		Refused:     s.table.refused(),
-		Faults:      s.table.builder.Faults(),
-		Counts:      s.counts,
+		Ready:             s.Ready(),
+		Reader:            reader,
+		Service:           s.serviceState(age),
+		SinceAnswerMillis: figtimer.Millis(age),
+		Highest:           s.table.highest,
+		Digest:            s.table.digest(),
+		Instances:         s.instances.revision,
+		Servers:           s.serverList.revision,
+		Documents:         len(s.table.entries),
+		Accounts:          s.Tree().AccountCount(),
+		Keys:              s.Tree().KeyCount(),
+		Refused:           s.table.refused(),
+		Faults:            s.table.builder.Faults(),
+		Counts:            s.counts,
 	}
 }
 
--- a/internal/config/figstore/store.go
+++ b/internal/config/figstore/store.go
@@ -91,13 +91,15 @@
 // Counts counts what a store did since its start.
 type Counts struct {
 	// Reads counts calls to the service, ReadFailures those without an answer.
-	Reads, ReadFailures uint64
+	Reads        uint64 `json:"reads"`
+	ReadFailures uint64 `json:"readFailures"`
 	// Pulls counts requests to peers, PullFailures those without an answer.
-	Pulls, PullFailures uint64
+	Pulls        uint64 `json:"pulls"`
+	PullFailures uint64 `json:"pullFailures"`
 	// Ignored counts values and lists that were older than what was known.
-	Ignored uint64
+	Ignored uint64 `json:"ignored"`
 	// Applied counts values taken in.
-	Applied uint64
+	Applied uint64 `json:"applied"`
 }
 
 // New returns a store that knows nothing yet.
--- a/internal/config/figtree/document.go
+++ b/internal/config/figtree/document.go
@@ -37,11 +37,11 @@
 // Fault is a reason why a document, or a part of it, is not in force.
 type Fault struct {
 	// Path is the path of the document.
-	Path string
+	Path string `json:"path"`
 	// Line counts from one; zero if the fault has no single line.
-	Line int
+	Line int `json:"line"`
 	// Reason says what is wrong.
-	Reason string
+	Reason string `json:"reason"`
 }
 
 // String returns the fault as path, line and reason.
--- a/internal/fleet/figmember/member.go
+++ b/internal/fleet/figmember/member.go
@@ -73,9 +73,10 @@
 // Counts counts what a Membership did since its start.
 type Counts struct {
 	// Beats counts beats sent, Unanswered those without an answer.
-	Beats, Unanswered uint64
+	Beats      uint64 `json:"beats"`
+	Unanswered uint64 `json:"unanswered"`
 	// Answered counts beats of others.
-	Answered uint64
+	Answered uint64 `json:"answered"`
 }
 
 // ackedCache keeps the latest result of AllAcked.
--- a/internal/fleet/figmember/status.go
+++ b/internal/fleet/figmember/status.go
@@ -1,6 +1,6 @@
 package figmember
 
-import "time"
+import "figtrail.dev/figtrail/internal/core/figtimer"
 
 // PeerState is what is known of one listed member.
 type PeerState struct {
@@ -10,8 +10,9 @@
 	// Incarnation and View are the latest that it told, itself or through others.
 	Incarnation uint64 `json:"incarnation"`
 	View        uint64 `json:"view"`
-	// SinceHeard is how long ago it last answered this instance; negative for never.
-	SinceHeard time.Duration `json:"sinceHeard"`
+	// SinceHeardMillis is how long ago it last answered this instance, in
+	// milliseconds; -1 for never.
+	SinceHeardMillis int64 `json:"sinceHeardMillis"`
 	// Draining says that it takes no more work.
 	Draining bool `json:"draining"`
 	// Failures counts its unanswered beats since the last answer.
@@ -28,9 +29,9 @@
 	// Fresh is as the method, AllAcked that of the version in force.
 	Fresh    bool `json:"fresh"`
 	AllAcked bool `json:"allAcked"`
-	// SinceConfirmed is how long ago the service is known to have had no newer
-	// list; negative for never.
-	SinceConfirmed time.Duration `json:"sinceConfirmed"`
+	// SinceConfirmedMillis is how long ago the service is known to have had no
+	// newer list, in milliseconds; -1 for never.
+	SinceConfirmedMillis int64 `json:"sinceConfirmedMillis"`
 	// Peers holds the other listed members.
 	Peers []PeerState `json:"peers"`
 	// Counts holds the counters since the start.
@@ -48,14 +49,14 @@
 		if l.Name == m.opts.Self.Name {
 			continue
 		}
-		s := PeerState{Name: l.Name, DataCentre: l.DataCentre, SinceHeard: -1}
+		s := PeerState{Name: l.Name, DataCentre: l.DataCentre, SinceHeardMillis: -1}
 		if a := m.state.acks[hashOf(l.Name)]; a != nil {
 			s.Incarnation, s.View = a.incarnation, a.view
 		}
 		if p := m.state.peers[l.Name]; p != nil {
 			s.Draining, s.Failures = p.draining, p.failures
 			if !p.heard.IsZero() {
-				s.SinceHeard = now.Sub(p.heard)
+				s.SinceHeardMillis = figtimer.Millis(now.Sub(p.heard))
 			}
 		}
 		peers = append(peers, s)
@@ -71,9 +72,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s.Incarnation, s.Newest, s.Counts = m.state.incarnation, m.state.newest, m.counts
-	s.SinceConfirmed = -1
+	s.SinceConfirmedMillis = -1
 	if !m.state.confirmed.IsZero() {
-		s.SinceConfirmed = m.opts.Clock.Now().Sub(m.state.confirmed)
+		s.SinceConfirmedMillis = figtimer.Millis(m.opts.Clock.Now().Sub(m.state.confirmed))
 	}
 	return s
 }
--- a/internal/limit/figbudget/ledger.go
+++ b/internal/limit/figbudget/ledger.go
@@ -14,18 +14,19 @@
 // Counters counts what one instance did since its start.
 type Counters struct {
 	// Reserved is the sum of admitted tokens.
-	Reserved int64
+	Reserved int64 `json:"reserved"`
 	// Credited is the sum of refunds that slots held here have taken in.
-	Credited int64
+	Credited int64 `json:"credited"`
 	// RefundsLost is the sum of refunds that found no room or no slot.
-	RefundsLost int64
+	RefundsLost int64 `json:"refundsLost"`
 	// RefundsSaved is the sum of refunds that were not sent, because their slot was
 	// nearly full when the reservation was made.
-	RefundsSaved int64
+	RefundsSaved int64 `json:"refundsSaved"`
 	// Leases counts leases granted to others.
-	Leases int64
+	Leases int64 `json:"leases"`
 	// Given counts slots handed over, Pulled slots taken over.
-	Given, Pulled int64
+	Given  int64 `json:"given"`
+	Pulled int64 `json:"pulled"`
 }
 
 // ledger is the whole budget state of one instance: the slots that it holds and
--- a/internal/limit/figbudget/status.go
+++ b/internal/limit/figbudget/status.go
@@ -5,13 +5,15 @@
 	Counters
 	// Active, Pending and Giving count the slots in memory by state. Slots that
 	// are full and unused are in none of them.
-	Active, Pending, Giving int
+	Active  int `json:"active"`
+	Pending int `json:"pending"`
+	Giving  int `json:"giving"`
 	// Accounts counts the accounts that callers lately spent from here.
-	Accounts int
+	Accounts int `json:"accounts"`
 	// Leased is the sum of tokens leased from others and not spent.
-	Leased int64
+	Leased int64 `json:"leased"`
 	// Outstanding is the sum of tokens leased to others.
-	Outstanding int64
+	Outstanding int64 `json:"outstanding"`
 }
 
 // Status returns the state at this moment.
--- a/internal/limit/figqueue/core.go
+++ b/internal/limit/figqueue/core.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 )
@@ -70,28 +71,29 @@
 // Counters counts what a queue did since its start.
 type Counters struct {
 	// Placed counts the requests that got their room.
-	Placed int64
+	Placed int64 `json:"placed"`
 	// Refused counts the others by reason.
-	Refused [Ended + 1]int64
+	Refused map[Reason]int64 `json:"refused"`
 }
 
 // Status is what a queue tells operators.
 type Status struct {
 	Counters
 	// Waiting and Placing count the requests by state.
-	Waiting, Placing int
+	Waiting int `json:"waiting"`
+	Placing int `json:"placing"`
 	// Accounts counts the accounts that have requests waiting.
-	Accounts int
+	Accounts int `json:"accounts"`
 	// Bytes is the memory of the waiting requests.
-	Bytes int64
+	Bytes int64 `json:"bytes"`
 	// Tokens is the sum of their costs.
-	Tokens int64
+	Tokens int64 `json:"tokens"`
 	// TokensPerSecond is the measured rate of placing under load; zero if unknown.
-	TokensPerSecond float64
+	TokensPerSecond float64 `json:"tokensPerSecond"`
 }
 
 func newCore(opts Options) *core {
-	return &core{opts: opts, flows: map[string]*flow{}}
+	return &core{opts: opts, flows: map[string]*flow{}, tally: Counters{Refused: map[Reason]int64{}}}
 }
 
 // push adds an item or refuses it at once.
@@ -221,6 +223,7 @@
 		Counters: c.tally, Waiting: c.count, Bytes: c.bytes, Tokens: c.tokens,
 		TokensPerSecond: c.rate.perSecond(),
 	}
+	s.Refused = maps.Clone(c.tally.Refused)
 	for _, f := range c.flows {
 		if len(f.waiting) > 0 {
 			s.Accounts++
--- a/internal/limit/figqueue/refusal.go
+++ b/internal/limit/figqueue/refusal.go
@@ -26,6 +26,9 @@
 	return [...]string{"queueFull", "accountQueueFull", "deadline", "unplaceable", "ended"}[r]
 }
 
+// MarshalText lets JSON show counts by name.
+func (r Reason) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
 // Refusal is the error of a request that was not placed.
 type Refusal struct {
 	// Account is the client account.
