Show the status of all instances, and log on standard output everywhere

The script explain starts a real process and goes from the id that a caller got to the cause, for an unknown outcome, a cut stream and a refusal; it failed on the refusal before.

Tests: TestStatuses, TestStatusOfAll, TestExplain, script explain.

--- a/internal/app/figcommand/log.go
+++ b/internal/app/figcommand/log.go
@@ -8,11 +8,21 @@
 	"k8s.io/klog/v2"
 )
 
-// setVerbosity sets the level of klog, whose own flags stay hidden.
-func setVerbosity(level int) error {
+// logTo has all log lines of the process written to w, each once.
+func logTo(w io.Writer, verbosity int) error {
 	f := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(f)
-	return f.Set("v", strconv.Itoa(level))
+	for name, value := range map[string]string{
+		"logtostderr": "false",
+		"one_output":  "true",
+		"v":           strconv.Itoa(verbosity),
+	} {
+		if err := f.Set(name, value); err != nil {
+			return err
+		}
+	}
+	klog.SetOutput(w)
+	return nil
 }
 
 // discardLogs keeps log lines out of what a command shows on the terminal.
--- a/internal/app/figcommand/route.go
+++ b/internal/app/figcommand/route.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"strconv"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -51,23 +48,6 @@
 	}
 }
 
-// logTo has all log lines of the process written to w, each once.
-func logTo(w io.Writer, verbosity int) error {
-	f := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(f)
-	for name, value := range map[string]string{
-		"logtostderr": "false",
-		"one_output":  "true",
-		"v":           strconv.Itoa(verbosity),
-	} {
-		if err := f.Set(name, value); err != nil {
-			return err
-		}
-	}
-	klog.SetOutput(w)
-	return nil
-}
-
 // route runs an instance until it has drained or a second signal comes.
 func route(ctx context.Context, s figrouter.Settings, log *figlog.Log) error {
 	defer klog.Flush()
--- a/internal/app/figcommand/serve.go
+++ b/internal/app/figcommand/serve.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"figtrail.dev/figtrail/internal/app/figserve"
+	"figtrail.dev/figtrail/internal/edge/figlog"
 )
 
 func serveCommand() *cli.Command {
@@ -21,32 +22,39 @@
 		Name:  "serve",
 		Usage: "run one instance",
 		Description: "SIGTERM or SIGINT drains: the instance stops being ready, goes on accepting for --drain-notice,\n" +
-			"hands over what it holds and lets running requests end. A second signal ends it at once.",
+			"hands over what it holds and lets running requests end. A second signal ends it at once.\n" +
+			"Log lines go to standard output; a full log drops lines and says how many.",
 		Flags: serveFlags(&s),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if err := joinFaults(s.Check()); err != nil {
 				return withCode(err, exitUsage)
 			}
-			if err := setVerbosity(s.Verbosity); err != nil {
+			log := figlog.New(os.Stdout, s.LogLines)
+			defer log.Close()
+			if err := logTo(log, s.Verbosity); err != nil {
 				return withCode(err, exitUsage)
 			}
 			debug.SetMemoryLimit(s.MemoryLimit)
-			return withCode(serve(ctx, s), exitFailed)
+			return withCode(serve(ctx, s, log), exitFailed)
 		},
 	}
 }
 
 // serve runs an instance until it has drained or a second signal comes.
-func serve(ctx context.Context, s figserve.Settings) error {
+func serve(ctx context.Context, s figserve.Settings, log *figlog.Log) error {
 	defer klog.Flush()
+	klog.InfoS("starting", "version", version(), "settings", s)
 	i, err := figserve.New(s)
 	if err != nil {
 		return err
 	}
+	i.DroppedLines = log.Dropped.Load
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer drainOnSignal(ctx, cancel, i.Drain)()
-	return i.Run(ctx)
+	err = i.Run(ctx)
+	klog.InfoS("stopped", "err", err)
+	return err
 }
 
 // drainOnSignal calls drain and then cancel at the first SIGTERM or SIGINT, and
@@ -103,8 +111,9 @@
 		&cli.DurationFlag{Name: "slow-caller", Usage: "how long a stream waits for a caller that doesn't read", Value: s.SlowCaller, Destination: &s.SlowCaller, Sources: env("slow-caller")},
 		&cli.DurationFlag{Name: "drain-notice", Usage: "how long a draining instance goes on accepting", Value: s.DrainNotice, Destination: &s.DrainNotice, Sources: env("drain-notice")},
 		&cli.DurationFlag{Name: "drain-limit", Usage: "how long running requests may take to end after that", Value: s.DrainLimit, Destination: &s.DrainLimit, Sources: env("drain-limit")},
-		intFlag("verbosity", "level of log lines; 1 adds refusals", &s.Verbosity),
+		intFlag("verbosity", "level of log lines", &s.Verbosity),
 		intFlag("metric-accounts", "client accounts with histograms of their own", &s.MetricAccounts),
+		intFlag("log-lines", "log lines that may wait to be written", &s.LogLines),
 	}
 }
 
--- a/internal/app/figcommand/status.go
+++ b/internal/app/figcommand/status.go
@@ -12,14 +12,25 @@
 // statusTimeout bounds the call to the instance.
 const statusTimeout = 5 * time.Second
 
+func statusPath(all bool) string {
+	if all {
+		return "/status/all"
+	}
+	return "/status"
+}
+
 func statusCommand() *cli.Command {
 	address := "127.0.0.1:8082"
+	all := false
 	return &cli.Command{
 		Name:  "status",
-		Usage: "show the status of a running instance in JSON",
-		Flags: []cli.Flag{stringFlag("admin", "the instance's address for operators", &address)},
+		Usage: "show the status of a running instance, or of all that it knows, in JSON",
+		Flags: []cli.Flag{
+			stringFlag("admin", "the instance's address for operators", &address),
+			&cli.BoolFlag{Name: "all", Usage: "ask all instances that this one knows", Destination: &all},
+		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			code, body, err := fasthttp.GetTimeout(nil, "http://"+address+"/status", statusTimeout)
+			code, body, err := fasthttp.GetTimeout(nil, "http://"+address+statusPath(all), statusTimeout)
 			if err != nil {
 				return withCode(errors.Wrapf(err, "status at %s", address), exitFinding)
 			}
--- a/internal/app/figrouter/router.go
+++ b/internal/app/figrouter/router.go
@@ -48,6 +48,8 @@
 	callBeat = "beat"
 	callNews = "news"
 	callView = "view"
+	// callStatus asks for the status, for an operator.
+	callStatus = "status"
 )
 
 const (
@@ -241,7 +243,19 @@
 		BodyLimit:   r.MemoryMB << 20 / bodyPart,
 		HeaderLimit: headerLimit,
 	})
-	r.ready = &figadmin.Admin{Ready: r.Ready, ReadyPath: r.ReadyPath, Status: r.status, Metrics: r.metrics.Handler()}
+	r.ready = &figadmin.Admin{
+		Ready:     r.Ready,
+		ReadyPath: r.ReadyPath,
+		Status:    r.status,
+		Metrics:   r.metrics.Handler(),
+		Fleet: &figadmin.Fleet{
+			Self:   figview.Member{Name: r.Name, Address: r.peers.Addr().String(), DataCentre: r.DataCentre},
+			Others: r.beats.Others,
+			Ask: func(ctx context.Context, m figview.Member) (*figadmin.StatusAnswer, error) {
+				return figpeer.Call[figadmin.StatusQuery, figadmin.StatusAnswer](ctx, r.client, m, callStatus, &figadmin.StatusQuery{})
+			},
+		},
+	}
 	r.admin = r.ready
 }
 
@@ -267,6 +281,7 @@
 	figpeer.Handle(r.handlers, callBeat, r.beats.Answer)
 	figpeer.Handle(r.handlers, callNews, r.beats.AnswerNews)
 	figpeer.Handle(r.handlers, callView, r.catalogue.Answer)
+	figpeer.Handle(r.handlers, callStatus, figadmin.AnswerStatus(r.status))
 }
 
 // askOthers asks other instances one by one for what they have in force, until one
--- a/internal/app/figserve/admin_test.go
+++ b/internal/app/figserve/admin_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"figtrail.dev/figtrail/internal/app/figserve"
+	"figtrail.dev/figtrail/internal/edge/figadmin"
 )
 
 func page(t *testing.T, url string) (int, string) {
@@ -105,3 +106,28 @@
 	cancel()
 	require.NoError(t, <-ended)
 }
+
+// The status of all must hold each instance's own, and say which doesn't answer.
+func TestStatusOfAll(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t, 2)
+	base := "http://" + f.Instances[0].AdminAddress()
+	statuses := func() []figadmin.InstanceStatus {
+		code, text := page(t, base+"/status/all")
+		require.Equal(t, http.StatusOK, code)
+		require.NotContains(t, text, f.key.Text)
+		var all []figadmin.InstanceStatus
+		require.NoError(t, json.Unmarshal([]byte(text), &all))
+		require.Len(t, all, 2)
+		return all
+	}
+	f.eventually(func() bool {
+		for i, one := range statuses() {
+			var s figserve.Status
+			if one.Error != "" || json.Unmarshal(one.Status, &s) != nil || s.Name != f.Instances[i].Name {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/app/figserve/instance.go
+++ b/internal/app/figserve/instance.go
@@ -48,6 +48,9 @@
 type Instance struct {
 	Settings
 
+	// DroppedLines returns how many log lines were dropped. It may be set before Run.
+	DroppedLines func() uint64
+
 	// incarnation is the start time in nanoseconds, which grows with each start.
 	incarnation uint64
 	clock       figtimer.Clock
@@ -82,11 +85,12 @@
 func New(s Settings) (*Instance, error) {
 	clock := figtimer.System()
 	i := &Instance{
-		Settings:    s,
-		incarnation: uint64(time.Now().UnixNano()),
-		clock:       clock,
-		timer:       figtimer.New(clock),
-		kernel:      figkernel.New(),
+		Settings:     s,
+		DroppedLines: func() uint64 { return 0 },
+		incarnation:  uint64(time.Now().UnixNano()),
+		clock:        clock,
+		timer:        figtimer.New(clock),
+		kernel:       figkernel.New(),
 	}
 	if err := i.listen(); err != nil {
 		return nil, err
--- a/internal/app/figserve/join.go
+++ b/internal/app/figserve/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"figtrail.dev/figtrail/internal/config/figplatform"
@@ -33,6 +34,7 @@
 	callBudget  = "budget"
 	callConfig  = "config"
 	callReserve = "reserve"
+	callStatus  = "status"
 )
 
 const (
@@ -67,10 +69,24 @@
 	if err := i.joinRequests(); err != nil {
 		return err
 	}
-	i.admin = &figadmin.Admin{Ready: i.Ready, Status: i.status, Metrics: i.metrics.Handler()}
+	i.admin = &figadmin.Admin{Ready: i.Ready, Status: i.status, Metrics: i.metrics.Handler(), Fleet: i.fleet()}
 	return nil
 }
 
+// fleet asks the listed instances for their statuses.
+func (i *Instance) fleet() *figadmin.Fleet {
+	figpeer.Handle(i.handlers, callStatus, figadmin.AnswerStatus(i.status))
+	return &figadmin.Fleet{
+		Self: figview.Member{Name: i.Name, Address: i.peers.Addr().String(), DataCentre: i.DataCentre},
+		Others: func() []figview.Member {
+			return slices.DeleteFunc(slices.Clone(i.store.View().Members), func(m figview.Member) bool { return m.Name == i.Name })
+		},
+		Ask: func(ctx context.Context, m figview.Member) (*figadmin.StatusAnswer, error) {
+			return figpeer.Call[figadmin.StatusQuery, figadmin.StatusAnswer](ctx, i.client, m, callStatus, &figadmin.StatusQuery{})
+		},
+	}
+}
+
 // asker returns the function by which a part asks its like on other instances.
 // An instance that asks itself does so without a message.
 func asker[Q, R any](i *Instance, name string, answer func(context.Context, *Q) (*R, error)) func(context.Context, figview.Member, *Q) (*R, error) {
--- a/internal/app/figserve/settings.go
+++ b/internal/app/figserve/settings.go
@@ -40,8 +40,10 @@
 	DrainLimit time.Duration
 	// MetricAccounts bounds the client accounts with histograms of their own.
 	MetricAccounts int
-	// Verbosity is the level of log lines: 0 shows what operators act on, 1 adds
-	// refusals, higher ones add detail.
+	// LogLines bounds the log lines that wait to be written.
+	LogLines int
+	// Verbosity is the level of log lines: 0 shows what operators act on, higher
+	// ones add detail.
 	Verbosity int
 }
 
@@ -60,6 +62,7 @@
 		DrainNotice:    5 * time.Second,
 		DrainLimit:     15 * time.Minute,
 		MetricAccounts: 200,
+		LogLines:       4096,
 	}
 }
 
@@ -89,6 +92,7 @@
 	add(s.DrainNotice >= 0, "drain-notice", "must not be negative")
 	add(s.DrainLimit > 0, "drain-limit", "must be above 0")
 	add(s.Verbosity >= 0, "verbosity", "must not be negative")
+	add(s.LogLines > 0, "log-lines", "must be above 0")
 	add(s.MetricAccounts >= 0, "metric-accounts", "must not be negative")
 	return faults
 }
--- a/internal/app/figserve/status.go
+++ b/internal/app/figserve/status.go
@@ -21,6 +21,8 @@
 	Ready string `json:"ready"`
 	// InFlight counts the requests in progress, waiting ones included.
 	InFlight int `json:"inFlight"`
+	// LogLinesDropped counts log lines that found the log full.
+	LogLinesDropped uint64 `json:"logLinesDropped"`
 	// Config, Peers, Budgets, Queues and Servers come from the parts.
 	Config  figstore.Status            `json:"config"`
 	Peers   figmember.Status           `json:"peers"`
@@ -37,6 +39,8 @@
 		Incarnation: i.incarnation,
 		Ready:       "ready",
 		InFlight:    i.workers.Running(),
+
+		LogLinesDropped: i.DroppedLines(),
 	}
 	if err := i.Ready(); err != nil {
 		s.Ready = err.Error()
--- a/internal/edge/figadmin/admin.go
+++ b/internal/edge/figadmin/admin.go
@@ -12,7 +12,8 @@
 //
 // Paths: /healthz answers 200 while the process runs; /readyz answers 200 when
 // callers may be sent here, and 503 with the reason otherwise; /metrics is in
-// Prometheus form; /status is JSON.
+// Prometheus form; /status is JSON; /status/all is that of all instances that this
+// one knows, with the reason where one doesn't answer.
 package figadmin
 
 import (
@@ -41,6 +42,8 @@
 	Ready func() error
 	// Status returns a plain struct to be shown as JSON.
 	Status func() any
+	// Fleet asks the other instances for /status/all; nil serves no such page.
+	Fleet *Fleet
 	// Metrics serves /metrics.
 	Metrics http.Handler
 	// ReadyPath is another path that answers as /readyz does; empty for none.
@@ -79,9 +82,11 @@
 		case "/metrics":
 			metrics(c)
 		case "/status":
-			a.answerStatus(c)
+			answerJSON(c, a.Status())
+		case "/status/all":
+			a.answerFleet(c)
 		default:
-			c.Error("no such page; try /healthz, /readyz, /metrics or /status\n", fasthttp.StatusNotFound)
+			c.Error("no such page; try /healthz, /readyz, /metrics, /status or /status/all\n", fasthttp.StatusNotFound)
 		}
 	}
 }
@@ -94,8 +99,16 @@
 	c.SetBodyString("ready\n")
 }
 
-func (a *Admin) answerStatus(c *fasthttp.RequestCtx) {
-	text, err := json.MarshalIndent(a.Status(), "", "  ")
+func (a *Admin) answerFleet(c *fasthttp.RequestCtx) {
+	if a.Fleet == nil {
+		c.Error("this instance knows no others\n", fasthttp.StatusNotFound)
+		return
+	}
+	answerJSON(c, a.Fleet.Statuses(c, a.Status()))
+}
+
+func answerJSON(c *fasthttp.RequestCtx, value any) {
+	text, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
 		c.Error(err.Error()+"\n", fasthttp.StatusInternalServerError)
 		return
--- a/internal/request/figflow/flow.go
+++ b/internal/request/figflow/flow.go
@@ -174,7 +174,7 @@
 // log writes one line for a request that did not end well. Keys and prompts are
 // never in it.
 func (x *run) log(r *figlife.Result) {
-	if r.Outcome == figlife.Answered || !klog.V(1).Enabled() && r.Outcome == figlife.NotRun {
+	if r.Outcome == figlife.Answered {
 		return
 	}
 	account := ""
--- a/internal/stand/figscript/call.go
+++ b/internal/stand/figscript/call.go
@@ -45,8 +45,8 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 
-	// These are set when done is closed.
-	outcome, reason, detail string
+	// These are set when done is closed; id is the request's, from the answer's header.
+	outcome, reason, detail, id string
 }
 
 // client returns a client that makes a connection for each request, or the
@@ -175,6 +175,7 @@
 		return
 	}
 	defer func() { _ = r.Body.Close() }()
+	c.id = r.Header.Get("X-Request-Id")
 	switch {
 	case r.StatusCode != http.StatusOK:
 		c.refused(r)
--- a/internal/stand/figscript/script.go
+++ b/internal/stand/figscript/script.go
@@ -56,6 +56,7 @@
 	"call":     (*fleet).cmdCall,
 	"leave":    (*fleet).cmdLeave,
 	"expect":   (*fleet).cmdExpect,
+	"explain":  (*fleet).cmdExplain,
 	"avoid":    (*fleet).cmdAvoid,
 	"becomes":  (*fleet).cmdBecomes,
 	"until":    (*fleet).cmdUntil,
