Leave freed room to one instance at a time, and refuse late model requests soon

(1) The news that one instance's request had ended woke the queues of all others at the same moment; all placed their first request in the same room, all had the prompt computed, and the engine turned down all but one. (2) A request that had come back too late for its target waited a quarter of its caller's patience, 3.5 s, and took the room of others that could still be on time.

Change: a queue without room is woken by its own instance's ends only. For what others free it looks after 5 ms for each member, at random within a half, 100 ms at most. A late request waits for a third of the target, then its caller is told when to come back.

--- a/internal/app/figrouter/router.go
+++ b/internal/app/figrouter/router.go
@@ -80,6 +80,11 @@
 	// memory that they may have.
 	queueRequests = 400
 	queuePart     = 8
+	// roomPause is the mean time, for each instance, after which a queue without room
+	// looks for room that others have freed: half of the time that their news takes.
+	// roomPauseMost bounds it where there are many instances.
+	roomPause     = 5 * time.Millisecond
+	roomPauseMost = 100 * time.Millisecond
 	// queuePlacing bounds the requests of a pool that are being placed at once;
 	// choosing a server takes microseconds.
 	queuePlacing = 2
@@ -315,10 +320,11 @@
 	r.queues.Wake()
 }
 
-// heardHeld takes what another instance has in progress.
+// heardHeld takes what another instance has in progress. Waiting requests don't try at
+// once for room that is heard of: all instances would at the same moment, and engines
+// would turn down all but one after their prompts had been computed.
 func (r *Router) heardHeld(now time.Time, from string, incarnation uint64, held map[string]figview.Held, whole bool) {
 	r.picker.Heard(now, from, incarnation, held, whole)
-	r.queues.Wake()
 }
 
 // newQueue returns the queue of a pool.
@@ -330,9 +336,16 @@
 		AccountRequests: queueRequests,
 		AccountBytes:    int64(r.MemoryMB) << 20 / queuePart,
 		Placing:         queuePlacing,
+		Pause:           r.pauseForRoom,
 	})
 }
 
+// pauseForRoom returns how long a queue leaves room to the other instances.
+func (r *Router) pauseForRoom() time.Duration {
+	mean := min(roomPauseMost, time.Duration(r.beats.Members(r.clock.Now()))*roomPause)
+	return time.Duration((0.5 + rand.Float64()) * float64(mean))
+}
+
 // Ready returns nil when callers may be sent here, or the reason why not.
 func (r *Router) Ready() error {
 	switch {
--- a/internal/limit/figqueue/queue.go
+++ b/internal/limit/figqueue/queue.go
@@ -54,6 +54,9 @@
 	AccountBytes int64
 	// Placing bounds the calls of Place at one time.
 	Placing int
+	// Pause returns how long a request that found no room waits for a Wake before it is
+	// tried again; nil means until the next tick.
+	Pause func() time.Duration
 }
 
 // Item is a request that asks for its turn.
@@ -84,6 +87,8 @@
 	// wakes counts calls of Wake; blocked is set while the first in turn has no room.
 	wakes   uint64
 	blocked bool
+	// retryAt is when a blocked queue is tried again.
+	retryAt time.Time
 	// filled tells Run that an item waits; without one it doesn't tick.
 	filled chan struct{}
 }
@@ -150,10 +155,20 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.core.expire(now)
-	q.blocked = false
+	q.blocked = q.blocked && now.Before(q.retryAt)
 	q.dispatch()
 }
 
+// block stops dispatching until a Wake or the pause is over, unless there was a Wake
+// since wakes.
+func (q *Queue) block(wakes uint64) {
+	q.blocked = wakes == q.wakes
+	q.retryAt = q.opts.Clock.Now()
+	if q.opts.Pause != nil {
+		q.retryAt = q.retryAt.Add(q.opts.Pause())
+	}
+}
+
 // Status returns the state at this moment.
 func (q *Queue) Status() Status {
 	q.mu.Lock()
@@ -169,6 +184,9 @@
 	if ctx.Err() != nil {
 		return nil, &Refusal{Account: item.Account, Reason: Ended}
 	}
+	if q.core.count == 0 {
+		q.blocked = false // nobody waits for the end of the pause
+	}
 	e, refusal := q.core.push(ctx, item, q.opts.Clock.Now())
 	if refusal != nil {
 		return nil, refusal
@@ -215,7 +233,7 @@
 		q.core.drop(e, Ended)
 	default:
 		q.core.unpop(e)
-		q.blocked = wakes == q.wakes
+		q.block(wakes)
 		q.noteFilled()
 	}
 	q.dispatch()
--- a/internal/limit/figqueue/queue_test.go
+++ b/internal/limit/figqueue/queue_test.go
@@ -158,6 +158,48 @@
 	})
 }
 
+// A request that found no room leaves what is freed elsewhere to others for the
+// pause, but takes at once what a Wake tells of.
+func TestPauseLeavesRoomToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 200 * time.Millisecond
+		opts := testOptions()
+		opts.Pause = func() time.Duration { return pause }
+		q := New(opts)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go func() { _ = q.Run(ctx, figtimer.New(figtimer.System())) }()
+		r := &room{}
+		free := func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.free++
+		}
+		begun := time.Now()
+		first := enter(ctx, q, Item{Account: "a", Tokens: 1, Place: r.place("first")})
+		time.Sleep(2 * tickTime)
+		free() // another instance freed it: nobody wakes this queue
+		require.NoError(t, <-first)
+		require.InDelta(t, pause, time.Since(begun), float64(2*tickTime))
+
+		begun = time.Now()
+		second := enter(ctx, q, Item{Account: "a", Tokens: 1, Place: r.place("second")})
+		time.Sleep(tickTime / 2)
+		r.release(q, 1)
+		require.NoError(t, <-second)
+		require.Less(t, time.Since(begun), tickTime)
+
+		third := enter(ctx, q, Item{Account: "a", Tokens: 1, Deadline: time.Now().Add(tickTime), Place: r.place("third")})
+		requireRefusal(t, <-third, Late)
+		free()
+		begun = time.Now()
+		require.NoError(t, <-enter(ctx, q, Item{Account: "a", Tokens: 1, Place: r.place("fourth")}))
+		require.Zero(t, time.Since(begun), "an empty queue owes nobody the pause")
+		stop()
+		synctest.Wait()
+	})
+}
+
 func TestRejectedIsRefused(t *testing.T) {
 	q := New(testOptions())
 	item := Item{Account: "a", Place: func(context.Context) Verdict { return Rejected }}
--- a/internal/request/figpass/room.go
+++ b/internal/request/figpass/room.go
@@ -20,8 +20,9 @@
 	promptRate = 55000
 	firstPause = 80 * time.Millisecond
 	// lateWait bounds how long a request that is late already waits for room, as a
-	// part of its caller's patience.
-	lateWait = 0.25
+	// part of the target: for as long as others could still be on time it would only
+	// take their room. Its caller is told when to come back instead.
+	lateWait = 1.0 / 3
 	// resumeWait bounds how long a request that a server failed waits for room
 	// elsewhere: callers give up a stream after 2 s without an event.
 	resumeWait = 700 * time.Millisecond
@@ -52,10 +53,7 @@
 	if by.After(arrived) {
 		return timing{by: by}
 	}
-	if patience == 0 {
-		patience = limit
-	}
-	return timing{by: arrived.Add(time.Duration(lateWait * float64(patience))), late: true}
+	return timing{by: arrived.Add(time.Duration(lateWait * float64(target))), late: true}
 }
 
 // room waits for a decode server with memory for the request and reserves it there.
