--- a/internal/place/figowner/probe_test.go
+++ b/internal/place/figowner/probe_test.go
@@ -91,7 +91,7 @@
 			}
 			delete(open, id)
 		}
-		if now.UnixMilli()%(500) == 0 {
+		if now.UnixMilli()%500 == 0 {
 			reported(b, now)
 		}
 		number++
--- a/internal/place/figpick/compare_test.go
+++ b/internal/place/figpick/compare_test.go
@@ -152,7 +152,7 @@
 				t.Logf("%-18s good %.3f %+v", w.name, sum.good(), sum)
 				return sum
 			}
-			best := play(way{name: "product"})
+			best := play(way{name: "product", waiting: predicted})
 			for _, w := range others {
 				o := play(w)
 				require.GreaterOrEqual(t, best.good(), o.good()-same, w.name)
