Say that the queue was full where nobody tried to place a request

On-call would look for lost servers.

Change: a refusal by the queue alone is queueFull; the refusal for want of a configuration carries an error. Status and Retry-After are as before. TestReason failed first for the request that was never tried.

--- a/internal/request/figpass/flow.go
+++ b/internal/request/figpass/flow.go
@@ -175,7 +175,7 @@
 func (x *run) find() *Reply {
 	t := x.view.Table
 	if t == nil {
-		return x.reject(figlife.Cause{Reason: figlife.NoServer, Detail: "This instance has no configuration yet.", RetryAfter: startWaitFor(x.Away(x.Clock.Now()))})
+		return x.reject(figlife.Cause{Reason: figlife.NoServer, Err: errNoView, Detail: "This instance has no configuration yet.", RetryAfter: startWaitFor(x.Away(x.Clock.Now()))})
 	}
 	var ok bool
 	if x.route, ok = t.Match(x.Host, x.Path); !ok {
@@ -194,6 +194,8 @@
 	return nil
 }
 
+var errNoView = errors.New("there is no configuration yet")
+
 // startWaitFor is when to come back to an instance that can't read its declarations:
 // an outage that has lasted for long is likely to last as long again.
 func startWaitFor(away time.Duration) time.Duration {
--- a/internal/request/figpass/pass_test.go
+++ b/internal/request/figpass/pass_test.go
@@ -5,9 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"figtrail.dev/figtrail/internal/config/figroute"
+	"figtrail.dev/figtrail/internal/limit/figqueue"
+	"figtrail.dev/figtrail/internal/place/figpick"
 	"figtrail.dev/figtrail/internal/request/figlife"
 	"figtrail.dev/figtrail/internal/request/figsend"
 )
@@ -61,6 +64,27 @@
 	}
 }
 
+// A request that nobody tried to place, since others waited before it, found its
+// queue full: servers there are.
+func TestReason(t *testing.T) {
+	ended := &figqueue.Refusal{Account: "acme", Reason: figqueue.Ended}
+	none := &figpick.NoServer{Reason: "none is listed"}
+	full := &figpick.NoServer{Full: true}
+	for name, c := range map[string]struct {
+		err  error
+		want figlife.Reason
+	}{
+		"none listed":         {none, figlife.NoServer},
+		"none, then late":     {errors.CombineErrors(none, ended), figlife.NoServer},
+		"all full":            {full, figlife.QueueFull},
+		"all full, then late": {errors.CombineErrors(full, ended), figlife.QueueFull},
+		"never tried":         {ended, figlife.QueueFull},
+		"another":             {errors.New("x"), figlife.NoServer},
+	} {
+		require.Equal(t, c.want, reason(c.err), name)
+	}
+}
+
 func TestFollows(t *testing.T) {
 	for _, c := range []struct {
 		last, id string
--- a/internal/request/figpass/send.go
+++ b/internal/request/figpass/send.go
@@ -12,6 +12,7 @@
 	"figtrail.dev/figtrail/internal/config/figcatalogue"
 	"figtrail.dev/figtrail/internal/core/figerror"
 	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/limit/figqueue"
 	"figtrail.dev/figtrail/internal/place/figpick"
 	"figtrail.dev/figtrail/internal/request/figlife"
 	"figtrail.dev/figtrail/internal/request/figsend"
@@ -40,7 +41,11 @@
 // reason says why a request wasn't placed.
 func reason(err error) figlife.Reason {
 	var none *figpick.NoServer
-	if errors.As(err, &none) && none.Full {
+	var refusal *figqueue.Refusal
+	switch {
+	case errors.As(err, &none) && !none.Full:
+		return figlife.NoServer
+	case none != nil, errors.As(err, &refusal):
 		return figlife.QueueFull
 	}
 	return figlife.NoServer
