Refuse at once what can't be on time behind the prompts that are there

Cause: in a queue that has grown, requests are placed in the last moments before their target. There they may wait for next to nothing at a prefill server, so that one prompt in progress turns them down (TestScript/both-kill-cold: 666 refusals as full by a prefill server that was idle most of the time), and they stay first in their turn until their time is over, while those behind them lose theirs.

Ruled out as its cause: unconfirmed lists (none in the log of the runs), the breaker, doubt.

Change: what waits is refused for good when it can't be on time with the prompts that are before it, as it is when it couldn't on an idle server.

TestPlaceTooLateBehindOthers failed first. The script was not run often enough since to say that this mends it; it stays listed.

--- a/internal/place/figplace/place.go
+++ b/internal/place/figplace/place.go
@@ -151,7 +151,7 @@
 func (a *attempt) tooLate(best candidate) bool {
 	waited, own := a.request.waited(a.now), best.ready-best.queue+a.moving
 	planned := time.Duration(targetShare * float64(a.target()))
-	return own < planned && waited > 0 && waited+own > planned
+	return own < planned && waited > 0 && waited+best.queue+own > planned
 }
 
 func (a *attempt) target() time.Duration {
--- a/internal/place/figplace/place_test.go
+++ b/internal/place/figplace/place_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"figtrail.dev/figtrail/internal/config/figtree"
@@ -336,6 +337,29 @@
 	}
 }
 
+// A request that can't be on time behind the prompts that are there is refused at
+// once, so that those behind it in the queue, which have more time, get their turn.
+func TestPlaceTooLateBehindOthers(t *testing.T) {
+	f := newFleet(3, 10)
+	f.warm()
+	p := f.placers["entry000"]
+	var full *NoRoom
+	refused := false
+	for i := 0; i < 1000 && !refused; i++ {
+		r := request(fmt.Sprint("r", i))
+		_, err := p.Place(t.Context(), r)
+		p.Flush(t.Context())
+		refused = errors.As(err, &full)
+	}
+	require.True(t, refused, "the prefill servers have as much as can be on time")
+	require.False(t, full.TooLate, "it has only come")
+	r := request("waited")
+	r.Arrived = f.now.Add(-defaultFirstToken / 2)
+	_, err := p.Place(t.Context(), r)
+	require.ErrorAs(t, err, &full)
+	require.True(t, full.TooLate)
+}
+
 // A request that has waited past its target is refused without a message; one that
 // insists is placed.
 func TestPlaceTooLate(t *testing.T) {
