--- a/internal/app/figrouter/router.go
+++ b/internal/app/figrouter/router.go
@@ -81,8 +81,8 @@
 	queueRequests = 400
 	queuePart     = 8
 	// roomPause is the mean time, for each instance, after which a queue without room
-	// looks for room that others have freed: half of the time that their news takes.
-	// roomPauseMost bounds it where there are many instances.
+	// looks for room that others have freed: half of the 10 ms that their news takes.
+	// roomPauseMost bounds it where there are many instances: a ninth of the target.
 	roomPause     = 5 * time.Millisecond
 	roomPauseMost = 100 * time.Millisecond
 	// queuePlacing bounds the requests of a pool that are being placed at once;
--- a/internal/limit/figshare/ledger.go
+++ b/internal/limit/figshare/ledger.go
@@ -15,9 +15,9 @@
 	// debtLimit bounds the debt that reports of others may leave, in seconds of
 	// the rate. More would refuse for longer than a caller waits.
 	debtLimit = 2.0
-	// paceSpan is the time over which the pace of another instance is taken: several
-	// beats. At one second all instances stop together after each beat and find
-	// room together later, which breaks the bound at eight times the rate.
+	// paceSpan is the time over which the pace of another instance is taken: some eight
+	// reports. Over one second instances stop and start together and pass the bound,
+	// see TestBoundFarAboveRate.
 	paceSpan = 3 * time.Second
 	// silence is how long an instance isn't heard of until what is known of its pace
 	// is taken for all of it: two missed reports.
--- a/internal/place/figowner/message.go
+++ b/internal/place/figowner/message.go
@@ -164,7 +164,8 @@
 	LinkKilobytes int64 `cbor:"6,keyasint,omitempty"`
 	// Closed says that no ask would be granted now, whatever its size.
 	Closed bool `cbor:"7,keyasint,omitempty"`
-	// Short says that so few prompts are there that another is taken whatever its wait.
+	// Short says that a prefill server has so few prompts that another one is taken
+	// whatever its wait.
 	Short bool `cbor:"9,keyasint,omitempty"`
 	// Resident holds the hashes of resident models and adapters, from ResidentHash.
 	Resident []uint32 `cbor:"8,keyasint,omitempty"`
