--- a/internal/request/figproxy/dialect.go
+++ b/internal/request/figproxy/dialect.go
@@ -21,6 +21,9 @@
 	// PromptTokens and OutputTokens are the declared size in tokens; both are 0 if the
 	// caller declares none.
 	PromptTokens, OutputTokens int64
+	// SharedParts holds the ids of the prompt's parts that other requests may contain as well, in
+	// the order of the prompt.
+	SharedParts []string
 	// LastEventID is the id of the last event that the caller has received of a stream;
 	// empty if it has none.
 	LastEventID string
--- a/internal/request/figproxy/reply.go
+++ b/internal/request/figproxy/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -125,6 +126,14 @@
 	return kept
 }
 
+// maxLoggedParts is the number of prompt parts in one log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the first shared parts of the prompt for a log line.
+func (x *exchange) loggedParts() string {
+	return strings.Join(x.SharedParts[:min(len(x.SharedParts), maxLoggedParts)], ",")
+}
+
 // report logs the end of the request and records its metrics.
 func (x *exchange) report(result *figlifecycle.Result, status int) {
 	now := x.Clock.Now()
@@ -157,5 +166,6 @@
 		"status", status, "kind", kind, "route", route, "account", account, "pool", x.pool, "sends", x.sends,
 		"ran", len(x.ranOn), "took", metrics.Duration, "firstEvent", metrics.FirstToken, "events", x.events,
 		"patience", x.CallerTimeout, "promptTokens", x.PromptTokens, "outputTokens", x.OutputTokens,
+		"sharedParts", x.loggedParts(),
 		"retryAfter", result.RetryAfter, "version", version, "viewAge", age, "err", result.Err)
 }
--- a/internal/request/figproxy/send.go
+++ b/internal/request/figproxy/send.go
@@ -170,7 +170,8 @@
 		x.recordRan(a.server)
 	}
 	klog.InfoS("send failed", "requestId", x.ID, "server", a.server.Name, "ran", figsend.OutcomeOf(err).String(),
-		"kind", kind.String(), "took", now.Sub(a.startedAt), "callerLeft", requestEnded, "err", err)
+		"kind", kind.String(), "took", now.Sub(a.startedAt), "events", x.events, "callerLeft", requestEnded,
+		"sharedParts", x.loggedParts(), "err", err)
 }
 
 // sendResultLabel returns the metrics label for the result of a send.
