Quarantine prompt parts on which backend servers crash

What callers saw: requests with one part in their prompts crashed the server that began to answer them. Cause: nothing remembered what a server was doing when it ended. A broken connection was held against the server alone, never against the request. Class: a poisoned request that is retried and admitted without a memory of its failures, across servers and across instances. Ruled out: servers in a cold start (the first six were not in one); a fault by turns (none from 42.5 to 54 s, when no such request came). Change: package figquarantine. An instance whose connection breaks before an answer has proved itself finds out whether the server has ended (another one at its address, or nothing listens there) and counts that against the shared parts of the prompt. Answers clear a part. A part is quarantined after three servers, if no other part explains their ends. The evidence is pushed on from instance to instance and compared with each probe, so that cut off and restarted instances learn it from anyone; all derive the same from it. Requests are refused with 503 before they are queued, and looked at again right before each send. Single trials end a wrong quarantine.

--- a/internal/app/figrouter/fleet.go
+++ b/internal/app/figrouter/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,7 @@
 	"figtrail.dev/figtrail/internal/fleet/figview"
 	"figtrail.dev/figtrail/internal/limit/figquota"
 	"figtrail.dev/figtrail/internal/place/figcoordinator"
+	"figtrail.dev/figtrail/internal/place/figquarantine"
 )
 
 // Names of the calls between instances, as sent on the wire.
@@ -32,6 +34,7 @@
 	callAdopt        = "adopt"
 	callView         = "view"
 	callFollow       = "follow"
+	callEvidence     = "evidence"
 	// callStatus returns the status of an instance for /status/all.
 	callStatus = "status"
 )
@@ -65,6 +68,8 @@
 		Push:           remote[figdiscovery.Message, figdiscovery.Message](r, callPush),
 		Revision:       r.catalogue.Revision,
 		OnRevision:     r.catalogue.NoteRevision,
+		Evidence:       func() uint64 { return r.quarantine.Digest() },
+		OnEvidence:     func(from figview.Member, digest uint64) { r.quarantine.OnDigest(from, digest) },
 		OnGone:         func(name string, incarnation uint64) { r.coordinator.OnGone(name, incarnation) },
 		InitialMembers: r.Instances,
 	})
@@ -98,6 +103,11 @@
 		Call:    remoteMember[figquota.Charge, figquota.Verdict](r, callCharge),
 		Settled: r.discovery.Settled, PresentFraction: r.discovery.PresentFraction, Members: r.discovery.MaxMembers,
 	})
+	r.quarantine = figquarantine.New(figquarantine.Options{
+		Clock: r.clock, Timer: r.timer, Peers: r.discovery.Peers, HasEnded: r.hasEnded, MayTry: r.mayTryPart,
+		Exchange: remote[figquarantine.Update, figquarantine.Update](r, callEvidence),
+	})
+	figpeer.Handle(r.handlers, callEvidence, r.quarantine.HandleExchange)
 	shares := figcoordinator.NewShares(r.clock, r.assigner)
 	r.coordinator = figcoordinator.New(figcoordinator.Options{
 		Clock: r.clock, Timer: r.timer, View: r.catalogue.View, Shares: shares, Random: rand.Float64,
@@ -118,6 +128,22 @@
 	figpeer.Handle(r.handlers, callAdopt, r.coordinator.HandleAdopt)
 }
 
+// hasEnded reports whether the process of a server is known to have ended: another one is listed at its
+// address, or nothing listens there.
+func (r *Router) hasEnded(ctx context.Context, s *figcatalogue.Server) bool {
+	if r.catalogue.View().Replaced(s) {
+		return true
+	}
+	err := r.sender.EnsureConnection(ctx, s.Server)
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// mayTryPart reports whether this instance is the one that tries prompts with a quarantined part.
+func (r *Router) mayTryPart(part string) bool {
+	owners := r.assigner.Owners("part/"+part, 1)
+	return len(owners) > 0 && r.assigner.IsSelf(owners[0])
+}
+
 // readers returns the instances of this data centre that read the configuration source.
 func (r *Router) readers() []figdiscovery.Member {
 	return r.assigner.OwnersIn("readers", r.DataCentre, readersPerDataCentre)
--- a/internal/app/figrouter/router.go
+++ b/internal/app/figrouter/router.go
@@ -40,6 +40,7 @@
 	"figtrail.dev/figtrail/internal/limit/figquota"
 	"figtrail.dev/figtrail/internal/place/figbalancer"
 	"figtrail.dev/figtrail/internal/place/figcoordinator"
+	"figtrail.dev/figtrail/internal/place/figquarantine"
 	"figtrail.dev/figtrail/internal/place/figrole"
 	"figtrail.dev/figtrail/internal/request/figproxy"
 	"figtrail.dev/figtrail/internal/request/figsend"
@@ -111,6 +112,7 @@
 	picker      *figbalancer.Picker
 	coordinator *figcoordinator.Coordinator
 	placer      *figcoordinator.Placer
+	quarantine  *figquarantine.Quarantine
 	sender      *figsend.Sender
 	metrics     *figmetric.Metrics
 	proxy       *figproxy.Proxy
@@ -217,6 +219,7 @@
 		Picker:       r.picker,
 		Placer:       r.placer,
 		Quota:        r.quota,
+		Quarantine:   r.quarantine,
 		Retries: &figproxy.RetryBudgets{
 			Fraction: retryLimitFraction * r.RetryFraction,
 			Floor:    int(retryLimitFraction * float64(r.RetryFloor)),
--- a/internal/app/figrouter/run.go
+++ b/internal/app/figrouter/run.go
@@ -32,6 +32,7 @@
 		{Name: "discovery", Value: r.discovery, Run: func(ctx context.Context) error { return r.discovery.Run(ctx, r.timer) }},
 		{Name: "pushes", Run: func(ctx context.Context) error { return r.discovery.RunPushes(ctx, r.timer) }},
 		{Name: "quota", Value: r.quota, Run: r.quota.Run},
+		{Name: "quarantine", Value: r.quarantine, Run: r.quarantine.Run},
 		{Name: "coordinator", Value: r.coordinator, Start: r.coordinator.Start, Run: func(ctx context.Context) error { return r.coordinator.Run(ctx, r.timer) }},
 		{Name: "placer", Value: r.placer, Run: func(ctx context.Context) error { return r.placer.Run(ctx, r.timer) }},
 		{Name: "ends", Run: func(ctx context.Context) error { return r.placer.RunEnds(ctx, r.timer) }},
@@ -89,32 +90,36 @@
 			ready = 1
 		}
 		for name, value := range map[string]float64{
-			"ready":                  ready,
-			"declarations_version":   float64(s.Version),
-			"view_age_seconds":       float64(s.ViewAgeMillis) / millisPerSecond,
-			"source_calls":           float64(s.SourceCalls),
-			"source_failures":        float64(s.SourceFailures),
-			"members_presumed":       float64(s.Presumed),
-			"members_heard":          float64(len(s.Members) + 1),
-			"callers_in_progress":    float64(s.Callers),
-			"server_connections":     float64(s.Dials),
-			"server_reuses":          float64(s.Reuses),
-			"answers_late":           float64(s.Late),
-			"answers_crossed":        float64(s.Crossed),
-			"connections_silent":     float64(s.Silent),
-			"connections_cut":        float64(s.Cut),
-			"log_lines_dropped":      float64(r.DroppedLines()),
-			"member_calls_failed":    float64(r.discovery.FailedCalls.Load()),
-			"member_syncs":           float64(r.discovery.Syncs.Load()),
-			"quota_calls":            float64(r.quota.Asked.Load()),
-			"quota_calls_unanswered": float64(r.quota.Unanswered.Load()),
-			"quota_decided_alone":    float64(r.quota.Alone.Load()),
-			"placements":             float64(r.coordinator.PlacedCount.Load()),
-			"placements_refused":     float64(r.coordinator.RefusedCount.Load()),
-			"placements_adopted":     float64(r.coordinator.AdoptedCount.Load()),
-			"placements_held":        float64(r.coordinator.Len()),
-			"coordinators_silent":    float64(r.placer.Unanswered.Load()),
-			"placed_without":         float64(r.placer.FallbackCount.Load()),
+			"ready":                    ready,
+			"declarations_version":     float64(s.Version),
+			"view_age_seconds":         float64(s.ViewAgeMillis) / millisPerSecond,
+			"source_calls":             float64(s.SourceCalls),
+			"source_failures":          float64(s.SourceFailures),
+			"members_presumed":         float64(s.Presumed),
+			"members_heard":            float64(len(s.Members) + 1),
+			"callers_in_progress":      float64(s.Callers),
+			"server_connections":       float64(s.Dials),
+			"server_reuses":            float64(s.Reuses),
+			"answers_late":             float64(s.Late),
+			"answers_crossed":          float64(s.Crossed),
+			"connections_silent":       float64(s.Silent),
+			"connections_cut":          float64(s.Cut),
+			"log_lines_dropped":        float64(r.DroppedLines()),
+			"member_calls_failed":      float64(r.discovery.FailedCalls.Load()),
+			"member_syncs":             float64(r.discovery.Syncs.Load()),
+			"quota_calls":              float64(r.quota.Asked.Load()),
+			"quota_calls_unanswered":   float64(r.quota.Unanswered.Load()),
+			"quota_decided_alone":      float64(r.quota.Alone.Load()),
+			"placements":               float64(r.coordinator.PlacedCount.Load()),
+			"placements_refused":       float64(r.coordinator.RefusedCount.Load()),
+			"placements_adopted":       float64(r.coordinator.AdoptedCount.Load()),
+			"placements_held":          float64(r.coordinator.Len()),
+			"coordinators_silent":      float64(r.placer.Unanswered.Load()),
+			"placed_without":           float64(r.placer.FallbackCount.Load()),
+			"servers_ended_answering":  float64(r.quarantine.CrashCount.Load()),
+			"prompt_parts_suspected":   float64(r.quarantine.Len()),
+			"prompt_parts_quarantined": float64(len(s.QuarantinedParts)),
+			"evidence_calls_failed":    float64(r.quarantine.FailedExchanges.Load()),
 		} {
 			r.metrics.Root.Gauge(name).Update(value)
 		}
@@ -181,6 +186,9 @@
 	Members        []figdiscovery.MemberStatus `json:"members"`
 	// Presumed is the assumed number of instances among which limits are divided.
 	Presumed int `json:"presumed"`
+	// QuarantinedParts holds the ids of the prompt parts that no server gets, because servers crash on
+	// them.
+	QuarantinedParts []string `json:"quarantinedParts"`
 	// Callers is the number of requests in progress.
 	Callers int `json:"callers"`
 	// Dials and Reuses count new and reused connections to servers. Late counts
@@ -199,21 +207,22 @@
 func (r *Router) statusNow(now time.Time) Status {
 	v := r.catalogue.View()
 	s := Status{
-		Name:           r.Name,
-		DataCentre:     r.DataCentre,
-		Ready:          readyText,
-		Servers:        map[string]int{},
-		SourceCalls:    r.catalogue.Calls.Load(),
-		SourceFailures: r.catalogue.Failures.Load(),
-		Members:        r.discovery.Status(),
-		Presumed:       r.discovery.MaxMembers(now),
-		Callers:        r.callerWatch.Len(),
-		Dials:          r.sender.Dials.Load(),
-		Reuses:         r.sender.Reuses.Load(),
-		Late:           r.sender.Unsolicited.Load(),
-		Crossed:        r.sender.Mismatched.Load(),
-		Silent:         r.sender.TimedOut.Load(),
-		Cut:            r.sender.Incomplete.Load(),
+		Name:             r.Name,
+		DataCentre:       r.DataCentre,
+		Ready:            readyText,
+		Servers:          map[string]int{},
+		SourceCalls:      r.catalogue.Calls.Load(),
+		SourceFailures:   r.catalogue.Failures.Load(),
+		Members:          r.discovery.Status(),
+		Presumed:         r.discovery.MaxMembers(now),
+		Callers:          r.callerWatch.Len(),
+		QuarantinedParts: r.quarantine.Quarantined(),
+		Dials:            r.sender.Dials.Load(),
+		Reuses:           r.sender.Reuses.Load(),
+		Late:             r.sender.Unsolicited.Load(),
+		Crossed:          r.sender.Mismatched.Load(),
+		Silent:           r.sender.TimedOut.Load(),
+		Cut:              r.sender.Incomplete.Load(),
 	}
 	if err := r.Ready(); err != nil {
 		s.Ready = err.Error()
--- a/internal/config/figcatalogue/types.go
+++ b/internal/config/figcatalogue/types.go
@@ -112,6 +112,19 @@
 	return s.State == figview.Live && !s.RemovedAt.IsZero() && now.Sub(s.RemovedAt) < RemovedServerGrace && !v.DrainedDataCentres[s.DataCentre]
 }
 
+// Replaced says whether another process than s is listed at the address of s and started later.
+func (v *View) Replaced(s *Server) bool {
+	for _, all := range v.Servers {
+		for i := range all {
+			o := &all[i]
+			if o.Address == s.Address && o.Lifetime() != s.Lifetime() && o.StartedAt.After(s.StartedAt) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Find returns the server of a pool with this lifetime.
 func (v *View) Find(pool, lifetime string) (*Server, bool) {
 	for i := range v.Servers[pool] {
--- a/internal/fleet/figdiscovery/discovery.go
+++ b/internal/fleet/figdiscovery/discovery.go
@@ -56,6 +56,10 @@
 	// that of another instance.
 	Revision   func() uint64
 	OnRevision func(from figview.Member, revision uint64)
+	// Evidence returns the digest of this instance's evidence on prompt parts. OnEvidence receives that of
+	// another instance.
+	Evidence   func() uint64
+	OnEvidence func(from figview.Member, digest uint64)
 	// OnGone is called without locks held when a run of a member has ended: when this instance declared
 	// it dead or it was replaced by a later incarnation.
 	OnGone func(name string, incarnation uint64)
--- a/internal/fleet/figdiscovery/discovery_test.go
+++ b/internal/fleet/figdiscovery/discovery_test.go
@@ -97,6 +97,8 @@
 		},
 		Revision:   func() uint64 { return 1 },
 		OnRevision: func(figview.Member, uint64) {},
+		Evidence:   func() uint64 { return 0 },
+		OnEvidence: func(figview.Member, uint64) {},
 		OnGone: func(member string, _ uint64) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
--- a/internal/fleet/figdiscovery/member.go
+++ b/internal/fleet/figdiscovery/member.go
@@ -92,6 +92,8 @@
 	News []Record `cbor:"4,keyasint,omitempty"`
 	// Revision is the revision of the configuration that the sender uses.
 	Revision uint64 `cbor:"5,keyasint,omitempty"`
+	// Evidence is the digest of what the sender knows of prompt parts on which servers crash.
+	Evidence uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // IndirectProbe asks an instance to probe another one.
--- a/internal/fleet/figdiscovery/merge.go
+++ b/internal/fleet/figdiscovery/merge.go
@@ -147,6 +147,7 @@
 	defer d.mu.Unlock()
 	m := &Message{
 		From: d.self, Digest: d.digest + d.self.hash(), Members: len(d.members) + 1, Revision: d.opts.Revision(),
+		Evidence: d.opts.Evidence(),
 	}
 	for name, left := range d.news {
 		if len(m.News) == maxNews {
@@ -185,6 +186,7 @@
 	now := d.opts.Clock.Now()
 	d.merge(now, append(m.News, m.From), true)
 	d.opts.OnRevision(m.From.Target(), m.Revision)
+	d.opts.OnEvidence(m.From.Target(), m.Evidence)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if sender, ok := d.members[m.From.Name]; ok {
--- /dev/null
+++ b/internal/place/figquarantine/table_test.go
@@ -0,0 +1,238 @@
+package figquarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const (
+	common   = "common"
+	document = "document"
+	harmful  = "harmful"
+)
+
+// step is something that an instance sees: after a pause, the end of a server or, without one, an answer.
+type step struct {
+	pause  time.Duration
+	server string
+	parts  []string
+}
+
+func TestQuarantinedParts(t *testing.T) {
+	prompt := []string{common, document, harmful}
+	crashes := func(parts ...string) []step {
+		return []step{{0, "s1", parts}, {0, "s2", parts}, {0, "s3", parts}}
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+		want  []string
+	}{
+		{"no evidence", nil, []string{}},
+		{"too few crashes", []step{{0, "s1", prompt}, {0, "s2", prompt}}, []string{}},
+		{"one server", []step{{0, "s1", prompt}, {0, "s1", prompt}, {0, "s1", prompt}}, []string{}},
+		{"the last of the parts in common", crashes(prompt...), []string{harmful}},
+		{"the only part in common", []step{
+			{0, "s1", []string{common, harmful}},
+			{0, "s2", []string{common, document, harmful}},
+			{0, "s3", []string{common, harmful, document}},
+		}, []string{harmful}},
+		{"a harmful first part", []step{
+			{0, "s1", []string{harmful, document}},
+			{0, "s2", []string{harmful, common}},
+			{0, "s3", []string{harmful}},
+		}, []string{harmful}},
+		{"harmless prompts beside harmful ones", []step{
+			{0, "s1", []string{common, harmful}},
+			{0, "s1", []string{common, document}},
+			{0, "s2", []string{common, harmful}},
+			{0, "s2", []string{common, document}},
+			{0, "s3", []string{common, document}},
+			{0, "s3", []string{common, harmful}},
+			{0, "s4", []string{common, harmful}},
+		}, []string{harmful}},
+		{"two harmful parts", append(crashes(common, harmful),
+			step{0, "s4", []string{common, document}},
+			step{0, "s5", []string{common, document}},
+			step{0, "s6", []string{common, document}}), []string{document, harmful}},
+		{"a crash for another reason", append(crashes(common, harmful),
+			step{0, "s4", []string{common, harmful}},
+			step{0, "s5", []string{common, document}}), []string{harmful}},
+		{"an answer afterwards", append(crashes(common), step{0, "", []string{common}}), []string{}},
+		{"answers between crashes", []step{
+			{0, "s1", []string{common}},
+			{0, "s2", []string{common}},
+			{0, "", []string{common}},
+			{3 * time.Second, "s3", []string{common}},
+		}, []string{}},
+		{"an answer shortly before", append([]step{{0, "", []string{common}}}, crashes(common)...), []string{}},
+		{"an answer long before", append([]step{{0, "", []string{common}}, {trustTime, "s0", nil}}, crashes(common)...), []string{common}},
+		{"an answer on another prompt", append(crashes(common, harmful), step{0, "", []string{common}}), []string{harmful}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table, now := NewTable(), time.Now()
+			for _, s := range c.steps {
+				now = now.Add(s.pause)
+				if s.server == "" {
+					table.RecordAnswer(now, s.parts)
+				} else {
+					table.RecordCrash(now, s.server, s.parts)
+				}
+			}
+			require.Equal(t, c.want, table.Quarantined(now.Add(settleTime)))
+		})
+	}
+}
+
+// Other instances may have seen answers on a part, and need some time to tell.
+func TestQuarantineBeginsLater(t *testing.T) {
+	table, now := NewTable(), time.Now()
+	for i := range crashThreshold {
+		table.RecordCrash(now, fmt.Sprint(i), []string{harmful})
+	}
+	require.Nil(t, table.Find(now.Add(settleTime-time.Millisecond), []string{harmful}))
+	finding := table.Find(now.Add(settleTime), []string{common, harmful})
+	require.NotNil(t, finding)
+	require.Equal(t, harmful, finding.Part)
+	require.Equal(t, quarantineTime-settleTime, finding.Wait)
+}
+
+// If other prompts that share a part with the harmful ones are answered, nothing is waited for.
+func TestConfirmedQuarantineBeginsAtOnce(t *testing.T) {
+	table, now := NewTable(), time.Now()
+	table.RecordAnswer(now, []string{common})
+	for i := range crashThreshold {
+		table.RecordCrash(now, fmt.Sprint(i), []string{common, harmful})
+	}
+	require.Equal(t, []string{harmful}, table.Quarantined(now))
+}
+
+// A part that all prompts share may be blamed where no prompt was answered. Its quarantine must end when
+// a trial is answered, while a part without which prompts are answered must not be tried.
+func TestTrials(t *testing.T) {
+	table, now := NewTable(), time.Now()
+	for i := range crashThreshold {
+		table.RecordCrash(now, fmt.Sprint(i), []string{common})
+		table.RecordCrash(now, fmt.Sprint("h", i), []string{document, harmful})
+	}
+	now = now.Add(settleTime)
+	require.Equal(t, []string{common, harmful}, table.Quarantined(now))
+	table.RecordAnswer(now, []string{document})
+	blamed, guilty := table.records[hashOf(common)], table.records[hashOf(harmful)]
+	require.False(t, blamed.trialDue(now))
+	now = now.Add(trialDelay)
+	require.True(t, blamed.trialDue(now))
+	blamed.takeTrial(now)
+	require.False(t, blamed.trialDue(now.Add(trialDelay)))
+	require.True(t, blamed.trialDue(now.Add(trialFactor*trialDelay)))
+	require.False(t, guilty.trialDue(now.Add(trialFactor*trialDelay)))
+	require.True(t, guilty.trialDue(now.Add(confirmedTrialDelay)))
+	table.RecordAnswer(now, []string{common})
+	require.Equal(t, []string{harmful}, table.Quarantined(now))
+}
+
+// A quarantine ends after quarantineTime. From then on a single crash is enough.
+func TestQuarantineEnds(t *testing.T) {
+	table, now := NewTable(), time.Now()
+	for i := range crashThreshold {
+		table.RecordCrash(now, fmt.Sprint(i), []string{harmful})
+	}
+	now = now.Add(quarantineTime)
+	table.RemoveExpired(now)
+	require.Empty(t, table.Quarantined(now))
+	table.RecordCrash(now, "again", []string{harmful})
+	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(settleTime)))
+	now = now.Add(memoryTime)
+	table.RemoveExpired(now)
+	require.Zero(t, table.Len())
+}
+
+// Single crashes over a long time must not add up.
+func TestOldCrashesAreForgotten(t *testing.T) {
+	table, now := NewTable(), time.Now()
+	for i := range 10 * crashThreshold {
+		table.RecordCrash(now, fmt.Sprint(i), []string{document})
+		now = now.Add(evidenceTime)
+		table.RemoveExpired(now)
+		require.Zero(t, table.Len())
+	}
+}
+
+// An instance that still holds evidence must not bring it back where it has expired.
+func TestExpiredEvidenceIsNotMerged(t *testing.T) {
+	now := time.Now()
+	source := NewTable()
+	for i := range crashThreshold {
+		source.RecordCrash(now, fmt.Sprint(i), []string{document})
+	}
+	source.RecordAnswer(now, []string{document})
+	now = now.Add(evidenceTime)
+	table := NewTable()
+	table.Merge(now, source.Records(now))
+	require.Zero(t, table.Len())
+}
+
+// However many parts are suspected, memory must stay bounded and quarantined parts must be kept.
+func TestEvidenceIsBounded(t *testing.T) {
+	table, now := NewTable(), time.Now()
+	for i := range crashThreshold {
+		table.RecordCrash(now, fmt.Sprint(i), []string{harmful})
+	}
+	for i := range 10_000 {
+		now = now.Add(time.Millisecond)
+		parts := []string{fmt.Sprint("part", i), fmt.Sprint("part", i/2)}
+		table.RecordCrash(now, fmt.Sprint("server", i), parts)
+		table.RecordCrash(now, fmt.Sprint("server", i), []string{harmful})
+		table.RecordAnswer(now, []string{fmt.Sprint("answered", i)})
+		table.Merge(now, []Record{{Part: uint64(i), Name: "other", Crashes: []uint64{uint64(i)}}})
+	}
+	require.LessOrEqual(t, table.Len(), maxRecords)
+	require.LessOrEqual(t, len(table.answered), maxAnswered)
+	require.LessOrEqual(t, len(table.changed), maxRecords)
+	for _, r := range table.Records(now) {
+		require.LessOrEqual(t, len(r.Crashes), maxCrashes)
+	}
+	require.Contains(t, table.Quarantined(now.Add(settleTime)), harmful)
+}
+
+// Instances that have got the same evidence, in whatever order, must quarantine the same parts.
+func TestOrderOfEvidenceDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		sources := make([]*Table, 3)
+		for i := range sources {
+			sources[i] = NewTable()
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			table := sources[rapid.IntRange(0, 2).Draw(t, "instance")]
+			parts := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), 1, 4, rapid.ID[string]).Draw(t, "parts")
+			if rapid.IntRange(0, 4).Draw(t, "kind") == 0 {
+				table.RecordAnswer(now, parts)
+			} else {
+				table.RecordCrash(now, fmt.Sprint(rapid.IntRange(0, 8).Draw(t, "server")), parts)
+			}
+			now = now.Add(trustTime)
+		}
+		merged := make([]*Table, 2)
+		for i := range merged {
+			merged[i] = NewTable()
+			for _, s := range rapid.Permutation([]int{0, 1, 2}).Draw(t, "order") {
+				records := sources[s].Records(now)
+				rand.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+				merged[i].Merge(now, records)
+			}
+		}
+		for part, r := range merged[0].records {
+			// Depth is that of the first record, which differs only if a part stands at several depths.
+			merged[1].records[part].Depth = r.Depth
+		}
+		merged[1].derive(now)
+		require.Equal(t, merged[0].Digest(), merged[1].Digest())
+		require.Equal(t, merged[0].Quarantined(now.Add(settleTime)), merged[1].Quarantined(now.Add(settleTime)))
+	})
+}
--- a/internal/request/figlifecycle/reason.go
+++ b/internal/request/figlifecycle/reason.go
@@ -46,6 +46,8 @@
 	StreamCut
 	// KeyWithdrawn means that the key was revoked while the request was being served.
 	KeyWithdrawn
+	// Quarantined means that the prompt contains a part on which backend servers crash.
+	Quarantined
 	// SlowCaller means that the caller read the answer too slowly.
 	SlowCaller
 	// CallerGone means that the caller closed the connection.
@@ -87,6 +89,7 @@
 	ServerFailed:      {"serverFailed", http.StatusBadGateway, classServer, "The backend server failed."},
 	StreamCut:         {"streamCut", http.StatusBadGateway, classServer, "The backend server's answer was cut."},
 	KeyWithdrawn:      {"keyWithdrawn", http.StatusUnauthorized, classAuth, "The key was withdrawn."},
+	Quarantined:       {"quarantined", http.StatusServiceUnavailable, classServer, "Backend servers crash on a part of this prompt."},
 	SlowCaller:        {"slowCaller", http.StatusRequestTimeout, classRequest, "The caller read the answer too slowly."},
 	CallerGone:        {"callerGone", statusCallerGone, classRequest, "The caller closed the connection."},
 }
--- a/internal/request/figproxy/proxy.go
+++ b/internal/request/figproxy/proxy.go
@@ -17,6 +17,7 @@
 	"figtrail.dev/figtrail/internal/limit/figquota"
 	"figtrail.dev/figtrail/internal/place/figbalancer"
 	"figtrail.dev/figtrail/internal/place/figcoordinator"
+	"figtrail.dev/figtrail/internal/place/figquarantine"
 	"figtrail.dev/figtrail/internal/request/figlifecycle"
 	"figtrail.dev/figtrail/internal/request/figsend"
 )
@@ -105,13 +106,15 @@
 	SourceOutage func(now time.Time) time.Duration
 	// Placer places requests. Picker records this instance's own sends, and picks servers while no
 	// coordinator answers.
-	Picker    *figbalancer.Picker
-	Placer    *figcoordinator.Placer
-	Quota     *figquota.Quota
-	Retries   *RetryBudgets
-	Tolerance Tolerance
-	Sender    *figsend.Sender
-	Dialect   *Dialect
+	Picker *figbalancer.Picker
+	Placer *figcoordinator.Placer
+	Quota  *figquota.Quota
+	// Quarantine knows the prompt parts on which servers crash.
+	Quarantine *figquarantine.Quarantine
+	Retries    *RetryBudgets
+	Tolerance  Tolerance
+	Sender     *figsend.Sender
+	Dialect    *Dialect
 	// Count increments the counter called name for one label and its value.
 	Count func(name, label, value string)
 	// OnRequestEnd is called once for each request after it has ended.
@@ -132,6 +135,8 @@
 	// overRate says that the request exceeds its account's rate and was admitted within the
 	// tolerance. It is served only while there is room.
 	overRate bool
+	// trial says that the request is to try a prompt with a quarantined part.
+	trial bool
 	// answerDeadline is when the final answer is due. callerDeadline is when the caller
 	// stops waiting; servers are sent the time left until then.
 	answerDeadline, callerDeadline time.Time
@@ -206,6 +211,9 @@
 		}
 	}
 	x.pool = x.route.ChoosePool(x.Random())
+	if err := x.checkQuarantine(); err != nil {
+		return x.reject(quarantineCause(err))
+	}
 	x.answerDeadline, x.callerDeadline = x.deadlines()
 	if !x.answerDeadline.After(x.Clock.Now()) {
 		return x.reject(figlifecycle.CauseOf(figlifecycle.Deadline, nil))
--- /dev/null
+++ b/internal/request/figproxy/quarantine.go
@@ -0,0 +1,99 @@
+package figproxy
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"figtrail.dev/figtrail/internal/core/figerror"
+	"figtrail.dev/figtrail/internal/place/figquarantine"
+	"figtrail.dev/figtrail/internal/request/figlifecycle"
+	"figtrail.dev/figtrail/internal/request/figsend"
+)
+
+// provenTime is how long after its first event a stream proves that the server survives the prompt.
+const provenTime = 500 * time.Millisecond
+
+// quarantineError is the error of a request whose prompt contains a quarantined part.
+type quarantineError struct {
+	// wait is the time until the quarantine of the part ends.
+	wait time.Duration
+	err  error
+}
+
+// Error returns the text of the error, which names the part.
+func (e *quarantineError) Error() string { return e.err.Error() }
+
+// Unwrap returns the error with the step and the part.
+func (e *quarantineError) Unwrap() error { return e.err }
+
+// checkQuarantine returns a quarantineError if the prompt contains a quarantined part, unless the request is
+// to try whether servers survive it.
+func (x *exchange) checkQuarantine() error {
+	finding, trial := x.Quarantine.Find(x.SharedParts)
+	x.trial = trial
+	if finding == nil || trial {
+		return nil
+	}
+	return x.quarantined(finding)
+}
+
+// checkQuarantineAtSend is like checkQuarantine for a request that is about to be sent. Only one
+// request gets each trial.
+func (x *exchange) checkQuarantineAtSend() error {
+	finding, trial := x.Quarantine.TakeTrial(x.SharedParts)
+	if finding == nil {
+		return nil
+	}
+	if trial {
+		klog.InfoS("trying a prompt with a quarantined part", "requestId", x.ID, "part", finding.Part)
+		return nil
+	}
+	return x.quarantined(finding)
+}
+
+// quarantined counts a refusal and returns its error.
+func (x *exchange) quarantined(f *figquarantine.Finding) error {
+	x.Count("quarantine_refusals", "kind", x.route.Kind.String())
+	return &quarantineError{f.Wait, figerror.New("quarantine", f.Part, "servers crash on this part of the prompt")}
+}
+
+// quarantineCause returns the cause for ending a request that checkQuarantine returned err for.
+func quarantineCause(err error) figlifecycle.Cause {
+	cause := figlifecycle.CauseOf(figlifecycle.Quarantined, err)
+	var e *quarantineError
+	if errors.As(err, &e) {
+		cause.RetryAfter = e.wait
+	}
+	return cause
+}
+
+// isQuarantined reports whether checkQuarantine returned err.
+func isQuarantined(err error) bool {
+	var e *quarantineError
+	return errors.As(err, &e)
+}
+
+// recordEvidence notes what a send that ended with err tells about the prompt: that the server survives it,
+// or that its connection broke before that was known. requestEnded says that the router broke off the send.
+func (x *exchange) recordEvidence(a *attempt, metadata AnswerMetadata, requestEnded bool, err error) {
+	switch {
+	case a.proven:
+	case err == nil && a.send != nil && !metadata.ApplicationError:
+		x.Quarantine.RecordAnswer(x.SharedParts)
+	case figsend.KindOf(err) == figsend.KindIncomplete && !requestEnded && !x.staleConnection(err):
+		x.Quarantine.Suspect(a.server, x.SharedParts)
+	}
+}
+
+// recordProgress notes an event of a stream that proves that the server survives the prompt.
+func (x *exchange) recordProgress(a *attempt, now time.Time) {
+	switch {
+	case a.firstEventAt.IsZero():
+		a.firstEventAt = now
+	case !a.proven && now.Sub(a.firstEventAt) >= provenTime:
+		a.proven = true
+		x.Quarantine.RecordAnswer(x.SharedParts)
+	}
+}
--- a/internal/request/figproxy/reserve.go
+++ b/internal/request/figproxy/reserve.go
@@ -74,7 +74,7 @@
 	request := &figcoordinator.Request{
 		Pool: x.pool, DataCentre: x.DataCentre, PromptTokens: x.PromptTokens, Tokens: x.PromptTokens + x.outputTokens(),
 		Priority: x.queuePriority(retry, timing.targetMissed), Wait: timing.deadline.Sub(now),
-		Lasts: x.callerDeadline.Sub(now) + placementMargin, NoPrefill: resume || x.prefillSends > 0, Excluded: x.avoid,
+		Lasts: x.callerDeadline.Sub(now) + placementMargin, NoPrefill: resume || x.trial || x.prefillSends > 0, Excluded: x.avoid,
 	}
 	if x.account != nil {
 		request.Account = x.account.Name
--- a/internal/request/figproxy/send.go
+++ b/internal/request/figproxy/send.go
@@ -87,6 +87,10 @@
 	// its prefill part does.
 	placement *figcoordinator.Placement
 	isPrefill bool
+	// firstEventAt is when the first event arrived; zero before that. proven says that the answer has
+	// proved that the server survives the prompt.
+	firstEventAt time.Time
+	proven       bool
 }
 
 // takePlacement makes the placement of the request end with the send, unless that failed.
@@ -111,8 +115,12 @@
 
 // beginSend records and logs the start of a send to s that needs tokens of memory.
 // runsRequest is false for a prefill: it computes only the prompt, so that it doesn't count
-// as a run of the request, and the send needs no permission of the lifecycle.
+// as a run of the request, and the send needs no permission of the lifecycle. It fails if a part of the
+// prompt has been quarantined since the request was accepted.
 func (x *exchange) beginSend(s *figcatalogue.Server, tokens int64, runsRequest, resume bool) (*attempt, error) {
+	if err := x.checkQuarantineAtSend(); err != nil {
+		return nil, &figsend.Failure{Outcome: figsend.NotRun, Kind: figsend.KindInvalid, Err: err}
+	}
 	a := &attempt{server: s, startedAt: x.Clock.Now()}
 	if runsRequest {
 		newSend := x.lifecycle.Send
@@ -145,6 +153,8 @@
 		ApplicationError: metadata.ApplicationError,
 	}
 	x.Count("sends", "result", sendResultLabel(err))
+	requestEnded := x.ctx.Err() != nil && !errors.Is(err, errTryTimeout)
+	x.recordEvidence(a, metadata, requestEnded, err)
 	if err == nil {
 		// The load of a decode server is recorded when its stream begins; see startStream.
 		result.HasLoad = result.HasLoad && a.server.Role != figview.Decode
@@ -155,7 +165,6 @@
 		return
 	}
 	kind := figsend.KindOf(err)
-	requestEnded := x.ctx.Err() != nil && !errors.Is(err, errTryTimeout)
 	result.Unreachable = (kind == figsend.KindConnect || metadata.WrongServer) && !requestEnded
 	result.WrongServer = metadata.WrongServer
 	result.NoCapacity = kind == figsend.KindRefused && !metadata.WrongServer
@@ -207,7 +216,7 @@
 // comes from a stale connection. A retry takes nothing from the budget if no server received
 // the request.
 func (x *exchange) takeRetry(s *figcatalogue.Server, err error) bool {
-	if x.ctx.Err() != nil || x.sends >= maxSends {
+	if x.ctx.Err() != nil || x.sends >= maxSends || isQuarantined(err) {
 		return false
 	}
 	notRun := figsend.OutcomeOf(err) == figsend.NotRun
@@ -225,6 +234,9 @@
 
 // failedSendCause returns the cause for ending a request whose last send failed with err.
 func (x *exchange) failedSendCause(err error) figlifecycle.Cause {
+	if isQuarantined(err) {
+		return quarantineCause(err)
+	}
 	cause := figlifecycle.CauseOf(figlifecycle.ServerFailed, err)
 	if figsend.KindOf(err) == figsend.KindDeadline {
 		cause.Reason = figlifecycle.Deadline // the send can hit the deadline before x.ctx ends
--- a/internal/request/figproxy/stream.go
+++ b/internal/request/figproxy/stream.go
@@ -316,6 +316,7 @@
 		x.firstEventAt = x.lastEventAt
 	}
 	x.events++
+	x.recordProgress(opened.attempt, x.lastEventAt)
 	opened.reservation.AddTokens(x.eventTokens())
 }
 
