--- a/internal/request/figproxy/dialect.go
+++ b/internal/request/figproxy/dialect.go
@@ -80,6 +80,10 @@
 	// waiting, and the requests that it can run at once. They are valid if HasLoad is set.
 	Running, Waiting, Slots int
 	HasLoad                 bool
+	// RateLimit is the number of requests a second that the server takes from all instances together.
+	// It is valid if Limited is set.
+	RateLimit float64
+	Limited   bool
 }
 
 // Dialect translates between the router and the callers and servers of a platform.
--- a/internal/request/figproxy/proxy.go
+++ b/internal/request/figproxy/proxy.go
@@ -152,8 +152,10 @@
 	lastResult figbalancer.Result
 	// lastSendDuration is how long the last send took.
 	lastSendDuration time.Duration
-	prefillSends     int
-	prefilledTokens  int64
+	// namedLimit is the rate limit that the last answering server named; empty if it named none.
+	namedLimit      string
+	prefillSends    int
+	prefilledTokens int64
 	// placement is the placement of a model request that no send has taken over yet; nil if
 	// there is none.
 	placement    *figcoordinator.Placement
--- a/internal/request/figproxy/reply.go
+++ b/internal/request/figproxy/reply.go
@@ -167,5 +167,5 @@
 		"ran", len(x.ranOn), "took", metrics.Duration, "firstEvent", metrics.FirstToken, "events", x.events,
 		"patience", x.CallerTimeout, "promptTokens", x.PromptTokens, "outputTokens", x.OutputTokens,
 		"sharedParts", x.loggedParts(),
-		"retryAfter", result.RetryAfter, "version", version, "viewAge", age, "err", result.Err)
+		"namedLimit", x.namedLimit, "retryAfter", result.RetryAfter, "version", version, "viewAge", age, "err", result.Err)
 }
--- a/internal/request/figproxy/send.go
+++ b/internal/request/figproxy/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -153,6 +154,10 @@
 		ApplicationError: metadata.ApplicationError,
 	}
 	x.Count("sends", "result", sendResultLabel(err))
+	x.namedLimit = ""
+	if metadata.Limited {
+		x.namedLimit = strconv.FormatFloat(metadata.RateLimit, 'f', -1, 64)
+	}
 	requestEnded := x.ctx.Err() != nil && !errors.Is(err, errTryTimeout)
 	x.recordEvidence(a, metadata, requestEnded, err)
 	if err == nil {
