Keep the rate limit that a server names, over all instances

Cause: nothing read the limit; servers were picked by slots and recorded load alone. Class: back pressure of a server that no one who sends to it obeys. Ruled out: each instance keeping the limit for itself, repeats, and a change of the coordinator (the first breach came before any). Change: a token bucket for each limited server in figbalancer. The server's coordinator, which places the requests of all instances, keeps it; servers without a limit take the rest, and a request that none can take within its wait is refused at once with the time until one may be sent. Answers report the limit at their end, streams when they begin. A new coordinator gets the limits that instances know; the answers of coordinators tell the instances, which share a limit while no coordinator answers. A limit ends with an answer that names none.

--- a/internal/place/figbalancer/pick.go
+++ b/internal/place/figbalancer/pick.go
@@ -70,6 +70,8 @@
 	refusedUntil time.Time
 	// consecutiveRefusals counts refusals since the last send without a failure.
 	consecutiveRefusals int
+	// limit is the rate limit that the server names.
+	limit rateLimit
 	// usedAt is when the last send or reservation began.
 	usedAt time.Time
 }
@@ -127,6 +129,13 @@
 			}
 			continue
 		}
+		if wait := e.limit.wait(now, p.opts.Members(now)); wait > 0 {
+			failure.Reason = "servers of pool " + pool.Name + " have got as many requests as they take"
+			if failure.RetryAfter == 0 || wait < failure.RetryAfter {
+				failure.RetryAfter = wait
+			}
+			continue
+		}
 		if s.Role != figview.Plain && now.Before(e.refusedUntil) || q.LimitPlain && e.plainFull(s) ||
 			lacksCapacity(pool, s, q.Tokens, p.totalLoadLocked(e, now).Tokens) {
 			failure.Reason = "servers of pool " + pool.Name + " have no capacity for the request"
@@ -308,7 +317,8 @@
 // removeExpired deletes the state of servers that were unused for idleStateTTL. p.mu must be held.
 func (p *Picker) removeExpired(now time.Time) {
 	for name, e := range p.states {
-		if e.Requests == 0 && now.Sub(e.usedAt) > idleStateTTL {
+		limited := e.limit.perSecond > 0 && now.Sub(e.limit.namedAt) < limitTTL
+		if e.Requests == 0 && !limited && now.Sub(e.usedAt) > idleStateTTL {
 			delete(p.states, name)
 		}
 	}
--- a/internal/place/figbalancer/reservation.go
+++ b/internal/place/figbalancer/reservation.go
@@ -17,12 +17,13 @@
 	released bool
 }
 
-// Begin adds a send that needs tokens of engine memory to the load of s, and starts the next
-// send interval if s is in a cold start. The caller must call End.
+// Begin adds a send that needs tokens of engine memory to the load of s, and counts it against its rate limit and
+// the next send interval if s is in a cold start. The caller must call End.
 func (p *Picker) Begin(now time.Time, v *figcatalogue.View, s *figcatalogue.Server, tokens int64) *Reservation {
 	p.mu.Lock()
 	p.removeExpired(now)
 	rv := p.reserveLocked(now, s, tokens)
+	rv.state.limit.take(now, p.opts.Members(now))
 	if v.Table != nil {
 		if rate := v.Table.Pool(s.Pool).ColdStartRate; rate > 0 && s.InColdStart(now) {
 			rv.state.nextColdSend = now.Add(coldSendInterval(p.opts.Members(now), rate))
@@ -68,6 +69,7 @@
 func (rv *Reservation) End(now time.Time, r Result) {
 	rv.release(func(e *serverState) {
 		e.recordResult(now, r)
+		rv.picker.recordLimit(now, rv.server, e, r)
 		if r.HasLoad && rv.server.Role == figview.Decode {
 			e.recordUnattributed(now, r.Running+r.Waiting)
 		}
--- a/internal/place/figbalancer/types.go
+++ b/internal/place/figbalancer/types.go
@@ -113,12 +113,16 @@
 	// are set only if HasLoad is true.
 	Running, Waiting, Slots int
 	HasLoad                 bool
+	// Answered reports that the server answered, so that it has no rate limit unless Limited is true.
+	// RateLimit is the limit that it named, in requests a second of all instances.
+	Answered, Limited bool
+	RateLimit         float64
 }
 
 // NoServerError is returned by Pick if no server can take the request now.
 type NoServerError struct {
-	// RetryAfter is the shortest time until a server skipped for its cold start may be sent a
-	// request; 0 if none was skipped for that.
+	// RetryAfter is the shortest time until a server skipped for its cold start or its rate limit may be
+	// sent a request; 0 if none was skipped for that.
 	RetryAfter time.Duration
 	// NoCapacity reports that at least one server was skipped because it has no capacity for
 	// the request.
--- a/internal/place/figcoordinator/coordinator.go
+++ b/internal/place/figcoordinator/coordinator.go
@@ -29,6 +29,8 @@
 	// coldRecheck is the longest pause before a queue is checked again while a server in a cold start
 	// limits the rate of its sends.
 	coldRecheck = 40 * time.Millisecond
+	// maxLimits bounds the rate limits in an answer.
+	maxLimits = 8
 	// queuedBytes is the memory that a waiting request counts as, with its goroutine.
 	queuedBytes = 8 << 10
 )
@@ -165,7 +167,7 @@
 		Account: q.Account, Priority: q.Priority, Tokens: q.Tokens, Bytes: queuedBytes, Deadline: deadline,
 		Place: func(context.Context) figqueue.PlaceResult {
 			var result figqueue.PlaceResult
-			p, result = c.tryPlace(q, answer)
+			p, result = c.tryPlace(q, answer, deadline)
 			return result
 		},
 	})
@@ -180,6 +182,7 @@
 			answer.Reason = err.Error()
 		}
 	}
+	answer.Limits = c.limits(q.Pool)
 	c.mu.Lock()
 	r.answer = answer
 	ended := r.ended
@@ -194,8 +197,8 @@
 	}
 }
 
-// tryPlace picks and reserves the servers for a request. It fills in the answer.
-func (c *Coordinator) tryPlace(q *Request, answer *Answer) (*placed, figqueue.PlaceResult) {
+// tryPlace picks and reserves the servers for a request, which waits until deadline. It fills in the answer.
+func (c *Coordinator) tryPlace(q *Request, answer *Answer, deadline time.Time) (*placed, figqueue.PlaceResult) {
 	now := c.Clock.Now()
 	v := c.View()
 	if v.Table == nil {
@@ -207,7 +210,7 @@
 	defer c.placing.Unlock()
 	s, err := c.picker.Pick(now, c.query(v, q, q.DataCentre, tokens, figview.Decode, figview.Plain))
 	if err != nil {
-		return nil, c.noServer(q, answer, err)
+		return nil, c.noServer(q, answer, err, deadline.Sub(now))
 	}
 	p := &placed{pool: q.Pool, until: now.Add(q.Lasts), decode: c.picker.Begin(now, v, s, tokens)}
 	answer.Status, answer.Decode, answer.Prefill = Placed, s.Lifetime(), ""
@@ -226,6 +229,23 @@
 	return p, figqueue.Placed
 }
 
+// limits returns rate limits of servers of a pool, at most maxLimits.
+func (c *Coordinator) limits(pool string) []Limit {
+	known := c.picker.Limits(c.Clock.Now())
+	if len(known) == 0 {
+		return nil
+	}
+	var all []Limit
+	servers := c.View().Servers[pool]
+	for i := range servers {
+		lifetime := servers[i].Lifetime()
+		if perSecond, ok := known[lifetime]; ok && len(all) < maxLimits {
+			all = append(all, Limit{Pool: pool, Lifetime: lifetime, PerSecond: perSecond})
+		}
+	}
+	return all
+}
+
 // query returns the query for a server of one of the roles among those that this instance coordinates.
 func (c *Coordinator) query(v *figcatalogue.View, q *Request, dataCentre string, tokens int64, roles ...figview.Role) *figbalancer.Query {
 	return &figbalancer.Query{
@@ -235,14 +255,18 @@
 	}
 }
 
-// noServer records in the answer why no server was picked, and returns whether the request waits.
-func (c *Coordinator) noServer(q *Request, answer *Answer, err error) figqueue.PlaceResult {
+// noServer records in the answer why no server was picked, and returns whether the request waits, which it
+// may for the time left.
+func (c *Coordinator) noServer(q *Request, answer *Answer, err error, left time.Duration) figqueue.PlaceResult {
 	answer.Reason = err.Error()
 	var none *figbalancer.NoServerError
 	if !errors.As(err, &none) || !none.NoCapacity && none.RetryAfter == 0 && !c.adopting(q.Pool) {
 		return figqueue.Rejected
 	}
 	answer.RetryAfter = none.RetryAfter
+	if !none.NoCapacity && none.RetryAfter > left {
+		return figqueue.Rejected
+	}
 	if none.RetryAfter > 0 {
 		c.Timer.After(min(none.RetryAfter, coldRecheck), c.queues.ForPool(q.Pool).Wake)
 	}
--- a/internal/place/figcoordinator/end.go
+++ b/internal/place/figcoordinator/end.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"figtrail.dev/figtrail/internal/config/figcatalogue"
 	"figtrail.dev/figtrail/internal/place/figbalancer"
 )
 
@@ -32,6 +33,8 @@
 	c.mu.Unlock()
 	switch {
 	case p == nil:
+	case e.Part == AnswerReport:
+		p.decode.RecordLimit(now, e.Result)
 	case e.Part != Whole && p.prefill == nil:
 	case e.Part == PrefillPart:
 		end(p.prefill, now, e)
@@ -69,9 +72,22 @@
 	for i := range q.All {
 		c.Adopt(Key{q.Instance, q.Incarnation, q.All[i].Number}, &q.All[i])
 	}
+	c.LearnLimits(q.Limits)
 	return &Ack{}, nil
 }
 
+// LearnLimits records rate limits that another instance knows.
+func (c *Coordinator) LearnLimits(all []Limit) { learnLimits(c.Clock.Now(), c.View(), c.picker, all) }
+
+// learnLimits makes a picker keep rate limits that another instance knows.
+func learnLimits(now time.Time, v *figcatalogue.View, p *figbalancer.Picker, all []Limit) {
+	for _, l := range all {
+		if s, ok := v.Find(l.Pool, l.Lifetime); ok && l.PerSecond >= 0 {
+			p.LearnLimit(now, s, l.PerSecond)
+		}
+	}
+}
+
 // Adopt records a request in progress, unless it is known already.
 func (c *Coordinator) Adopt(key Key, h *Held) {
 	v := c.View()
--- a/internal/place/figcoordinator/message.go
+++ b/internal/place/figcoordinator/message.go
@@ -60,6 +60,8 @@
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 	Full       bool          `cbor:"5,keyasint,omitempty"`
 	Reason     string        `cbor:"6,keyasint,omitempty"`
+	// Limits holds rate limits of the pool's servers that the coordinator knows.
+	Limits []Limit `cbor:"7,keyasint,omitempty"`
 }
 
 // Await asks for the answer to a waiting request.
@@ -88,6 +90,8 @@
 	PrefillPart
 	// PrefillReport is a result of the prefill server that was noticed after the end of its work.
 	PrefillReport
+	// AnswerReport is what the beginning of an answer says of the decode server; the answer goes on.
+	AnswerReport
 )
 
 // End ends a placement or a part of it.
@@ -117,11 +121,21 @@
 	Lasts  time.Duration `cbor:"5,keyasint"`
 }
 
-// Adopt reports the requests in progress of one instance to a new coordinator of their engines.
+// Adopt reports the requests in progress of one instance to a new coordinator of their engines, and the
+// rate limits of these.
 type Adopt struct {
 	Instance    string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
 	All         []Held `cbor:"3,keyasint"`
+	// Limits holds the rate limits that the instance knows of servers of the new coordinator.
+	Limits []Limit `cbor:"4,keyasint,omitempty"`
+}
+
+// Limit is a rate limit that a server named, in requests a second of all instances.
+type Limit struct {
+	Pool      string  `cbor:"1,keyasint"`
+	Lifetime  string  `cbor:"2,keyasint"`
+	PerSecond float64 `cbor:"3,keyasint"`
 }
 
 // Ack is the empty answer to Ends and Adopt.
--- a/internal/place/figcoordinator/outbox.go
+++ b/internal/place/figcoordinator/outbox.go
@@ -126,7 +126,8 @@
 	return nil
 }
 
-// reassign reports the placements in progress whose engine has got another coordinator.
+// reassign reports the placements in progress whose engine has got another coordinator, and the rate
+// limits of such engines.
 func (p *Placer) reassign(ctx context.Context) {
 	now := p.Clock.Now()
 	p.mu.Lock()
@@ -135,25 +136,56 @@
 		active = append(active, t)
 	}
 	p.mu.Unlock()
-	held := map[string]*Adopt{}
+	reports := map[string]*Adopt{}
 	members := map[string]figdiscovery.Member{}
+	report := func(m figdiscovery.Member) *Adopt {
+		if reports[m.Name] == nil {
+			reports[m.Name], members[m.Name] = &Adopt{Instance: p.Instance, Incarnation: p.Incarnation}, m
+		}
+		return reports[m.Name]
+	}
 	for _, t := range active {
 		m, ok := p.Shares.Coordinator(p.View(), t.request.Pool, t.Decode.Lifetime())
 		if !ok || !t.moveTo(m) {
 			continue
 		}
-		if held[m.Name] == nil {
-			held[m.Name], members[m.Name] = &Adopt{Instance: p.Instance, Incarnation: p.Incarnation}, m
-		}
-		held[m.Name].All = append(held[m.Name].All, Held{
+		q := report(m)
+		q.All = append(q.All, Held{
 			Number: t.number, Pool: t.request.Pool, Decode: t.Decode.Lifetime(), Tokens: t.request.Tokens, Lasts: t.until.Sub(now),
 		})
 	}
-	for name, q := range held {
+	p.reassignLimits(now, report)
+	for name, q := range reports {
 		go p.sendAdopt(ctx, members[name], q)
 	}
 }
 
+// reassignLimits adds the rate limits that this instance knows to the reports to new coordinators.
+func (p *Placer) reassignLimits(now time.Time, report func(m figdiscovery.Member) *Adopt) {
+	limits := p.Fallback.Limits(now)
+	known := make(map[string]string, len(limits))
+	v := p.View()
+	for pool, servers := range v.Servers {
+		for i := range servers {
+			lifetime := servers[i].Lifetime()
+			limit, limited := limits[lifetime]
+			if !limited {
+				continue
+			}
+			m, ok := p.Shares.Coordinator(v, pool, lifetime)
+			if !ok {
+				continue
+			}
+			known[lifetime] = m.Name
+			if p.limitsAt[lifetime] != m.Name {
+				q := report(m)
+				q.Limits = append(q.Limits, Limit{Pool: pool, Lifetime: lifetime, PerSecond: limit})
+			}
+		}
+	}
+	p.limitsAt = known
+}
+
 // moveTo notes the current coordinator of the placement's engine. It returns false if that is unchanged.
 func (t *Placement) moveTo(m figdiscovery.Member) bool {
 	t.mu.Lock()
@@ -170,12 +202,13 @@
 		for i := range q.All {
 			p.Own.Adopt(Key{q.Instance, q.Incarnation, q.All[i].Number}, &q.All[i])
 		}
+		p.Own.LearnLimits(q.Limits)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	if _, err := p.SendAdopt(ctx, to, q); err != nil {
 		klog.InfoS("failed to report requests in progress to a new coordinator", "coordinator", to.Name,
-			"count", len(q.All), "err", err)
+			"count", len(q.All), "limits", len(q.Limits), "err", err)
 	}
 }
--- a/internal/place/figcoordinator/placer.go
+++ b/internal/place/figcoordinator/placer.go
@@ -67,6 +67,9 @@
 
 	mu     sync.Mutex
 	active map[uint64]*Placement
+
+	// limitsAt names the coordinator that knows the rate limit of a server, by lifetime. Only Run uses it.
+	limitsAt map[string]string
 }
 
 // Placement is a granted placement. Its ends must be reported.
@@ -74,6 +77,8 @@
 	// Decode is the server to send the request to. Prefill is the server that computes the prompt first;
 	// nil if Decode does.
 	Decode, Prefill *figcatalogue.Server
+	// Limited says that the coordinator knows a rate limit of Decode.
+	Limited bool
 
 	placer  *Placer
 	request *Request
@@ -258,14 +263,16 @@
 	limited, cancel := context.WithTimeout(context.Background(), placeTimeout)
 	answer, err := p.Call(limited, m, q)
 	cancel()
-	if err != nil || answer.Status != Waiting {
-		return answer, err
+	if err == nil && answer.Status == Waiting {
+		limited, cancel = context.WithTimeout(context.Background(), q.Wait+awaitMargin)
+		defer cancel()
+		answer, err = p.Await(limited, m, &Await{Key: q.key()})
+		if err == nil && (answer.Status == Unknown || answer.Status == Waiting) {
+			err = errUnknownRequest
+		}
 	}
-	limited, cancel = context.WithTimeout(context.Background(), q.Wait+awaitMargin)
-	defer cancel()
-	answer, err = p.Await(limited, m, &Await{Key: q.key()})
-	if err == nil && (answer.Status == Unknown || answer.Status == Waiting) {
-		err = errUnknownRequest
+	if err == nil {
+		learnLimits(p.Clock.Now(), p.View(), p.Fallback, answer.Limits)
 	}
 	return answer, err
 }
@@ -284,6 +291,7 @@
 	t := &Placement{
 		Decode: s, placer: p, request: q, number: number, until: now.Add(q.Lasts), coordinators: []figdiscovery.Member{m},
 		prefillEnded: answer.Prefill == "",
+		Limited:      slices.ContainsFunc(answer.Limits, func(l Limit) bool { return l.Lifetime == answer.Decode }),
 	}
 	if f, ok := v.Find(q.Pool, answer.Prefill); ok && v.Usable(f) {
 		t.Prefill = f
@@ -330,6 +338,15 @@
 	t.report(End{Number: t.number, Part: PrefillReport, Result: r})
 }
 
+// ReportAnswer reports what the beginning of the decode server's answer says of its rate limit.
+func (t *Placement) ReportAnswer(r figbalancer.Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.ended {
+		t.report(End{Number: t.number, Part: AnswerReport, Result: r})
+	}
+}
+
 // End ends the placement. noResult says that nothing was sent to the decode server. outputTokens is the
 // length of a complete answer, or 0.
 func (t *Placement) End(r figbalancer.Result, noResult bool, outputTokens int64) {
--- a/internal/request/figproxy/send.go
+++ b/internal/request/figproxy/send.go
@@ -153,6 +153,9 @@
 		Running: metadata.Running, Waiting: metadata.Waiting, Slots: metadata.Slots, HasLoad: metadata.HasLoad,
 		ApplicationError: metadata.ApplicationError,
 	}
+	if a.firstEventAt.IsZero() { // a stream has reported the limit when it began
+		result.Answered, result.Limited, result.RateLimit = metadata != AnswerMetadata{}, metadata.Limited, metadata.RateLimit
+	}
 	x.Count("sends", "result", sendResultLabel(err))
 	x.namedLimit = ""
 	if metadata.Limited {
--- a/internal/request/figproxy/stream.go
+++ b/internal/request/figproxy/stream.go
@@ -112,7 +112,7 @@
 	}
 	opened, err := x.startStream(s, metadata, resume)
 	if metadata.PrefillResult != nil && figsend.KindOf(err) == figsend.KindRefused &&
-		!x.answerMetadata(nil, err).WrongServer && x.ctx.Err() == nil && x.Retries.Take(x.Clock.Now(), x.pool) {
+		!x.answerMetadata(nil, err).WrongServer && !x.answerMetadata(nil, err).Limited && x.ctx.Err() == nil && x.Retries.Take(x.Clock.Now(), x.pool) {
 		opened, err = x.retryWithoutPrefill(s, prefillServer, metadata)
 	}
 	if err != nil && x.placement != nil {
@@ -168,6 +168,7 @@
 	if opened.metadata.HasLoad {
 		a.reservation.RecordLoad(x.Clock.Now(), opened.metadata.Running, opened.metadata.Waiting)
 	}
+	x.reportLimit(opened)
 	if stream.Answer != nil {
 		err = x.checkFromApplication(opened)
 		a.takePlacement(x, err)
@@ -188,6 +189,17 @@
 	return opened, nil
 }
 
+// reportLimit reports the rate limit that the server names at the beginning of its answer, because the end of
+// a stream would be too late.
+func (x *exchange) reportLimit(opened *openedStream) {
+	m := opened.metadata
+	result := figbalancer.Result{Answered: true, Limited: m.Limited, RateLimit: m.RateLimit}
+	opened.reservation.RecordLimit(x.Clock.Now(), result)
+	if x.placement != nil && (m.Limited || x.placement.Limited) {
+		x.placement.ReportAnswer(result)
+	}
+}
+
 // checkFromApplication returns an error if the server's application didn't write the whole answer that
 // came instead of a stream.
 func (x *exchange) checkFromApplication(opened *openedStream) error {
