Confirm a quarantine by any other answer of the pool, and share its trials

A harmful part was then not confirmed and tried after 10 s and 60 s, each trial by an instance that could not know of the others' before it became the one that tries. Now an answer of the same pool on any prompt without the part confirms the evidence, and the number and time of the trials are part of what instances exchange. Retry-After says when the part may be tried again.

--- a/internal/place/figquarantine/investigate.go
+++ b/internal/place/figquarantine/investigate.go
@@ -40,7 +40,7 @@
 	switch {
 	case known && i.ended:
 		q.mu.Unlock()
-		q.update(func(now time.Time) { q.table.RecordCrash(now, lifetime, parts) })
+		q.update(func(now time.Time) { q.table.RecordCrash(now, s.Pool, lifetime, parts) })
 		return
 	case known && len(i.prompts) < maxPrompts:
 		i.prompts = append(i.prompts, parts)
@@ -82,7 +82,7 @@
 	q.mu.Unlock()
 	q.update(func(now time.Time) {
 		for _, parts := range prompts {
-			q.table.RecordCrash(now, s.Lifetime(), parts)
+			q.table.RecordCrash(now, s.Pool, s.Lifetime(), parts)
 		}
 	})
 	klog.InfoS("server ended while it began to answer", "server", s.Name, "prompts", len(prompts),
--- a/internal/place/figquarantine/quarantine.go
+++ b/internal/place/figquarantine/quarantine.go
@@ -73,32 +73,31 @@
 
 // Find returns the first of the parts that is quarantined; nil if none is. trial says that a prompt with
 // the part may be sent all the same to find out whether the part is harmless, if TakeTrial allows it then.
-func (q *Quarantine) Find(parts []string) (f *Finding, trial bool) { return q.find(parts, false) }
-
-// TakeTrial is like Find, and allows a trial to one caller only.
-func (q *Quarantine) TakeTrial(parts []string) (f *Finding, trial bool) { return q.find(parts, true) }
-
-func (q *Quarantine) find(parts []string, take bool) (f *Finding, trial bool) {
+func (q *Quarantine) Find(parts []string) (f *Finding, trial bool) {
 	if len(parts) == 0 {
 		return nil, false
 	}
 	now := q.opts.Clock.Now()
 	q.mu.Lock()
-	defer q.mu.Unlock()
 	f = q.table.Find(now, parts)
-	if f == nil || !f.record.trialDue(now) || !q.opts.MayTry(f.Part) {
+	trial = f != nil && f.record.trialDue(now)
+	q.mu.Unlock()
+	return f, trial && q.opts.MayTry(f.Part)
+}
+
+// TakeTrial is like Find, and allows a trial to one caller only.
+func (q *Quarantine) TakeTrial(parts []string) (f *Finding, trial bool) {
+	if f, trial = q.Find(parts); !trial {
 		return f, false
 	}
-	if take {
-		f.record.takeTrial(now)
-	}
-	return f, true
+	q.update(func(now time.Time) { trial = q.table.TakeTrial(now, f) })
+	return f, trial
 }
 
-// RecordAnswer notes that a server has answered a prompt with these parts.
-func (q *Quarantine) RecordAnswer(parts []string) {
+// RecordAnswer notes that a server of a pool has answered a prompt with these parts.
+func (q *Quarantine) RecordAnswer(pool string, parts []string) {
 	if len(parts) > 0 {
-		q.update(func(now time.Time) { q.table.RecordAnswer(now, parts) })
+		q.update(func(now time.Time) { q.table.RecordAnswer(now, pool, parts) })
 	}
 }
 
--- a/internal/place/figquarantine/quarantine_test.go
+++ b/internal/place/figquarantine/quarantine_test.go
@@ -148,7 +148,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.ended[name] = true
-	return &figcatalogue.Server{Server: figview.Server{Name: name}}
+	return &figcatalogue.Server{Server: figview.Server{Name: name, Pool: pool}}
 }
 
 // knowing returns how many of the instances quarantine exactly the harmful part.
@@ -234,7 +234,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(9)
 		defer f.stopAll()
-		f.nodes["n004"].RecordAnswer([]string{common})
+		f.nodes["n004"].RecordAnswer(pool, []string{common})
 		for i := range 40 {
 			f.nodes[fmt.Sprintf("n%03d", i%9)].Suspect(f.end(fmt.Sprint("s", i)), []string{common})
 		}
@@ -286,7 +286,7 @@
 			},
 		})
 		for i := range 100 * maxInvestigations {
-			q.Suspect(&figcatalogue.Server{Server: figview.Server{Name: fmt.Sprint("s", i%200)}}, []string{harmful})
+			q.Suspect(&figcatalogue.Server{Server: figview.Server{Name: fmt.Sprint("s", i%200), Pool: pool}}, []string{harmful})
 		}
 		synctest.Wait()
 		require.EqualValues(t, maxInvestigations, most.Load())
--- a/internal/place/figquarantine/table.go
+++ b/internal/place/figquarantine/table.go
@@ -26,6 +26,8 @@
 	trialDelay          = 10 * time.Second
 	confirmedTrialDelay = 10 * time.Minute
 	trialFactor         = 6
+	// maxTrialSteps bounds the growth of the delay.
+	maxTrialSteps = 8
 	// quarantineTime is how long a part is quarantined after the last crash, and memoryTime how long it is
 	// quarantined again by a single crash.
 	quarantineTime = time.Hour
@@ -54,9 +56,14 @@
 	Cleared []uint64 `cbor:"5,keyasint,omitempty"`
 	// Age is the time since the last crash.
 	Age time.Duration `cbor:"6,keyasint"`
-	// Confirmed says that a prompt without the part was answered that shares another one with prompts
-	// on which servers ended.
-	Confirmed bool `cbor:"7,keyasint,omitempty"`
+	// Pool identifies the pool whose servers ended.
+	Pool uint64 `cbor:"7,keyasint"`
+	// Confirmed says that servers of the pool have answered prompts without the part meanwhile.
+	Confirmed bool `cbor:"8,keyasint,omitempty"`
+	// Trials is how often prompts with the part were tried during the quarantine, and TrialAge the time since
+	// the last trial.
+	Trials   int           `cbor:"9,keyasint,omitempty"`
+	TrialAge time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // record is a Record with what this instance adds to it.
@@ -67,10 +74,8 @@
 	crashedAt time.Time
 	// sufficientSince is since when the evidence has sufficed for a quarantine; zero if it doesn't.
 	sufficientSince time.Time
-	// triedAt is when this instance last tried a prompt with the part during the quarantine, and trials how
-	// often it did.
+	// triedAt is when the last trial was.
 	triedAt time.Time
-	trials  int
 }
 
 // Table holds the evidence and derives from it which parts are quarantined. It is not safe for
@@ -79,6 +84,8 @@
 	records map[uint64]*record
 	// answered says when this instance last saw an answer on a part.
 	answered map[uint64]time.Time
+	// poolAnswered says when this instance last saw an answer of a pool.
+	poolAnswered map[uint64]time.Time
 	// changed holds the parts whose records have changed since TakeChanged.
 	changed map[uint64]bool
 	digest  uint64
@@ -86,16 +93,19 @@
 
 // NewTable returns a Table without evidence.
 func NewTable() *Table {
-	return &Table{records: map[uint64]*record{}, answered: map[uint64]time.Time{}, changed: map[uint64]bool{}}
+	return &Table{
+		records: map[uint64]*record{}, answered: map[uint64]time.Time{}, poolAnswered: map[uint64]time.Time{},
+		changed: map[uint64]bool{},
+	}
 }
 
-// hashOf returns the identity of a part or a lifetime.
+// hashOf returns the identity of a part, a pool or a lifetime.
 func hashOf(name string) uint64 { return xxhash.Sum64String(name) }
 
-// RecordCrash counts the end of a server against the parts of a prompt that it began to answer.
-func (t *Table) RecordCrash(now time.Time, lifetime string, parts []string) {
-	crash := hashOf(lifetime)
-	othersAnswered := slices.ContainsFunc(parts, func(name string) bool { return t.trusts(now, hashOf(name)) })
+// RecordCrash counts the end of a server of a pool against the parts of a prompt that it began to answer.
+func (t *Table) RecordCrash(now time.Time, pool, lifetime string, parts []string) {
+	crash, poolHash := hashOf(lifetime), hashOf(pool)
+	poolAnswers := now.Sub(t.poolAnswered[poolHash]) < trustTime
 	for depth, name := range parts {
 		part := hashOf(name)
 		r, known := t.records[part]
@@ -103,7 +113,7 @@
 			if !t.makeRoom(now) {
 				return
 			}
-			r = &record{Record: Record{Part: part, Name: name[:min(len(name), maxNameBytes)], Depth: depth}}
+			r = &record{Record: Record{Part: part, Name: name[:min(len(name), maxNameBytes)], Depth: depth, Pool: poolHash}}
 			t.records[part] = r
 		}
 		if !insert(&r.Crashes, crash) {
@@ -113,7 +123,7 @@
 		if t.trusts(now, part) {
 			insert(&r.Cleared, crash)
 		} else {
-			r.Confirmed = r.Confirmed || othersAnswered
+			r.Confirmed = r.Confirmed || poolAnswers
 		}
 		t.changed[part] = true
 	}
@@ -123,41 +133,27 @@
 // trusts reports whether this instance has seen an answer on the part lately.
 func (t *Table) trusts(now time.Time, part uint64) bool { return now.Sub(t.answered[part]) < trustTime }
 
-// RecordAnswer notes that a server has answered a prompt with these parts.
-func (t *Table) RecordAnswer(now time.Time, parts []string) {
-	cleared := false
-	var answered []*record
+// RecordAnswer notes that a server of a pool has answered a prompt with these parts.
+func (t *Table) RecordAnswer(now time.Time, pool string, parts []string) {
+	poolHash, changed := hashOf(pool), false
+	t.poolAnswered[poolHash] = now
 	for _, name := range parts {
 		part := hashOf(name)
 		t.noteAnswer(now, part)
 		if r, ok := t.records[part]; ok {
-			answered = append(answered, r)
-			cleared = t.clear(r) || cleared
+			changed = t.clear(r) || changed
 		}
 	}
-	if t.confirm(answered) || cleared {
-		t.derive(now)
-	}
-}
-
-// confirm confirms the evidence against the parts that are not in an answered prompt, but were beside one
-// of its parts when a server ended. It returns false if that changes nothing.
-func (t *Table) confirm(answered []*record) bool {
-	changed := false
 	for _, r := range t.records {
-		if r.Confirmed || slices.Contains(answered, r) {
-			continue
-		}
-		beside := slices.ContainsFunc(answered, func(o *record) bool {
-			return slices.ContainsFunc(r.Crashes, func(crash uint64) bool { return slices.Contains(o.Crashes, crash) })
-		})
-		if beside {
+		if r.Pool == poolHash && !r.Confirmed && !t.trusts(now, r.Part) {
 			r.Confirmed = true
 			t.changed[r.Part] = true
 			changed = true
 		}
 	}
-	return changed
+	if changed {
+		t.derive(now)
+	}
 }
 
 // noteAnswer keeps the time of an answer. Beyond maxAnswered parts the old times are dropped.
@@ -204,7 +200,7 @@
 			return false
 		}
 		r = &record{
-			Record:    Record{Part: o.Part, Name: o.Name[:min(len(o.Name), maxNameBytes)], Depth: max(0, o.Depth)},
+			Record:    Record{Part: o.Part, Name: o.Name[:min(len(o.Name), maxNameBytes)], Depth: max(0, o.Depth), Pool: o.Pool},
 			crashedAt: crashedAt,
 		}
 		t.records[o.Part] = r
@@ -230,6 +226,10 @@
 		r.Confirmed = true
 		changed = true
 	}
+	if o.Trials > r.Trials {
+		r.Trials, r.triedAt = o.Trials, now.Add(-max(0, o.TrialAge))
+		changed = true
+	}
 	if changed {
 		t.changed[o.Part] = true
 	}
@@ -266,7 +266,7 @@
 		t.digest += r.hash()
 		switch {
 		case !sufficient[r]:
-			r.sufficientSince, r.triedAt, r.trials = time.Time{}, time.Time{}, 0
+			r.sufficientSince = time.Time{}
 		case r.sufficientSince.IsZero():
 			r.sufficientSince = now
 		}
@@ -342,7 +342,7 @@
 type Finding struct {
 	// Part is the id of the part, shortened for operators.
 	Part string
-	// Wait is the time until the quarantine ends.
+	// Wait is the time until a prompt with the part may be tried or the quarantine ends.
 	Wait time.Duration
 
 	record *record
@@ -356,32 +356,44 @@
 	for _, part := range parts {
 		if r, ok := t.records[hashOf(part)]; ok {
 			if until := r.quarantinedUntil(now); !until.IsZero() {
-				return &Finding{r.Name, until.Sub(now), r}
+				return &Finding{r.Name, min(until.Sub(now), r.trialWait(now)), r}
 			}
 		}
 	}
 	return nil
 }
 
-// trialDue reports whether a prompt with the part may be tried although it is quarantined. Without
-// confirmation the part may be one that all prompts share, and its quarantine would keep away the answers that
-// clear it.
-func (r *record) trialDue(now time.Time) bool {
+// trialDue reports whether a prompt with the part may be tried although it is quarantined.
+func (r *record) trialDue(now time.Time) bool { return r.trialWait(now) == 0 }
+
+// trialWait returns the time until the next trial. Without confirmation the first one comes soon: the part may be
+// one that all prompts share, and its quarantine would keep away the answers that clear it.
+func (r *record) trialWait(now time.Time) time.Duration {
 	since, delay := r.sufficientSince, trialDelay
 	if r.Confirmed {
 		delay = confirmedTrialDelay
 	}
-	if r.trials > 0 {
+	if r.triedAt.After(since) {
 		since = r.triedAt
 	}
-	for range r.trials {
-		delay = min(delay*trialFactor, quarantineTime)
+	for range min(r.Trials, maxTrialSteps) {
+		delay *= trialFactor
 	}
-	return now.Sub(since) >= delay
+	return max(0, min(delay, quarantineTime)-now.Sub(since))
 }
 
-// takeTrial notes that a prompt with the part is tried.
-func (r *record) takeTrial(now time.Time) { r.triedAt, r.trials = now, r.trials+1 }
+// TakeTrial notes that a prompt with the part of a finding is tried. It returns false if no trial is due.
+func (t *Table) TakeTrial(now time.Time, f *Finding) bool {
+	r := f.record
+	if !r.trialDue(now) {
+		return false
+	}
+	r.triedAt = now
+	r.Trials++
+	t.changed[r.Part] = true
+	t.derive(now)
+	return true
+}
 
 // Quarantined returns the names of the quarantined parts, sorted.
 func (t *Table) Quarantined(now time.Time) []string {
@@ -411,6 +423,7 @@
 		b = binary.LittleEndian.AppendUint64(b, crash+1)
 	}
 	b = strconv.AppendBool(b, r.Confirmed)
+	b = strconv.AppendInt(b, int64(r.Trials), 10)
 	return xxhash.Sum64(b)
 }
 
@@ -439,6 +452,9 @@
 func (r *record) at(now time.Time) Record {
 	c := r.Record
 	c.Crashes, c.Cleared, c.Age = slices.Clone(r.Crashes), slices.Clone(r.Cleared), now.Sub(r.crashedAt)
+	if r.Trials > 0 {
+		c.TrialAge = now.Sub(r.triedAt)
+	}
 	return c
 }
 
--- a/internal/place/figquarantine/table_test.go
+++ b/internal/place/figquarantine/table_test.go
@@ -11,6 +11,7 @@
 )
 
 const (
+	pool     = "models"
 	common   = "common"
 	document = "document"
 	harmful  = "harmful"
@@ -79,9 +80,9 @@
 			for _, s := range c.steps {
 				now = now.Add(s.pause)
 				if s.server == "" {
-					table.RecordAnswer(now, s.parts)
+					table.RecordAnswer(now, pool, s.parts)
 				} else {
-					table.RecordCrash(now, s.server, s.parts)
+					table.RecordCrash(now, pool, s.server, s.parts)
 				}
 			}
 			require.Equal(t, c.want, table.Quarantined(now.Add(settleTime)))
@@ -93,59 +94,81 @@
 func TestQuarantineBeginsLater(t *testing.T) {
 	table, now := NewTable(), time.Now()
 	for i := range crashThreshold {
-		table.RecordCrash(now, fmt.Sprint(i), []string{harmful})
+		table.RecordCrash(now, pool, fmt.Sprint(i), []string{harmful})
 	}
 	require.Nil(t, table.Find(now.Add(settleTime-time.Millisecond), []string{harmful}))
 	finding := table.Find(now.Add(settleTime), []string{common, harmful})
 	require.NotNil(t, finding)
 	require.Equal(t, harmful, finding.Part)
-	require.Equal(t, quarantineTime-settleTime, finding.Wait)
+	require.Equal(t, trialDelay-settleTime, finding.Wait)
 }
 
 // If other prompts that share a part with the harmful ones are answered, nothing is waited for.
 func TestConfirmedQuarantineBeginsAtOnce(t *testing.T) {
 	table, now := NewTable(), time.Now()
-	table.RecordAnswer(now, []string{common})
+	table.RecordAnswer(now, pool, []string{common})
 	for i := range crashThreshold {
-		table.RecordCrash(now, fmt.Sprint(i), []string{common, harmful})
+		table.RecordCrash(now, pool, fmt.Sprint(i), []string{common, harmful})
 	}
 	require.Equal(t, []string{harmful}, table.Quarantined(now))
 }
 
 // A part that all prompts share may be blamed where no prompt was answered. Its quarantine must end when
-// a trial is answered, while a part without which prompts are answered must not be tried.
+// a trial is answered. A part without which prompts of the pool are answered must be tried much later.
 func TestTrials(t *testing.T) {
 	table, now := NewTable(), time.Now()
 	for i := range crashThreshold {
-		table.RecordCrash(now, fmt.Sprint(i), []string{common})
-		table.RecordCrash(now, fmt.Sprint("h", i), []string{document, harmful})
+		table.RecordCrash(now, pool, fmt.Sprint(i), []string{common})
 	}
 	now = now.Add(settleTime)
-	require.Equal(t, []string{common, harmful}, table.Quarantined(now))
-	table.RecordAnswer(now, []string{document})
-	blamed, guilty := table.records[hashOf(common)], table.records[hashOf(harmful)]
-	require.False(t, blamed.trialDue(now))
+	blamed := table.Find(now, []string{common})
+	require.NotNil(t, blamed)
+	require.False(t, blamed.record.trialDue(now))
+	table.RecordAnswer(now, "desk", []string{document})
 	now = now.Add(trialDelay)
-	require.True(t, blamed.trialDue(now))
-	blamed.takeTrial(now)
-	require.False(t, blamed.trialDue(now.Add(trialDelay)))
-	require.True(t, blamed.trialDue(now.Add(trialFactor*trialDelay)))
-	require.False(t, guilty.trialDue(now.Add(trialFactor*trialDelay)))
-	require.True(t, guilty.trialDue(now.Add(confirmedTrialDelay)))
-	table.RecordAnswer(now, []string{common})
-	require.Equal(t, []string{harmful}, table.Quarantined(now))
+	require.True(t, table.TakeTrial(now, blamed))
+	require.False(t, table.TakeTrial(now, blamed), "one trial at a time")
+	require.False(t, blamed.record.trialDue(now.Add(trialDelay)))
+	require.True(t, blamed.record.trialDue(now.Add(trialFactor*trialDelay)))
+	table.RecordAnswer(now, pool, []string{common})
+	require.Empty(t, table.Quarantined(now))
+
+	for i := range crashThreshold {
+		table.RecordCrash(now, pool, fmt.Sprint("h", i), []string{common, harmful})
+	}
+	guilty := table.Find(now, []string{harmful})
+	require.NotNil(t, guilty)
+	require.False(t, guilty.record.trialDue(now.Add(confirmedTrialDelay-time.Second)))
+	require.True(t, guilty.record.trialDue(now.Add(confirmedTrialDelay)))
+}
+
+// An instance that takes over the trials of another one, or restarts, must not begin them anew.
+func TestTrialsAreShared(t *testing.T) {
+	table, now := NewTable(), time.Now()
+	for i := range crashThreshold {
+		table.RecordCrash(now, pool, fmt.Sprint(i), []string{common})
+	}
+	now = now.Add(trialDelay)
+	require.True(t, table.TakeTrial(now, table.Find(now, []string{common})))
+	now = now.Add(time.Second)
+	other := NewTable()
+	other.Merge(now, table.Records(now))
+	require.Equal(t, table.Digest(), other.Digest())
+	now = now.Add(2 * trialDelay)
+	require.False(t, other.Find(now, []string{common}).record.trialDue(now))
+	require.True(t, other.Find(now, []string{common}).record.trialDue(now.Add(trialFactor*trialDelay)))
 }
 
 // A quarantine ends after quarantineTime. From then on a single crash is enough.
 func TestQuarantineEnds(t *testing.T) {
 	table, now := NewTable(), time.Now()
 	for i := range crashThreshold {
-		table.RecordCrash(now, fmt.Sprint(i), []string{harmful})
+		table.RecordCrash(now, pool, fmt.Sprint(i), []string{harmful})
 	}
 	now = now.Add(quarantineTime)
 	table.RemoveExpired(now)
 	require.Empty(t, table.Quarantined(now))
-	table.RecordCrash(now, "again", []string{harmful})
+	table.RecordCrash(now, pool, "again", []string{harmful})
 	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(settleTime)))
 	now = now.Add(memoryTime)
 	table.RemoveExpired(now)
@@ -156,7 +179,7 @@
 func TestOldCrashesAreForgotten(t *testing.T) {
 	table, now := NewTable(), time.Now()
 	for i := range 10 * crashThreshold {
-		table.RecordCrash(now, fmt.Sprint(i), []string{document})
+		table.RecordCrash(now, pool, fmt.Sprint(i), []string{document})
 		now = now.Add(evidenceTime)
 		table.RemoveExpired(now)
 		require.Zero(t, table.Len())
@@ -168,9 +191,9 @@
 	now := time.Now()
 	source := NewTable()
 	for i := range crashThreshold {
-		source.RecordCrash(now, fmt.Sprint(i), []string{document})
+		source.RecordCrash(now, pool, fmt.Sprint(i), []string{document})
 	}
-	source.RecordAnswer(now, []string{document})
+	source.RecordAnswer(now, pool, []string{document})
 	now = now.Add(evidenceTime)
 	table := NewTable()
 	table.Merge(now, source.Records(now))
@@ -181,14 +204,14 @@
 func TestEvidenceIsBounded(t *testing.T) {
 	table, now := NewTable(), time.Now()
 	for i := range crashThreshold {
-		table.RecordCrash(now, fmt.Sprint(i), []string{harmful})
+		table.RecordCrash(now, pool, fmt.Sprint(i), []string{harmful})
 	}
 	for i := range 10_000 {
 		now = now.Add(time.Millisecond)
 		parts := []string{fmt.Sprint("part", i), fmt.Sprint("part", i/2)}
-		table.RecordCrash(now, fmt.Sprint("server", i), parts)
-		table.RecordCrash(now, fmt.Sprint("server", i), []string{harmful})
-		table.RecordAnswer(now, []string{fmt.Sprint("answered", i)})
+		table.RecordCrash(now, pool, fmt.Sprint("server", i), parts)
+		table.RecordCrash(now, pool, fmt.Sprint("server", i), []string{harmful})
+		table.RecordAnswer(now, pool, []string{fmt.Sprint("answered", i)})
 		table.Merge(now, []Record{{Part: uint64(i), Name: "other", Crashes: []uint64{uint64(i)}}})
 	}
 	require.LessOrEqual(t, table.Len(), maxRecords)
@@ -212,9 +235,9 @@
 			table := sources[rapid.IntRange(0, 2).Draw(t, "instance")]
 			parts := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), 1, 4, rapid.ID[string]).Draw(t, "parts")
 			if rapid.IntRange(0, 4).Draw(t, "kind") == 0 {
-				table.RecordAnswer(now, parts)
+				table.RecordAnswer(now, pool, parts)
 			} else {
-				table.RecordCrash(now, fmt.Sprint(rapid.IntRange(0, 8).Draw(t, "server")), parts)
+				table.RecordCrash(now, pool, fmt.Sprint(rapid.IntRange(0, 8).Draw(t, "server")), parts)
 			}
 			now = now.Add(trustTime)
 		}
--- a/internal/request/figproxy/quarantine.go
+++ b/internal/request/figproxy/quarantine.go
@@ -17,7 +17,7 @@
 
 // quarantineError is the error of a request whose prompt contains a quarantined part.
 type quarantineError struct {
-	// wait is the time until the quarantine of the part ends.
+	// wait is the time until the part may be tried again.
 	wait time.Duration
 	err  error
 }
@@ -81,7 +81,7 @@
 	switch {
 	case a.proven:
 	case err == nil && a.send != nil && !metadata.ApplicationError:
-		x.Quarantine.RecordAnswer(x.SharedParts)
+		x.Quarantine.RecordAnswer(x.pool, x.SharedParts)
 	case figsend.KindOf(err) == figsend.KindIncomplete && !requestEnded && !x.staleConnection(err):
 		x.Quarantine.Suspect(a.server, x.SharedParts)
 	}
@@ -94,6 +94,6 @@
 		a.firstEventAt = now
 	case !a.proven && now.Sub(a.firstEventAt) >= provenTime:
 		a.proven = true
-		x.Quarantine.RecordAnswer(x.SharedParts)
+		x.Quarantine.RecordAnswer(x.pool, x.SharedParts)
 	}
 }
