--- a/internal/place/figquarantine/doc.go
+++ b/internal/place/figquarantine/doc.go
@@ -12,7 +12,9 @@
 // and instances whose evidence differs compare it whenever one probes the other. Every instance derives
 // the same quarantine from the same evidence, so that no instance has to be asked and none is missed.
 // Evidence is bounded in number and expires. A part is quarantined for quarantineTime after the last crash;
-// one more crash quarantines it again.
+// one more crash quarantines it again. Meanwhile one instance tries single requests at growing intervals. The first
+// trial comes soon if the pool has answered no other prompt, because the part may then be one that all prompts
+// share.
 //
 // Table makes the decisions, from evidence and times that are passed in. Quarantine adds the exchange
 // with other instances and the investigation of servers.
--- a/internal/place/figquarantine/table.go
+++ b/internal/place/figquarantine/table.go
@@ -1,10 +1,7 @@
 package figquarantine
 
 import (
-	"cmp"
-	"encoding/binary"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,41 +40,6 @@
 	maxNameBytes = 32
 )
 
-// Record is the evidence against one prompt part.
-type Record struct {
-	// Part identifies the part, and Name is its id for operators, shortened to maxNameBytes.
-	Part uint64 `cbor:"1,keyasint"`
-	Name string `cbor:"2,keyasint"`
-	// Depth is the number of parts before it in the prompt.
-	Depth int `cbor:"3,keyasint,omitempty"`
-	// Crashes identifies the lifetimes of servers that ended on the part, and Cleared those of them
-	// that were followed by an answer on the part. Both are sorted.
-	Crashes []uint64 `cbor:"4,keyasint"`
-	Cleared []uint64 `cbor:"5,keyasint,omitempty"`
-	// Age is the time since the last crash.
-	Age time.Duration `cbor:"6,keyasint"`
-	// Pool identifies the pool whose servers ended.
-	Pool uint64 `cbor:"7,keyasint"`
-	// Confirmed says that servers of the pool have answered prompts without the part meanwhile.
-	Confirmed bool `cbor:"8,keyasint,omitempty"`
-	// Trials is how often prompts with the part were tried during the quarantine, and TrialAge the time since
-	// the last trial.
-	Trials   int           `cbor:"9,keyasint,omitempty"`
-	TrialAge time.Duration `cbor:"10,keyasint,omitempty"`
-}
-
-// record is a Record with what this instance adds to it.
-type record struct {
-	Record
-
-	// crashedAt is when the last crash was.
-	crashedAt time.Time
-	// sufficientSince is since when the evidence has sufficed for a quarantine; zero if it doesn't.
-	sufficientSince time.Time
-	// triedAt is when the last trial was.
-	triedAt time.Time
-}
-
 // Table holds the evidence and derives from it which parts are quarantined. It is not safe for
 // concurrent use.
 type Table struct {
@@ -236,28 +198,6 @@
 	return changed
 }
 
-// insert adds a value to a sorted list of at most maxCrashes values, of which the largest are dropped. It
-// returns false if that changes nothing.
-func insert(list *[]uint64, value uint64) bool {
-	i, found := slices.BinarySearch(*list, value)
-	if found || i >= maxCrashes {
-		return false
-	}
-	*list = slices.Insert(*list, i, value)
-	if len(*list) > maxCrashes {
-		*list = (*list)[:maxCrashes]
-	}
-	return true
-}
-
-// open returns the crashes of a record that no answer has followed.
-func (r *record) open() []uint64 {
-	return slices.DeleteFunc(slices.Clone(r.Crashes), func(crash uint64) bool {
-		_, cleared := slices.BinarySearch(r.Cleared, crash)
-		return cleared
-	})
-}
-
 // derive decides anew which parts are quarantined, and updates the digest.
 func (t *Table) derive(now time.Time) {
 	sufficient := t.blame(now)
@@ -273,128 +213,6 @@
 	}
 }
 
-// blame returns the records that explain the crashes best: the one with the most crashes first, then
-// the one with the most crashes that this doesn't explain, as long as these suffice. A part is passed over
-// if parts after it explain its crashes, because prompts of many kinds begin alike.
-func (t *Table) blame(now time.Time) map[*record]bool {
-	open := make(map[*record][]uint64, len(t.records))
-	for _, r := range t.records {
-		if crashes := r.open(); len(crashes) >= crashThreshold && now.Sub(r.crashedAt) < quarantineTime {
-			open[r] = crashes
-		}
-	}
-	blamed := map[*record]bool{}
-	for len(open) > 0 {
-		var worst *record
-		for r, crashes := range open {
-			if worst == nil || r.worseThan(worst, len(crashes), len(open[worst])) {
-				worst = r
-			}
-		}
-		explained := open[worst]
-		delete(open, worst)
-		if explainedAfter(worst, explained, open) {
-			continue
-		}
-		blamed[worst] = true
-		for r, crashes := range open {
-			open[r] = slices.DeleteFunc(crashes, func(crash uint64) bool { return slices.Contains(explained, crash) })
-			if len(open[r]) < crashThreshold {
-				delete(open, r)
-			}
-		}
-	}
-	return blamed
-}
-
-// explainedAfter reports whether parts that come after that of r in prompts explain its crashes.
-func explainedAfter(r *record, crashes []uint64, open map[*record][]uint64) bool {
-	unexplained := 0
-	for _, crash := range crashes {
-		found := false
-		for o, others := range open {
-			found = found || o.Depth > r.Depth && slices.Contains(others, crash)
-		}
-		if !found {
-			unexplained++
-		}
-	}
-	return float64(unexplained) <= maxUnexplained*float64(len(crashes))
-}
-
-// worseThan orders records by their crashes, then by their depth. The identity makes the order the same
-// at all instances.
-func (r *record) worseThan(o *record, crashes, otherCrashes int) bool {
-	return cmp.Or(cmp.Compare(crashes, otherCrashes), cmp.Compare(r.Depth, o.Depth), cmp.Compare(r.Part, o.Part)) > 0
-}
-
-// quarantinedUntil returns when the quarantine of the record's part ends; zero if there is none.
-func (r *record) quarantinedUntil(now time.Time) time.Time {
-	until := r.crashedAt.Add(quarantineTime)
-	settled := r.Confirmed || now.Sub(r.sufficientSince) >= settleTime
-	if r.sufficientSince.IsZero() || !settled || !now.Before(until) {
-		return time.Time{}
-	}
-	return until
-}
-
-// Finding is a quarantined part of a prompt.
-type Finding struct {
-	// Part is the id of the part, shortened for operators.
-	Part string
-	// Wait is the time until a prompt with the part may be tried or the quarantine ends.
-	Wait time.Duration
-
-	record *record
-}
-
-// Find returns the first of the parts that is quarantined; nil if none is.
-func (t *Table) Find(now time.Time, parts []string) *Finding {
-	if len(t.records) == 0 {
-		return nil
-	}
-	for _, part := range parts {
-		if r, ok := t.records[hashOf(part)]; ok {
-			if until := r.quarantinedUntil(now); !until.IsZero() {
-				return &Finding{r.Name, min(until.Sub(now), r.trialWait(now)), r}
-			}
-		}
-	}
-	return nil
-}
-
-// trialDue reports whether a prompt with the part may be tried although it is quarantined.
-func (r *record) trialDue(now time.Time) bool { return r.trialWait(now) == 0 }
-
-// trialWait returns the time until the next trial. Without confirmation the first one comes soon: the part may be
-// one that all prompts share, and its quarantine would keep away the answers that clear it.
-func (r *record) trialWait(now time.Time) time.Duration {
-	since, delay := r.sufficientSince, trialDelay
-	if r.Confirmed {
-		delay = confirmedTrialDelay
-	}
-	if r.triedAt.After(since) {
-		since = r.triedAt
-	}
-	for range min(r.Trials, maxTrialSteps) {
-		delay *= trialFactor
-	}
-	return max(0, min(delay, quarantineTime)-now.Sub(since))
-}
-
-// TakeTrial notes that a prompt with the part of a finding is tried. It returns false if no trial is due.
-func (t *Table) TakeTrial(now time.Time, f *Finding) bool {
-	r := f.record
-	if !r.trialDue(now) {
-		return false
-	}
-	r.triedAt = now
-	r.Trials++
-	t.changed[r.Part] = true
-	t.derive(now)
-	return true
-}
-
 // Quarantined returns the names of the quarantined parts, sorted.
 func (t *Table) Quarantined(now time.Time) []string {
 	names := []string{}
@@ -413,20 +231,6 @@
 // Digest returns a number that is the same for instances with the same evidence.
 func (t *Table) Digest() uint64 { return t.digest }
 
-// hash returns the record's part of the digest.
-func (r *record) hash() uint64 {
-	b := binary.LittleEndian.AppendUint64(nil, r.Part)
-	for _, crash := range r.Crashes {
-		b = binary.LittleEndian.AppendUint64(b, crash)
-	}
-	for _, crash := range r.Cleared {
-		b = binary.LittleEndian.AppendUint64(b, crash+1)
-	}
-	b = strconv.AppendBool(b, r.Confirmed)
-	b = strconv.AppendInt(b, int64(r.Trials), 10)
-	return xxhash.Sum64(b)
-}
-
 // Records returns all evidence.
 func (t *Table) Records(now time.Time) []Record {
 	all := make([]Record, 0, len(t.records))
@@ -448,16 +252,6 @@
 	return all
 }
 
-// at returns a copy of the record with its age.
-func (r *record) at(now time.Time) Record {
-	c := r.Record
-	c.Crashes, c.Cleared, c.Age = slices.Clone(r.Crashes), slices.Clone(r.Cleared), now.Sub(r.crashedAt)
-	if r.Trials > 0 {
-		c.TrialAge = now.Sub(r.triedAt)
-	}
-	return c
-}
-
 // expired reports whether evidence of this many crashes is to be forgotten.
 func (t *Table) expired(now, crashedAt time.Time, crashes int) bool {
 	age := now.Sub(crashedAt)
