Count servers that crash at once on a kept connection against the prompt too

Cause, found by reading: a kept connection that breaks within 10 ms is taken for one that the server had closed while it was idle, and the break was not held against the prompt. A part on which servers crash at once was never quarantined where connections are kept. The investigation of the server tells the two apart anyway: nothing counts unless it has ended. TestQuarantineRefusal/crashes_at_once failed before (all six engines crashed, nothing quarantined) and passes 3 of 3.

--- a/internal/request/figproxy/quarantine.go
+++ b/internal/request/figproxy/quarantine.go
@@ -82,7 +82,7 @@
 	case a.proven:
 	case err == nil && a.send != nil && !metadata.ApplicationError:
 		x.Quarantine.RecordAnswer(x.pool, x.SharedParts)
-	case figsend.KindOf(err) == figsend.KindIncomplete && !requestEnded && !x.staleConnection(err):
+	case figsend.KindOf(err) == figsend.KindIncomplete && !requestEnded:
 		x.Quarantine.Suspect(a.server, x.SharedParts)
 	}
 }
