Keep news of members for probes instead of using it up in pushes and their answers

Cause: a changed record is carried by a bounded number of messages. Each push and each answer to a push used one up, and those who push know the change already, so that little was left for the probes that reach the members which all pushes missed. Ruled out: load (virtual time); the number of push targets (eight instead of four failed the same test). Change: pushes and their answers carry no other news, and a change is carried by twice the logarithm of the members.

--- a/internal/app/figrouter/fleet.go
+++ b/internal/app/figrouter/fleet.go
@@ -77,7 +77,7 @@
 	figpeer.Handle(r.handlers, callProbe, r.discovery.HandleProbe)
 	figpeer.Handle(r.handlers, callProbeThrough, r.discovery.HandleIndirectProbe)
 	figpeer.Handle(r.handlers, callSync, r.discovery.HandleSync)
-	figpeer.Handle(r.handlers, callPush, r.discovery.HandleProbe)
+	figpeer.Handle(r.handlers, callPush, r.discovery.HandlePush)
 	figpeer.Handle(r.handlers, callView, r.catalogue.Answer)
 	figpeer.Handle(r.handlers, callFollow, r.catalogue.HandleFollow)
 	figpeer.Handle(r.handlers, callStatus, figadmin.AnswerStatus(r.status))
--- a/internal/fleet/figdiscovery/discovery_test.go
+++ b/internal/fleet/figdiscovery/discovery_test.go
@@ -85,7 +85,7 @@
 			return deliver(ctx, n, name, to, m, func(d *Discovery) func(context.Context, *Message) (*Message, error) { return d.HandleProbe })
 		},
 		Push: func(ctx context.Context, to figview.Member, m *Message) (*Message, error) {
-			return deliver(ctx, n, name, to, m, func(d *Discovery) func(context.Context, *Message) (*Message, error) { return d.HandleProbe })
+			return deliver(ctx, n, name, to, m, func(d *Discovery) func(context.Context, *Message) (*Message, error) { return d.HandlePush })
 		},
 		ProbeThrough: func(ctx context.Context, to figview.Member, q *IndirectProbe) (*IndirectResult, error) {
 			return deliver(ctx, n, name, to, q, func(d *Discovery) func(context.Context, *IndirectProbe) (*IndirectResult, error) {
--- a/internal/fleet/figdiscovery/merge.go
+++ b/internal/fleet/figdiscovery/merge.go
@@ -9,7 +9,7 @@
 
 // newsFactor times the logarithm of the number of members is the number of messages that carry a
 // changed record, so that it reaches all members with high probability.
-const newsFactor = 1
+const newsFactor = 2
 
 // changed records that the list has changed. d.mu must be held.
 func (d *Discovery) changed() {
@@ -145,10 +145,7 @@
 func (d *Discovery) newMessage() *Message {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	m := &Message{
-		From: d.self, Digest: d.digest + d.self.hash(), Members: len(d.members) + 1, Revision: d.opts.Revision(),
-		Evidence: d.opts.Evidence(),
-	}
+	m := d.messageLocked()
 	for name, left := range d.news {
 		if len(m.News) == maxNews {
 			break
@@ -165,6 +162,14 @@
 	return m
 }
 
+// messageLocked returns a message without news. d.mu must be held.
+func (d *Discovery) messageLocked() *Message {
+	return &Message{
+		From: d.self, Digest: d.digest + d.self.hash(), Members: len(d.members) + 1, Revision: d.opts.Revision(),
+		Evidence: d.opts.Evidence(),
+	}
+}
+
 // recordLocked returns the record of a member or of this instance. d.mu must be held.
 func (d *Discovery) recordLocked(name string) (Record, bool) {
 	if name == d.self.Name {
--- a/internal/fleet/figdiscovery/probe.go
+++ b/internal/fleet/figdiscovery/probe.go
@@ -242,7 +242,7 @@
 	}
 }
 
-// HandleProbe answers the probe or push of another instance.
+// HandleProbe answers the probe of another instance.
 func (d *Discovery) HandleProbe(_ context.Context, m *Message) (*Message, error) {
 	d.receive(m)
 	return d.newMessage(), nil
--- a/internal/fleet/figdiscovery/sync.go
+++ b/internal/fleet/figdiscovery/sync.go
@@ -87,8 +87,7 @@
 
 // pushUrgent pushes the changes that have accumulated.
 func (d *Discovery) pushUrgent(ctx context.Context) {
-	m := d.newMessage()
-	m.News = d.takeUrgent()
+	m := d.urgentMessage()
 	for _, to := range d.someAlive(pushTargets, "") {
 		go func() {
 			limited, cancel := context.WithTimeout(ctx, callTimeout)
@@ -104,16 +103,25 @@
 	}
 }
 
-// takeUrgent returns and clears the records to push.
-func (d *Discovery) takeUrgent() []Record {
+// urgentMessage returns a message with the records to push, and clears these. Pushes and the answers to
+// them leave the news to probes: those who push know most of it, so that they would use it up.
+func (d *Discovery) urgentMessage() *Message {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	all := make([]Record, 0, len(d.urgent))
+	m := d.messageLocked()
 	for name := range d.urgent {
 		if r, ok := d.recordLocked(name); ok {
-			all = append(all, r)
+			m.News = append(m.News, r)
 		}
 	}
 	clear(d.urgent)
-	return all
+	return m
+}
+
+// HandlePush applies the changes that another instance pushes.
+func (d *Discovery) HandlePush(_ context.Context, m *Message) (*Message, error) {
+	d.receive(m)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.messageLocked(), nil
 }
