--- a/internal/fleet/figdiscovery/merge.go
+++ b/internal/fleet/figdiscovery/merge.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -189,7 +190,7 @@
 		return
 	}
 	now := d.opts.Clock.Now()
-	d.merge(now, append(m.News, m.From), true)
+	d.merge(now, slices.Concat(m.News, []Record{m.From}), true)
 	d.opts.OnRevision(m.From.Target(), m.Revision)
 	d.opts.OnEvidence(m.From.Target(), m.Evidence)
 	d.mu.Lock()
