Replace targets of a push of evidence that don't answer

Cause: evidence is pushed to four random members.

Change: a target that doesn't answer is replaced by another one, up to four times for each of the four. In the test a cut makes calls hang until their timeout, as a partition does, instead of failing them at once.

--- a/internal/place/figquarantine/quarantine.go
+++ b/internal/place/figquarantine/quarantine.go
@@ -18,8 +18,10 @@
 	// pushDelay batches evidence that comes shortly after each other into one push.
 	pushDelay = 20 * time.Millisecond
 	// pushTargets is the number of instances that a change is pushed to. Each pushes on what is new to
-	// it, so that a few reach nearly all; comparisons reach the rest.
-	pushTargets = 4
+	// it, so that a few reach nearly all; comparisons reach the rest. maxPushAttempts bounds the instances
+	// that are tried for each target until one answers.
+	pushTargets     = 4
+	maxPushAttempts = 4
 	// exchangeTimeout is the timeout of one call to another instance.
 	exchangeTimeout = 600 * time.Millisecond
 	// sweepInterval is the time between two searches for expired evidence.
@@ -159,7 +161,8 @@
 	}
 }
 
-// push sends the changes to pushTargets other instances.
+// push sends the changes to pushTargets other instances. One that doesn't answer is replaced by another, because
+// the list of members still holds those behind a partition for a while.
 func (q *Quarantine) push(ctx context.Context) {
 	q.mu.Lock()
 	records := q.table.TakeChanged(q.opts.Clock.Now())
@@ -168,22 +171,30 @@
 		return
 	}
 	peers := q.opts.Peers()
-	for _, to := range peers[:min(len(peers), pushTargets)] {
-		go q.exchange(ctx, to, &Update{Records: records})
+	peers = peers[:min(len(peers), pushTargets*maxPushAttempts)]
+	for i := range min(len(peers), pushTargets) {
+		go func() {
+			for j := i; j < len(peers) && ctx.Err() == nil; j += pushTargets {
+				if q.exchange(ctx, peers[j], &Update{Records: records}) {
+					return
+				}
+			}
+		}()
 	}
 }
 
-// exchange sends evidence to another instance and adds what it answers.
-func (q *Quarantine) exchange(ctx context.Context, to figview.Member, u *Update) {
+// exchange sends evidence to another instance and adds what it answers. It returns false if there is no answer.
+func (q *Quarantine) exchange(ctx context.Context, to figview.Member, u *Update) bool {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	answer, err := q.opts.Exchange(ctx, to, u)
 	if err != nil {
 		q.FailedExchanges.Add(1)
 		klog.V(1).InfoS("failed to exchange evidence on prompt parts", "with", to.Name, "err", err)
-		return
+		return false
 	}
 	q.update(func(now time.Time) { q.table.Merge(now, answer.Records) })
+	return true
 }
 
 // HandleExchange adds the evidence of another instance, and answers with all evidence if that is wanted.
--- a/internal/place/figquarantine/quarantine_test.go
+++ b/internal/place/figquarantine/quarantine_test.go
@@ -82,23 +82,27 @@
 			if len(peers) == 0 {
 				continue
 			}
-			if other, err := f.reach(name, peers[0].Name); err == nil {
-				other.OnDigest(figview.Member{Name: name}, n.Digest())
-				n.OnDigest(peers[0], other.Digest())
-			}
+			go func() {
+				if other, err := f.reach(name, peers[0].Name); err == nil {
+					other.OnDigest(figview.Member{Name: name}, n.Digest())
+					n.OnDigest(peers[0], other.Digest())
+				}
+			}()
 		}
 	}()
 	return n
 }
 
-// reach returns another instance after a network delay, or errCut.
+// reach returns another instance after a network delay, or errCut after the timeout of a call.
 func (f *fleet) reach(from, to string) (*node, error) {
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.sent++
 	other, ok := f.nodes[to]
-	if !ok || f.cut(from, to) {
+	cut := f.cut(from, to)
+	f.mu.Unlock()
+	if !ok || cut {
+		time.Sleep(exchangeTimeout)
 		return nil, errCut
 	}
 	return other, nil
