Let evidence settle once for all instances

Found while TestLateInstancesLearn was traced. An instance waits a second after unconfirmed evidence suffices, so that answers that others saw can clear the part. That second began anew at each instance that learned of the evidence later, though the first ones had waited: an instance that learned 2.1 s after the last crash refused such requests only after the 3 s in which all have to. Cause: the time since when evidence suffices wasn't sent.

Records now carry how long the evidence has sufficed at their sender, and the earlier of both times counts. Evidence that an answer has cleared at the receiver doesn't suffice there, whatever the sender says.

TestEvidenceSettlesOnce fails without the change (nothing quarantined) and passes with it.

--- a/internal/place/figquarantine/record.go
+++ b/internal/place/figquarantine/record.go
@@ -30,6 +30,8 @@
 	// the last trial.
 	Trials   int           `cbor:"9,keyasint,omitempty"`
 	TrialAge time.Duration `cbor:"10,keyasint,omitempty"`
+	// SufficientAge is how long the evidence has sufficed for a quarantine at the sender; 0 if it doesn't.
+	SufficientAge time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // record is a Record with what this instance adds to it.
@@ -87,5 +89,8 @@
 	if r.Trials > 0 {
 		c.TrialAge = now.Sub(r.triedAt)
 	}
+	if !r.sufficientSince.IsZero() {
+		c.SufficientAge = now.Sub(r.sufficientSince)
+	}
 	return c
 }
--- a/internal/place/figquarantine/table.go
+++ b/internal/place/figquarantine/table.go
@@ -194,10 +194,22 @@
 	}
 	if changed {
 		t.changed[o.Part] = true
+		if o.SufficientAge > 0 {
+			// Evidence settles once for all instances; derive resets this where it doesn't suffice.
+			r.sufficientSince = earlier(r.sufficientSince, now.Add(-o.SufficientAge))
+		}
 	}
 	return changed
 }
 
+// earlier returns the earlier of two times, of which the first may be zero for none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // derive decides anew which parts are quarantined, and updates the digest.
 func (t *Table) derive(now time.Time) {
 	sufficient := t.blame(now)
--- a/internal/place/figquarantine/table_test.go
+++ b/internal/place/figquarantine/table_test.go
@@ -103,6 +103,21 @@
 	require.Equal(t, trialDelay-settleTime, finding.Wait)
 }
 
+// An instance that learns of a quarantine late must not wait for answers once more, unless it knows of one.
+func TestEvidenceSettlesOnce(t *testing.T) {
+	table, now := NewTable(), time.Now()
+	for i := range crashThreshold {
+		table.RecordCrash(now, pool, fmt.Sprint(i), []string{common, harmful})
+	}
+	now = now.Add(settleTime)
+	late, witness := NewTable(), NewTable()
+	late.Merge(now, table.Records(now))
+	require.Equal(t, []string{harmful}, late.Quarantined(now))
+	witness.RecordAnswer(now, pool, []string{common, harmful})
+	witness.Merge(now, table.Records(now))
+	require.Empty(t, witness.Quarantined(now.Add(settleTime)))
+}
+
 // If other prompts that share a part with the harmful ones are answered, nothing is waited for.
 func TestConfirmedQuarantineBeginsAtOnce(t *testing.T) {
 	table, now := NewTable(), time.Now()
