--- a/internal/app/figcommand/route.go
+++ b/internal/app/figcommand/route.go
@@ -89,6 +89,7 @@
 		stringFlag("data-centre", "data centre of this instance", &s.DataCentre),
 		stringFlag("listen", "listen address for callers", &s.Listen),
 		stringFlag("peer-listen", "listen address for other instances", &s.PeerListen),
+		stringFlag("peer-advertise", "address at which other instances reach this one, if it isn't the listen address", &s.PeerAdvertise),
 		stringFlag("ready-listen", "listen address for the load balancer's health check", &s.ReadyListen),
 		stringFlag("admin-listen", "listen address for operators", &s.AdminListen),
 		stringFlag("ready-path", "path of the load balancer's health check", &s.ReadyPath),
--- a/internal/app/figrouter/fleet.go
+++ b/internal/app/figrouter/fleet.go
@@ -57,7 +57,7 @@
 	r.client = figpeer.NewClient(figpeer.ClientOptions{})
 	r.discovery = figdiscovery.New(figdiscovery.Options{
 		Self: figdiscovery.Member{
-			Name: r.Name, Address: r.peers.Addr().String(), DataCentre: r.DataCentre,
+			Name: r.Name, Address: r.PeerAddress(), DataCentre: r.DataCentre,
 			Incarnation: r.incarnation, MemoryMB: r.MemoryMB,
 		},
 		Clock:          r.clock,
--- a/internal/app/figrouter/router.go
+++ b/internal/app/figrouter/router.go
@@ -15,6 +15,7 @@
 package figrouter
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -258,7 +259,7 @@
 		Status:    r.status,
 		Metrics:   r.metrics.Handler(),
 		Fleet: &figadmin.Fleet{
-			Self:  figview.Member{Name: r.Name, Address: r.peers.Addr().String(), DataCentre: r.DataCentre},
+			Self:  figview.Member{Name: r.Name, Address: r.PeerAddress(), DataCentre: r.DataCentre},
 			Peers: r.discovery.Peers,
 			Query: func(ctx context.Context, m figview.Member) (*figadmin.StatusAnswer, error) {
 				return figpeer.Call[figadmin.StatusQuery, figadmin.StatusAnswer](ctx, r.client, m, callStatus, &figadmin.StatusQuery{})
@@ -271,7 +272,7 @@
 // isFirstSeed reports whether the first address in the seeds file is this instance's.
 func (r *Router) isFirstSeed() bool {
 	seeds := *r.seeds.Load()
-	return len(seeds) > 0 && seeds[0] == r.peers.Addr().String()
+	return len(seeds) > 0 && seeds[0] == r.PeerAddress()
 }
 
 // queueLimits returns the limits of each pool's queue.
@@ -323,5 +324,5 @@
 // ReadyAddress returns the address of the listener for the load balancer's health check.
 func (r *Router) ReadyAddress() string { return r.balancer.Addr().String() }
 
-// PeerAddress returns the address of the listener for other instances.
-func (r *Router) PeerAddress() string { return r.peers.Addr().String() }
+// PeerAddress returns the address at which other instances reach this one.
+func (r *Router) PeerAddress() string { return cmp.Or(r.PeerAdvertise, r.peers.Addr().String()) }
--- a/internal/app/figrouter/settings.go
+++ b/internal/app/figrouter/settings.go
@@ -22,6 +22,9 @@
 	// ReadyListen for the load balancer's health check, and AdminListen for operators;
 	// each in the form host:port.
 	Listen, PeerListen, ReadyListen, AdminListen string
+	// PeerAdvertise is the address at which other instances reach this one, in the form host:port; empty if
+	// it is the one it listens on.
+	PeerAdvertise string
 	// ReadyPath is the path of the load balancer's health check.
 	ReadyPath string
 	// Source is the address of the platform's configuration service, in the form host:port.
@@ -118,6 +121,7 @@
 	add(s.DataCentre != "", "data-centre", "must be given")
 	add(fignet.IsAddress(s.Listen), "listen", "must be host:port")
 	add(fignet.IsAddress(s.PeerListen), "peer-listen", "must be host:port")
+	add(s.PeerAdvertise == "" || fignet.IsAddress(s.PeerAdvertise), "peer-advertise", "must be host:port")
 	add(fignet.IsAddress(s.ReadyListen), "ready-listen", "must be host:port")
 	add(fignet.IsAddress(s.AdminListen), "admin-listen", "must be host:port")
 	add(strings.HasPrefix(s.ReadyPath, "/"), "ready-path", "must begin with a slash")
