Disregard refusals of coordinators with an outdated list of servers

Callers of instances that were well got 503 "No backend server can take the request" for about a second, though usable engines were listed.

Trace of a request: its coordinator had been cut off for 6 s, was back, and knew only engines that had crashed and been replaced meanwhile. It answered "no server of pool models is usable" within a millisecond, and the instance took that as final, whose own list was newer and had six usable engines. Ruled out: the quarantine (the reason was noServer), cold starts (over by then), the cut itself (the instances that were cut off served all).

Cause: nothing compared what the two knew. Now a coordinator's answer carries the revision of its list of servers. A refusal for want of a usable server, or a placement on a server that this instance may not use, counts as no answer if that list is older than the instance's own: the next coordinator is asked, or the instance places the request itself, as without coordinators. Full pools are refused as before.

TestOutdatedCoordinatorRefusesNothing fails without the change (two of three cases) and passes with it.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -224,7 +224,10 @@
 
 // publish stores a new view. It drops the servers that were removed longer than RemovedServerGrace ago.
 func (c *Catalogue) publish(now time.Time) {
-	v := &View{Table: c.table, Servers: map[string][]Server{}, DrainedDataCentres: make(map[string]bool, len(c.drained)), UpdatedAt: now}
+	v := &View{
+		Table: c.table, Servers: map[string][]Server{}, DrainedDataCentres: make(map[string]bool, len(c.drained)),
+		UpdatedAt: now, Revision: c.revision,
+	}
 	for name := range c.drained {
 		v.DrainedDataCentres[name] = true
 	}
--- a/internal/config/figcatalogue/types.go
+++ b/internal/config/figcatalogue/types.go
@@ -98,6 +98,8 @@
 	// UpdatedAt is when the catalogue last received contents or the result of a watch, from the source or another
 	// instance.
 	UpdatedAt time.Time
+	// Revision is the source's revision of the contents.
+	Revision uint64
 }
 
 // Usable says whether s may be sent new work: it is live, listed, and its data centre isn't drained. For servers
--- a/internal/place/figcoordinator/coordinator_test.go
+++ b/internal/place/figcoordinator/coordinator_test.go
@@ -571,3 +571,50 @@
 		require.Equal(t, 1, f.held(), "the rejected placement is ended")
 	})
 }
+
+// A coordinator that was cut off and has an outdated list of servers must not keep requests from the servers that
+// other instances know.
+func TestOutdatedCoordinatorRefusesNothing(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// state is that of the servers in the coordinator's list, and revision that of the asker's list.
+		state    figview.State
+		revision uint64
+		placed   bool
+	}{
+		{"no usable server", figview.Leaving, 2, true},
+		{"servers that are gone", figview.Live, 2, true},
+		{"no usable server in the same list", figview.Leaving, 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(ctx context.Context, t *testing.T) {
+				f := newFleet(ctx, 9, 2, 0)
+				<-time.After(adoptionTime + 2*adoptInterval)
+				asker := "i000"
+				if f.coordinatorNames(0)[0] == asker {
+					asker = "i001"
+				}
+				older, newer := *f.view, *f.view
+				old := slices.Clone(f.view.Servers[pool])
+				for i := range old {
+					old[i].State = c.state
+				}
+				older.Servers, older.Revision = map[string][]figcatalogue.Server{pool: old}, 1
+				newer.Servers = map[string][]figcatalogue.Server{pool: {newServer("new", figview.Decode)}}
+				newer.Revision = c.revision
+				f.mu.Lock()
+				f.view, f.newView, f.newAt = &older, &newer, asker
+				f.mu.Unlock()
+				began := time.Now()
+				p, err := f.all[asker].Placer.Place(ctx, &Request{Pool: pool, PromptTokens: 1000, Tokens: 1000, Wait: time.Second, Lasts: time.Minute})
+				require.Less(t, time.Since(began), 100*time.Millisecond)
+				if !c.placed {
+					require.Error(t, err)
+					return
+				}
+				require.NoError(t, err)
+				require.Equal(t, "new", p.Decode.Name)
+			})
+		})
+	}
+}
--- a/internal/place/figcoordinator/placer.go
+++ b/internal/place/figcoordinator/placer.go
@@ -132,9 +132,15 @@
 		case err != nil:
 			continue
 		case answer.Status == Placed:
-			return p.accept(m, q, number, answer)
+			placement, err := p.accept(m, q, number, answer)
+			if err != nil && p.outdated(answer) {
+				continue
+			}
+			return placement, err
 		case answer.Full:
 			return nil, refusal(answer)
+		case p.outdated(answer):
+			continue
 		}
 		// None of its servers can take the request; another coordinator may have one.
 		refused = refusal(answer)
@@ -160,7 +166,12 @@
 			continue
 		case answer.Status == Placed:
 			placement, err := p.accept(m, q, number, answer)
+			if err != nil && p.outdated(answer) {
+				continue
+			}
 			return placement, nil, err
+		case !answer.Full && p.outdated(answer):
+			continue
 		}
 		wait := answer.RetryAfter
 		if !answer.Full {
@@ -172,6 +183,10 @@
 	return nil, full, nil
 }
 
+// outdated reports whether a coordinator that found no usable server has an older list of servers than this
+// instance, as one that was cut off has. It counts as one that doesn't answer then.
+func (p *Placer) outdated(a *Answer) bool { return a.Revision < p.View().Revision }
+
 // refusal returns the error for an answer without a placement.
 func refusal(a *Answer) error {
 	return &figbalancer.NoServerError{RetryAfter: a.RetryAfter, NoCapacity: a.Full, Reason: a.Reason}
