Disregard refusals of instances that aren't coordinators of the pool

While the list of members changes, callers of instances that were well got 503 "No backend server can take the request" within a millisecond.

Cause: an instance without servers of its own refused like one whose servers can't be used. Its answer now says that it coordinates none, and counts as no answer: the instance that asked places the request itself. Ruled out: outdated lists of servers (both had the same revision).

TestNoCoordinatorRefusesForAnother fails without the change and passes with it.

--- a/internal/place/figcoordinator/coordinator_test.go
+++ b/internal/place/figcoordinator/coordinator_test.go
@@ -618,3 +618,25 @@
 		})
 	}
 }
+
+// While instances don't agree yet on who has died, one that doesn't take itself for a coordinator must not keep
+// requests from the servers.
+func TestNoCoordinatorRefusesForAnother(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T) {
+		f := newFleet(ctx, 9, 2, 0)
+		<-time.After(adoptionTime + 2*adoptInterval)
+		var others []string
+		for _, m := range f.members {
+			if m.Name != f.coordinatorNames(0)[0] {
+				others = append(others, m.Name)
+			}
+		}
+		asker, other := others[0], others[1]
+		f.all[asker].Call = deliver(f, asker, func(*Coordinator) func(context.Context, *Request) (*Answer, error) {
+			return f.all[other].Coordinator.Handle
+		})
+		p, err := f.all[asker].Placer.Place(ctx, &Request{Pool: pool, PromptTokens: 1000, Tokens: 1000, Wait: time.Second, Lasts: time.Minute})
+		require.NoError(t, err)
+		require.NotNil(t, p.Decode)
+	})
+}
--- a/internal/place/figcoordinator/placer.go
+++ b/internal/place/figcoordinator/placer.go
@@ -133,13 +133,13 @@
 			continue
 		case answer.Status == Placed:
 			placement, err := p.accept(m, q, number, answer)
-			if err != nil && p.outdated(answer) {
+			if err != nil && p.knowsMore(answer) {
 				continue
 			}
 			return placement, err
 		case answer.Full:
 			return nil, refusal(answer)
-		case p.outdated(answer):
+		case p.knowsMore(answer):
 			continue
 		}
 		// None of its servers can take the request; another coordinator may have one.
@@ -166,11 +166,11 @@
 			continue
 		case answer.Status == Placed:
 			placement, err := p.accept(m, q, number, answer)
-			if err != nil && p.outdated(answer) {
+			if err != nil && p.knowsMore(answer) {
 				continue
 			}
 			return placement, nil, err
-		case !answer.Full && p.outdated(answer):
+		case !answer.Full && p.knowsMore(answer):
 			continue
 		}
 		wait := answer.RetryAfter
@@ -183,9 +183,10 @@
 	return nil, full, nil
 }
 
-// outdated reports whether a coordinator that found no usable server has an older list of servers than this
-// instance, as one that was cut off has. It counts as one that doesn't answer then.
-func (p *Placer) outdated(a *Answer) bool { return a.Revision < p.View().Revision }
+// knowsMore reports whether this instance knows more than a coordinator that found no usable server: the
+// coordinator has an older list of servers, as one that was cut off has, or an older list of members, by which
+// it isn't a coordinator of the pool. It counts as one that doesn't answer then.
+func (p *Placer) knowsMore(a *Answer) bool { return a.Elsewhere || a.Revision < p.View().Revision }
 
 // refusal returns the error for an answer without a placement.
 func refusal(a *Answer) error {
--- a/internal/place/figcoordinator/shares.go
+++ b/internal/place/figcoordinator/shares.go
@@ -98,6 +98,13 @@
 	return false
 }
 
+// ownsAny reports whether this instance is the coordinator of a server of the pool.
+func (h *Shares) ownsAny(v *figcatalogue.View, pool string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.current(v, pool).ownSince) > 0
+}
+
 // current returns the division of a pool, which it computes again if the view or the members have
 // changed. h.mu must be held.
 func (h *Shares) current(v *figcatalogue.View, pool string) *share {
