Cut processes off from each other in the tests of prompt parts

The tests of fleets of processes cut nothing off, killed coordinators only when their turn came, and played faults at 9 instances only. Relays between the instances and before the store now drop what crosses a partition.

--- a/internal/stand/figemulator/relay.go
+++ b/internal/stand/figemulator/relay.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,8 +18,12 @@
 	ToClient
 )
 
-// relayBuffer is the read buffer size in bytes.
-const relayBuffer = 32 << 10
+const (
+	// relayBuffer is the read buffer size in bytes.
+	relayBuffer = 32 << 10
+	// keepAliveTime is the time after which one end notices that the other end of a silent connection is gone.
+	keepAliveTime = 5 * time.Second
+)
 
 // Relay forwards TCP connections to a target. It can emulate packet loss, in which
 // connections stay open but deliver nothing. It is safe for concurrent use.
@@ -29,6 +34,7 @@
 	target    string
 	drops     [2]bool
 	refuse    bool
+	dropsFrom func(client net.Addr) bool
 	conns     map[*relayedConn]struct{}
 	forwarded [2]int64
 }
@@ -77,6 +83,14 @@
 	r.drops[d] = on
 }
 
+// DropFrom drops all bytes in both directions of the open and new connections of the clients for which drops
+// returns true at that moment; nil for none.
+func (r *Relay) DropFrom(drops func(client net.Addr) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropsFrom = drops
+}
+
 // Partition drops the traffic in both directions while on.
 func (r *Relay) Partition(on bool) {
 	r.DropTraffic(ToServer, on)
@@ -167,8 +181,8 @@
 }
 
 // forward copies the bytes of one direction until reading or writing fails, and closes from. When
-// reading ends it also closes to, unless the direction is silent: a partition loses the close of a
-// connection as well.
+// reading ends it also closes to. A partition loses the close of a connection as well, so that a silent
+// direction is closed only after keepAliveTime.
 func (r *Relay) forward(k *relayedConn, d Direction, from, to net.Conn) {
 	defer func() { _ = from.Close() }()
 	buffer := make([]byte, relayBuffer)
@@ -182,6 +196,8 @@
 		if err != nil {
 			if r.allows(k, d, 0) {
 				_ = to.Close()
+			} else {
+				time.AfterFunc(keepAliveTime, func() { _ = to.Close() })
 			}
 			return
 		}
@@ -190,9 +206,13 @@
 
 // allows reports whether n bytes may be forwarded, and counts them if so. A direction that drops bytes stays silent.
 func (r *Relay) allows(k *relayedConn, d Direction, n int) bool {
+	r.mu.Lock()
+	dropsFrom := r.dropsFrom
+	r.mu.Unlock()
+	dropped := dropsFrom != nil && dropsFrom(k.client.RemoteAddr())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.drops[d] {
+	if r.drops[d] || dropped {
 		k.silent[d] = true
 	}
 	if k.silent[d] {
