Probe another member at once after a failed probe

TestPartition/195, listed as red: 10 s after a third of 195 members was cut off, the smaller side still counted 67 of its 65 members, so that it used more than its part of shared limits.

Cause: each member is probed by chance. The 65 members of the smaller side make 65 probes in 400 ms, mostly of the 130 that are gone, so that in the 6 s that are left for probing each of the 130 is probed five times on average, and one in 150 not at all. Ruled out: suspicion and gossip (members that were probed were dead in time).

Change: a failed probe of a present member causes another one at once, at most two in a round. While nothing fails nothing is added (TestCost). A larger fraction of time for probing or a looser bound was not considered, as the bound is that of the limits.

go test ./internal/fleet/figdiscovery -known-red -run TestPartition/195 -count 20: 4 failed before, 0 after; all tests of the package six times with -known-red: passed.

--- a/internal/fleet/figdiscovery/discovery.go
+++ b/internal/fleet/figdiscovery/discovery.go
@@ -94,6 +94,8 @@
 	pending chan struct{}
 	// order is the rest of the current random order of probes.
 	order []string
+	// extraLeft is the number of additional probes that failed ones may still cause in this round.
+	extraLeft int
 	// results holds the outcomes of the latest probes, latest last.
 	results   []probeResult
 	startedAt time.Time
--- a/internal/fleet/figdiscovery/probe.go
+++ b/internal/fleet/figdiscovery/probe.go
@@ -16,6 +16,9 @@
 	indirectProbes = 3
 	// startInterval is the time between two rounds of a starting instance.
 	startInterval = 100 * time.Millisecond
+	// extraProbes is the number of additional probes that failed ones may cause in a round, so that a partition
+	// is noticed soon on its smaller side, where few members probe many.
+	extraProbes = 2
 	// indirectTimeout is the timeout of these probes.
 	indirectTimeout = 900 * time.Millisecond
 	// seedRounds is the number of rounds between two probes of a seed that is not a present member, and
@@ -67,6 +70,7 @@
 	defer d.mu.Unlock()
 	d.removeExpired(now)
 	d.countMembers(now)
+	d.extraLeft = extraProbes
 	var targets []figview.Member
 	if m, ok := d.nextInOrder(); ok {
 		targets = append(targets, m)
@@ -154,6 +158,7 @@
 	var record Record
 	if doubted {
 		record = m.Record
+		d.probeAnotherLocked(ctx)
 	}
 	d.mu.Unlock()
 	if doubted && !d.probeThroughOthers(ctx, &record) {
@@ -161,6 +166,17 @@
 	}
 }
 
+// probeAnotherLocked probes the next member in addition to those of the round. d.mu must be held.
+func (d *Discovery) probeAnotherLocked(ctx context.Context) {
+	if d.extraLeft == 0 {
+		return
+	}
+	if m, ok := d.nextInOrder(); ok {
+		d.extraLeft--
+		go d.probe(ctx, m)
+	}
+}
+
 // recordResult notes the outcome of a probe of a present member.
 func (d *Discovery) recordResult(name string, answered bool) {
 	d.mu.Lock()
