--- a/internal/place/figcoordinator/coordinator_test.go
+++ b/internal/place/figcoordinator/coordinator_test.go
@@ -66,6 +66,17 @@
 	return newFleetOf(ctx, instances, servers)
 }
 
+// others returns the names of the instances that don't coordinate the first server.
+func (f *fleet) others() []string {
+	var names []string
+	for _, m := range f.members {
+		if m.Name != f.coordinatorNames(0)[0] {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
 func newServer(name string, role figview.Role) figcatalogue.Server {
 	return figcatalogue.Server{Server: figview.Server{Name: name, Pool: pool, Role: role, StartedAt: time.Now()}}
 }
@@ -545,10 +556,7 @@
 	run(t, func(ctx context.Context, t *testing.T) {
 		f := newFleet(ctx, 9, 2, 0)
 		<-time.After(adoptionTime + 2*adoptInterval)
-		asker := "i000"
-		if f.coordinatorNames(0)[0] == asker {
-			asker = "i001"
-		}
+		asker := f.others()[0]
 		newer := *f.view
 		leaving := slices.Clone(f.view.Servers[pool])
 		for i := range leaving {
@@ -590,10 +598,7 @@
 			run(t, func(ctx context.Context, t *testing.T) {
 				f := newFleet(ctx, 9, 2, 0)
 				<-time.After(adoptionTime + 2*adoptInterval)
-				asker := "i000"
-				if f.coordinatorNames(0)[0] == asker {
-					asker = "i001"
-				}
+				asker := f.others()[0]
 				older, newer := *f.view, *f.view
 				old := slices.Clone(f.view.Servers[pool])
 				for i := range old {
@@ -625,15 +630,9 @@
 	run(t, func(ctx context.Context, t *testing.T) {
 		f := newFleet(ctx, 9, 2, 0)
 		<-time.After(adoptionTime + 2*adoptInterval)
-		var others []string
-		for _, m := range f.members {
-			if m.Name != f.coordinatorNames(0)[0] {
-				others = append(others, m.Name)
-			}
-		}
-		asker, other := others[0], others[1]
+		asker, other := f.others()[0], f.others()[1]
 		f.all[asker].Call = deliver(f, asker, func(*Coordinator) func(context.Context, *Request) (*Answer, error) {
-			return f.all[other].Coordinator.Handle
+			return f.all[other].Handle
 		})
 		p, err := f.all[asker].Placer.Place(ctx, &Request{Pool: pool, PromptTokens: 1000, Tokens: 1000, Wait: time.Second, Lasts: time.Minute})
 		require.NoError(t, err)
