--- a/internal/request/figproxy/send.go
+++ b/internal/request/figproxy/send.go
@@ -224,20 +224,39 @@
 // comes from a stale connection. A retry takes nothing from the budget if no server received
 // the request.
 func (x *exchange) takeRetry(s *figcatalogue.Server, err error) bool {
-	if x.ctx.Err() != nil || x.sends >= maxSends || isQuarantined(err) {
+	if reason := x.takeRetryReason(s, err); reason != "" {
+		klog.InfoS("request is not sent again", "requestId", x.ID, "server", s.Name, "reason", reason,
+			"kind", figsend.KindOf(err).String(), "sends", x.sends, "ran", len(x.ranOn), "events", x.events)
 		return false
 	}
+	return true
+}
+
+// takeRetryReason returns why the request may not be sent again, or "" if it may; see takeRetry.
+func (x *exchange) takeRetryReason(s *figcatalogue.Server, err error) string {
 	notRun := figsend.OutcomeOf(err) == figsend.NotRun
-	if !notRun && (!x.route.Kind.Retryable() || len(x.ranOn) >= max(1, x.route.MaxServers)) {
-		return false
+	switch {
+	case x.ctx.Err() != nil:
+		return "ended"
+	case x.sends >= maxSends:
+		return "sends"
+	case isQuarantined(err):
+		return "quarantined"
+	case !notRun && !x.route.Kind.Retryable():
+		return "kind"
+	case !notRun && len(x.ranOn) >= max(1, x.route.MaxServers):
+		return "servers"
 	}
 	if !x.staleConnection(err) {
 		x.avoid = append(x.avoid, s.Lifetime())
 	}
 	if notRun && figsend.KindOf(err) != figsend.KindRefused {
-		return true // no server received the request
+		return "" // no server received the request
+	}
+	if !x.Retries.Take(x.Clock.Now(), x.pool) {
+		return "budget"
 	}
-	return x.Retries.Take(x.Clock.Now(), x.pool)
+	return ""
 }
 
 // failedSendCause returns the cause for ending a request whose last send failed with err.
