Leave a silent server only for another one that has a place

Cause: silence was taken for failure. After 1 s without an event (streams that may be resumed) or two latency targets (streams before their first event, idempotent calls) the send was ended first, and only then another server and a retry were asked for. Without a server, room or retry the answer was lost. A change of the configuration beside which servers drain leaves no other server.

Change: a watch on each such send looks for a place at another server, for a connection to it and for a retry once the server is silent, on a copy of the request's state. When it has all three it gives the send up, and the next send uses them. Until then the send goes on, at most to the deadline. At most one server works on the request at any time, as before.

--- a/internal/request/figproxy/plain.go
+++ b/internal/request/figproxy/plain.go
@@ -1,6 +1,7 @@
 package figproxy
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -12,8 +13,8 @@
 )
 
 // tryTimeoutTargets is the timeout of one attempt of an idempotent call, in latency targets
-// of the route. After that time the request is sent to another server: the answer has missed
-// the target, and a healthy server takes less than twice the target.
+// of the route. After that time the request is sent to another server if one has a place for it:
+// the answer has missed the target, and a healthy server takes less than twice the target.
 const tryTimeoutTargets = 2
 
 // servePlain serves a request whose answer is a whole body. It retries as the route's kind
@@ -41,6 +42,9 @@
 
 // reservePlain asks for a place at a server, which becomes x.placement.
 func (x *exchange) reservePlain() (*figcatalogue.Server, error) {
+	if s := x.takeReplacement(); s != nil {
+		return s, nil
+	}
 	now := x.Clock.Now()
 	deadline := now.Add(time.Duration(plainWaitFraction * float64(x.route.LatencyTarget)))
 	if deadline.After(x.answerDeadline) {
@@ -70,9 +74,11 @@
 		return nil, err
 	}
 	attempt.placement, x.placement = x.placement, nil
-	ctx, cancel := x.withTimeout(x.tryTimeout())
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	defer cancel(nil)
+	stop := x.watchSilence(s, x.tryTimeout(), false, func() { cancel(errTryTimeout) })
 	answer, err := x.Sender.Do(ctx, x.sendCall(s, SendMetadata{}))
+	stop()
 	err = x.markTryTimeout(ctx, err)
 	metadata := x.answerMetadata(answer, err)
 	if err == nil && !metadata.FromApplication {
@@ -82,7 +88,7 @@
 	return answer, err
 }
 
-// tryTimeout returns the timeout of one attempt, or 0 if only the request's own deadline
+// tryTimeout returns the time after which another server is looked for, or 0 if only the request's own deadline
 // applies: for routes that are not idempotent, and for the last server allowed.
 func (x *exchange) tryTimeout() time.Duration {
 	if x.route.Kind != figroute.Idempotent || len(x.ranOn)+1 >= x.route.MaxServers {
--- a/internal/request/figproxy/proxy.go
+++ b/internal/request/figproxy/proxy.go
@@ -158,7 +158,10 @@
 	prefilledTokens int64
 	// placement is the placement of a model request that no send has taken over yet; nil if
 	// there is none.
-	placement    *figcoordinator.Placement
+	placement *figcoordinator.Placement
+	// replacement is a place at another server, for which the last send was given up because its server was silent.
+	// Its retry has been taken from the budget. It is nil if there is none.
+	replacement  *figcoordinator.Placement
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	events       int64
@@ -319,6 +322,13 @@
 	return b.Allow(now)
 }
 
+// Available says whether Take would take a retry.
+func (r *RetryBudgets) Available(now time.Time, pool string) bool {
+	b := r.budget(pool)
+	b.SetMinRetries(max(1, r.Floor/max(1, r.Members(now))))
+	return b.Available(now)
+}
+
 // Spend records a retry that was made without Take, even if the budget is used up.
 func (r *RetryBudgets) Spend(now time.Time, pool string) { r.budget(pool).RecordRetry(now) }
 
--- a/internal/request/figproxy/relay.go
+++ b/internal/request/figproxy/relay.go
@@ -51,7 +51,9 @@
 func (r *streamRelay) next() error {
 	x := r.exchange
 	for {
-		event, err := r.Next(x.ctx, r.stallTimeout())
+		stop := x.watchSilence(r.server, r.stallTimeout(), true, r.GiveUp)
+		event, err := r.Next(x.ctx, x.answerDeadline.Sub(x.Clock.Now()))
+		stop()
 		switch {
 		case err == nil && !follows(r.lastEventID, event.ID):
 			err = &figsend.Failure{Kind: figsend.KindOther, Err: figerror.Wrap(errEventOrder, "stream", r.server.Name)}
@@ -88,14 +90,14 @@
 	return errA != nil || errB != nil || b > a
 }
 
-// stallTimeout returns the longest wait for the next event.
+// stallTimeout returns the time without an event after which another server is looked for, or 0 if
+// the stream can't be resumed.
 func (r *streamRelay) stallTimeout() time.Duration {
 	x := r.exchange
-	remaining := x.answerDeadline.Sub(x.Clock.Now())
-	if x.route.Kind == figroute.ResumableStream && len(x.ranOn)+1 < x.route.MaxServers {
-		return min(remaining, resumableStallTimeout)
+	if x.route.Kind == figroute.ResumableStream && len(r.lastEventID) > 0 && len(x.ranOn)+1 < x.route.MaxServers {
+		return resumableStallTimeout
 	}
-	return remaining
+	return 0
 }
 
 // resume continues the stream on another server after the last event. It returns false if the
--- a/internal/request/figproxy/send.go
+++ b/internal/request/figproxy/send.go
@@ -250,6 +250,9 @@
 	if !x.staleConnection(err) {
 		x.avoid = append(x.avoid, s.Lifetime())
 	}
+	if x.replacement != nil {
+		return "" // taken from the budget already
+	}
 	if notRun && figsend.KindOf(err) != figsend.KindRefused {
 		return "" // no server received the request
 	}
--- a/internal/request/figproxy/stream.go
+++ b/internal/request/figproxy/stream.go
@@ -20,11 +20,11 @@
 
 const (
 	// firstEventTimeoutTargets is the timeout for the first event of a resumable stream, in
-	// latency targets of the route. After that time the request is sent to another server; see
-	// tryTimeoutTargets.
+	// latency targets of the route. After that time the request is sent to another server if one has a
+	// place for it; see tryTimeoutTargets.
 	firstEventTimeoutTargets = 2
-	// resumableStallTimeout is the longest time without an event before a resumable stream is
-	// resumed on another server. Callers wait at least 2 s before they give up.
+	// resumableStallTimeout is the time without an event after which a resumable stream is resumed on
+	// another server if one has a place for it. Callers wait at least 2 s before they give up.
 	resumableStallTimeout = time.Second
 	// prefillTimeout is the timeout of a send to a prefill server. After it the decode server
 	// computes the prompt itself. The longest prompts take 200 ms on an idle server.
@@ -151,14 +151,13 @@
 		return nil, err
 	}
 	opened := &openedStream{attempt: a}
-	// ctx lasts as long as the stream. The timer cancels it if the first event is late.
+	// ctx lasts as long as the stream.
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	x.cleanups = append(x.cleanups, func() { cancel(nil) })
-	if timeout := x.firstEventTimeout(); timeout > 0 {
-		defer x.Timer.After(timeout, func() { cancel(errTryTimeout) })()
-	}
+	stop := x.watchSilence(s, x.firstEventTimeout(), resume, func() { cancel(errTryTimeout) })
 	stream, err := x.Sender.Stream(ctx, x.sendCall(s, metadata))
 	if err != nil {
+		stop()
 		err = x.markTryTimeout(ctx, err)
 		x.finishSend(a, x.answerMetadata(nil, err), err)
 		return nil, err
@@ -170,6 +169,7 @@
 	}
 	x.reportLimit(opened)
 	if stream.Answer != nil {
+		stop()
 		err = x.checkFromApplication(opened)
 		a.takePlacement(x, err)
 		x.finishSend(a, opened.metadata, err)
@@ -180,6 +180,7 @@
 	} else {
 		err = x.markTryTimeout(ctx, x.readFirstEvent(ctx, opened))
 	}
+	stop()
 	if err != nil {
 		stream.Close()
 		x.finishSend(a, opened.metadata, err)
@@ -215,7 +216,7 @@
 	return a.Get
 }
 
-// firstEventTimeout returns the timeout for the first event, or 0 if only the request's own
+// firstEventTimeout returns the time after which another server is looked for, or 0 if only the request's own
 // deadline applies: for streams that can't be resumed, and for the last server allowed.
 func (x *exchange) firstEventTimeout() time.Duration {
 	if x.route.Kind != figroute.ResumableStream || len(x.ranOn)+1 >= x.route.MaxServers {
--- a/internal/request/figsend/budget.go
+++ b/internal/request/figsend/budget.go
@@ -58,6 +58,21 @@
 func (b *RetryBudget) Allow(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.availableLocked(now) {
+		return false
+	}
+	b.slot(now).retries++
+	return true
+}
+
+// Available returns whether Allow would return true, and counts nothing.
+func (b *RetryBudget) Available(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.availableLocked(now)
+}
+
+func (b *RetryBudget) availableLocked(now time.Time) bool {
 	current := b.slot(now)
 	successes, retries := 0, 0
 	for i := range b.slots {
@@ -66,11 +81,7 @@
 			retries += s.retries
 		}
 	}
-	if float64(retries+1) > float64(b.MinRetries)+b.Fraction*float64(successes) {
-		return false
-	}
-	current.retries++
-	return true
+	return float64(retries+1) <= float64(b.MinRetries)+b.Fraction*float64(successes)
 }
 
 // slot returns the counts of the slot that contains now. Counts left from a previous use of its array element are
--- a/internal/request/figsend/retry_test.go
+++ b/internal/request/figsend/retry_test.go
@@ -23,7 +23,9 @@
 				successes = append(successes, now)
 				continue
 			}
-			if !b.Allow(now) {
+			available := b.Available(now)
+			require.Equal(t, available, b.Allow(now))
+			if !available {
 				continue
 			}
 			retries = append(retries, now)
--- a/internal/request/figsend/stream.go
+++ b/internal/request/figsend/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,7 @@
 	exchange *exchange
 	events   eventReader
 	once     sync.Once
+	givenUp  atomic.Bool
 	closed   chan struct{}
 	endErr   error
 	// hasFraming says that the body has a content length or chunked encoding, so that a truncated body is detected.
@@ -188,6 +190,10 @@
 		return f
 	case ctx.Err() != nil:
 		return fail(x.call, "stream", contextKind(ctx), OutcomeUnknown, ctx.Err())
+	case t.givenUp.Load():
+		x.sender.TimedOut.Add(1)
+		x.sender.Stalled.Add(1)
+		return fail(x.call, "stream", KindStalled, OutcomeUnknown, errClosed)
 	case t.isClosed():
 		return fail(x.call, "stream", KindCancelled, OutcomeUnknown, errClosed)
 	case errors.Is(err, io.EOF):
@@ -217,6 +223,16 @@
 	return fail(x.call, "stream", KindIncomplete, OutcomeUnknown, errNoEndMarker)
 }
 
+// GiveUp closes a stream whose server is silent. Next then fails with KindStalled. It also closes the server's idle
+// connections, which may be dead as well.
+func (t *Stream) GiveUp() {
+	t.givenUp.Store(true)
+	t.Close()
+	if t.exchange != nil {
+		t.exchange.closeIdle()
+	}
+}
+
 func (t *Stream) isClosed() bool {
 	select {
 	case <-t.closed:
--- a/internal/request/figsend/stream_test.go
+++ b/internal/request/figsend/stream_test.go
@@ -138,6 +138,24 @@
 	}
 }
 
+// TestStreamGivenUp has a stream given up while Next waits for a silent server.
+func TestStreamGivenUp(t *testing.T) {
+	server := listen(t, func(c net.Conn) {
+		_, _ = http.ReadRequest(newReader(c))
+		_, _ = io.WriteString(c, streamHead+chunked(false, "data: a\n\n"))
+		_, _ = io.Copy(io.Discard, c)
+	})
+	s := newSender(t, Options{})
+	stream, err := s.Stream(t.Context(), callTo(server.server(), http.MethodPost, false))
+	require.NoError(t, err)
+	_, err = stream.Next(t.Context(), waitTimeout)
+	require.NoError(t, err)
+	time.AfterFunc(shortTimeout, stream.GiveUp)
+	_, err = stream.Next(t.Context(), waitTimeout)
+	requireKind(t, err, KindStalled, OutcomeUnknown)
+	require.EqualValues(t, 1, s.Stalled.Load())
+}
+
 func TestStreamCancelled(t *testing.T) {
 	cancels := map[string]func(stream *Stream, cancelSend, cancelNext context.CancelFunc){
 		"close":          func(s *Stream, _, _ context.CancelFunc) { s.Close() },
