Take a stream for complete that was received before it was given up

Callers could get all events of a stream and then a broken connection. A server that pauses for about as long as the stall limit may finish its stream just as another server's place is found: the stream is then given up, although its end has been read already, and the end was reported as a stall. The stream was resumed after its last event, where nothing is left.

TestStreamGivenUpAfterItsEnd failed each time with a stall instead of io.EOF.

Change: the end of a stream with chunks or a length that has been read counts, whether the stream was given up or not. Bodies that end with their connection are left out, because giving them up closes it.

--- a/internal/request/figsend/stream.go
+++ b/internal/request/figsend/stream.go
@@ -190,6 +190,8 @@
 		return f
 	case ctx.Err() != nil:
 		return fail(x.call, "stream", contextKind(ctx), OutcomeUnknown, ctx.Err())
+	case errors.Is(err, io.EOF) && t.hasFraming && t.givenUp.Load():
+		return t.checkEnd() // received before it was given up
 	case t.givenUp.Load():
 		x.sender.TimedOut.Add(1)
 		x.sender.Stalled.Add(1)
--- a/internal/request/figsend/stream_test.go
+++ b/internal/request/figsend/stream_test.go
@@ -156,6 +156,20 @@
 	require.EqualValues(t, 1, s.Stalled.Load())
 }
 
+// TestStreamGivenUpAfterItsEnd has a stream given up of which everything has been received.
+func TestStreamGivenUpAfterItsEnd(t *testing.T) {
+	server := oneAnswerServer(t, streamHead+chunked(true, "data: a\n\n", "data: b\n\n"), true)
+	stream, err := newSender(t, Options{}).Stream(t.Context(), callTo(server, http.MethodPost, false))
+	require.NoError(t, err)
+	_, err = stream.Next(t.Context(), waitTimeout)
+	require.NoError(t, err)
+	stream.GiveUp()
+	_, err = stream.Next(t.Context(), waitTimeout)
+	require.NoError(t, err)
+	_, err = stream.Next(t.Context(), waitTimeout)
+	require.Equal(t, io.EOF, err)
+}
+
 func TestStreamCancelled(t *testing.T) {
 	cancels := map[string]func(stream *Stream, cancelSend, cancelNext context.CancelFunc){
 		"close":          func(s *Stream, _, _ context.CancelFunc) { s.Close() },
