Log the position in the platform's store with its epoch

The header of the store's answers that counts its restorations was read by nothing, so that no log line could tell a late answer from one of a restored store. Sources return it with contents and changes, and the catalogue's lines about the source name it beside the revision. The comparisons of revisions are unchanged.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -99,6 +99,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n.Revision < c.revision {
+		klog.InfoS("contents ignored", "epoch", n.Epoch, "revision", n.Revision, "inForce", c.revision, "reason", "older")
 		c.publish(now)
 		return
 	}
@@ -226,7 +227,7 @@
 func (c *Catalogue) publish(now time.Time) {
 	v := &View{
 		Table: c.table, Servers: map[string][]Server{}, DrainedDataCentres: make(map[string]bool, len(c.drained)),
-		UpdatedAt: now, Revision: c.revision,
+		UpdatedAt: now, Position: figview.Position{Revision: c.revision},
 	}
 	for name := range c.drained {
 		v.DrainedDataCentres[name] = true
--- a/internal/config/figcatalogue/catalogue_test.go
+++ b/internal/config/figcatalogue/catalogue_test.go
@@ -21,6 +21,8 @@
 
 func always() bool { return true }
 
+func at(revision uint64) figview.Position { return figview.Position{Revision: revision} }
+
 func version(n uint64) *figroute.Declarations { return &figroute.Declarations{Version: n} }
 
 func noPeer(context.Context, *SnapshotRequest) (*Snapshot, string, error) {
@@ -113,7 +115,7 @@
 type scriptedSource struct {
 	mu      sync.Mutex
 	reads   int
-	watches []func() ([]Change, uint64, error)
+	watches []func() ([]Change, figview.Position, error)
 }
 
 func (s *scriptedSource) source() Source {
@@ -123,11 +125,11 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.reads++
-			return &Contents{Declarations: version(uint64(s.reads)), Revision: uint64(10 * s.reads)}, nil
+			return &Contents{Declarations: version(uint64(s.reads)), Position: at(uint64(10 * s.reads))}, nil
 		},
-		Watch: func(ctx context.Context, _ uint64, wait time.Duration) ([]Change, uint64, error) {
+		Watch: func(ctx context.Context, _ figview.Position, wait time.Duration) ([]Change, figview.Position, error) {
 			s.mu.Lock()
-			var f func() ([]Change, uint64, error)
+			var f func() ([]Change, figview.Position, error)
 			if len(s.watches) > 0 {
 				f = s.watches[0]
 				s.watches = s.watches[1:]
@@ -140,7 +142,7 @@
 			case <-ctx.Done():
 			case <-time.After(wait):
 			}
-			return nil, 0, ctx.Err()
+			return nil, at(0), ctx.Err()
 		},
 	}
 }
@@ -151,9 +153,9 @@
 	for name, failure := range map[string]error{"history lost": ErrHistoryLost, "cut": errors.New("cut")} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := &scriptedSource{watches: []func() ([]Change, uint64, error){
-					func() ([]Change, uint64, error) { return []Change{{Declarations: version(1)}}, 11, nil },
-					func() ([]Change, uint64, error) { return nil, 0, failure },
+				s := &scriptedSource{watches: []func() ([]Change, figview.Position, error){
+					func() ([]Change, figview.Position, error) { return []Change{{Declarations: version(1)}}, at(11), nil },
+					func() ([]Change, figview.Position, error) { return nil, at(0), failure },
 				}}
 				c := New(Options{IsReader: always, Source: s.source(), Clock: figtimer.System(), QueryPeer: noPeer})
 				ctx, cancel := context.WithCancel(t.Context())
@@ -177,7 +179,7 @@
 		other := newCatalogueAt(&now)
 		cold := server("a", 1)
 		cold.ColdStartEnd = now.Add(time.Second)
-		other.Replace(&Contents{Declarations: version(7), Servers: []Server{cold, server("b", 1)}, DrainedDataCentres: []string{"west"}, Revision: 70})
+		other.Replace(&Contents{Declarations: version(7), Servers: []Server{cold, server("b", 1)}, DrainedDataCentres: []string{"west"}, Position: at(70)})
 		other.Apply([]Change{{ServerRemoved: "b"}}, 71)
 		failing := Source{Name: "test", Read: func(context.Context) (*Contents, error) { return nil, errors.New("busy") }}
 		c := New(Options{IsReader: always, Source: failing, Clock: figtimer.System(), QueryPeer: func(ctx context.Context, q *SnapshotRequest) (*Snapshot, string, error) {
@@ -212,11 +214,11 @@
 		started := time.Now()
 		calls := 0
 		source := (&scriptedSource{}).source()
-		source.Watch = func(context.Context, uint64, time.Duration) ([]Change, uint64, error) {
+		source.Watch = func(context.Context, figview.Position, time.Duration) ([]Change, figview.Position, error) {
 			calls++
 			<-time.After(20 * time.Millisecond)
 			n := uint64(time.Since(started) / (20 * time.Millisecond))
-			return []Change{{Declarations: version(n)}}, n, nil
+			return []Change{{Declarations: version(n)}}, at(n), nil
 		}
 		c := New(Options{IsReader: always, Source: source, Clock: figtimer.System(), QueryPeer: noPeer})
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/config/figcatalogue/follow.go
+++ b/internal/config/figcatalogue/follow.go
@@ -185,7 +185,7 @@
 		klog.InfoS("reading the source directly", "reason", "no reader can read it", "err", err)
 		c.reading.directUntil = now.Add(directTime)
 		c.mu.Lock()
-		c.reading.revision, c.reading.complete = c.revision, c.table != nil
+		c.reading.position.Revision, c.reading.complete = c.revision, c.table != nil
 		c.mu.Unlock()
 		return false
 	}
--- a/internal/config/figcatalogue/follow_test.go
+++ b/internal/config/figcatalogue/follow_test.go
@@ -76,32 +76,32 @@
 			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			n := &Contents{Revision: s.revision}
+			n := &Contents{Position: at(s.revision)}
 			for _, c := range s.history {
 				n.Add(c)
 			}
 			return n, nil
 		},
-		Watch: func(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+		Watch: func(ctx context.Context, after figview.Position, wait time.Duration) ([]Change, figview.Position, error) {
 			if err := s.check(ctx, name, wait); err != nil {
-				return nil, 0, err
+				return nil, at(0), err
 			}
 			end := time.After(wait)
 			for {
 				s.mu.Lock()
 				revision, changed, stuck := s.revision, s.changed, s.silent[name]
-				changes := s.history[after:]
+				changes := s.history[after.Revision:]
 				s.mu.Unlock()
-				if revision > after && !stuck {
-					return changes, revision, nil
+				if revision > after.Revision && !stuck {
+					return changes, at(revision), nil
 				}
 				select {
 				case <-changed:
 				case <-ctx.Done():
-					return nil, 0, ctx.Err()
+					return nil, at(0), ctx.Err()
 				case <-end:
 					if stuck {
-						return nil, 0, errDown
+						return nil, at(0), errDown
 					}
 					return nil, after, nil
 				}
@@ -280,7 +280,7 @@
 	c.Apply([]Change{{Server: &live}}, 5)
 	c.applyAnswer(&FollowAnswer{Revision: 9, Changes: []ChangeMessage{{Server: &SnapshotServer{Server: leaving.Server}}}})
 	c.Apply([]Change{{Server: &live}}, 7)
-	c.Replace(&Contents{Servers: []Server{live}, Revision: 8})
+	c.Replace(&Contents{Servers: []Server{live}, Position: at(8)})
 	require.Equal(t, figview.Leaving, c.View().Servers["p"][0].State)
 	require.EqualValues(t, 9, c.Revision())
 }
@@ -289,7 +289,7 @@
 func TestChangesAfter(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := newCatalogueAt(&now)
-	c.Replace(&Contents{Declarations: version(1), Revision: 10})
+	c.Replace(&Contents{Declarations: version(1), Position: at(10)})
 	for i := range uint64(maxLog + 5) {
 		s := server("a", int64(i))
 		c.Apply([]Change{{Server: &s}}, 11+i)
@@ -303,6 +303,6 @@
 	a := c.changesAfter(newest)
 	require.Equal(t, newest, a.Revision)
 	require.Empty(t, a.Changes)
-	c.Replace(&Contents{Declarations: version(2), Revision: newest + 10})
+	c.Replace(&Contents{Declarations: version(2), Position: at(newest + 10)})
 	require.NotNil(t, c.changesAfter(newest).All)
 }
--- a/internal/config/figcatalogue/relay.go
+++ b/internal/config/figcatalogue/relay.go
@@ -72,7 +72,7 @@
 
 // contents converts a received snapshot.
 func (s *Snapshot) contents(now time.Time) *Contents {
-	n := &Contents{Declarations: s.Declarations, DrainedDataCentres: s.DrainedDataCentres, Revision: s.Revision}
+	n := &Contents{Declarations: s.Declarations, DrainedDataCentres: s.DrainedDataCentres, Position: figview.Position{Revision: s.Revision}}
 	for i := range s.Servers {
 		n.Servers = append(n.Servers, s.Servers[i].server(now))
 	}
--- a/internal/config/figcatalogue/run.go
+++ b/internal/config/figcatalogue/run.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"figtrail.dev/figtrail/internal/core/figtimer"
+	"figtrail.dev/figtrail/internal/fleet/figview"
 )
 
 const (
@@ -25,9 +26,9 @@
 
 // readState is the state of reading the source. Only Run uses it.
 type readState struct {
-	// revision is the revision to watch from.
-	revision uint64
-	// complete says that all contents have been read, so that watching may continue from revision.
+	// position is where to watch from.
+	position figview.Position
+	// complete says that all contents have been read, so that watching may continue from position.
 	complete bool
 	// failures counts the failed calls since the last successful one; lostAt is when the first of them ended.
 	failures int
@@ -71,15 +72,16 @@
 			return false, err
 		}
 		c.Replace(n)
-		c.reading.revision = n.Revision
+		c.reading.position = n.Position
 		c.reading.complete = true
 		return false, nil
 	}
-	c.reading.revision = max(c.reading.revision, c.Revision())
-	changes, next, err := c.opts.Source.Watch(ctx, c.reading.revision, watchWait)
+	c.reading.position.Revision = max(c.reading.position.Revision, c.Revision())
+	changes, next, err := c.opts.Source.Watch(ctx, c.reading.position, watchWait)
 	if errors.Is(err, ErrHistoryLost) {
 		klog.InfoS("changes no longer available; reading all contents again",
-			"source", c.opts.Source.Name, "revision", c.reading.revision, "reason", err)
+			"source", c.opts.Source.Name, "epoch", c.reading.position.Epoch,
+			"revision", c.reading.position.Revision, "reason", err)
 		c.reading.complete = false
 		return false, nil
 	}
@@ -89,8 +91,9 @@
 		c.reading.complete = false
 		return false, err
 	}
-	c.Apply(changes, next)
-	c.reading.revision = max(next, c.reading.revision)
+	c.Apply(changes, next.Revision)
+	next.Revision = max(next.Revision, c.reading.position.Revision)
+	c.reading.position = next
 	return len(changes) > 0, nil
 }
 
@@ -100,7 +103,7 @@
 	if err == nil {
 		if c.reading.failures > 0 {
 			klog.InfoS("source available again", "source", c.opts.Source.Name, "after", now.Sub(c.reading.lostAt),
-				"failures", c.reading.failures, "revision", c.reading.revision)
+				"failures", c.reading.failures, "epoch", c.reading.position.Epoch, "revision", c.reading.position.Revision)
 		}
 		c.reading.failures = 0
 		c.unavailableSince.Store(nil)
@@ -110,7 +113,8 @@
 	if c.reading.failures == 0 {
 		c.reading.lostAt = now
 		c.unavailableSince.Store(&now)
-		klog.InfoS("source unavailable", "source", c.opts.Source.Name, "revision", c.reading.revision, "err", err)
+		klog.InfoS("source unavailable", "source", c.opts.Source.Name, "epoch", c.reading.position.Epoch,
+			"revision", c.reading.position.Revision, "err", err)
 	}
 	c.reading.failures++
 	if c.reading.failures == 1 {
--- a/internal/config/figcatalogue/types.go
+++ b/internal/config/figcatalogue/types.go
@@ -35,7 +35,7 @@
 // InColdStart says whether the server is in a cold start at now.
 func (s *Server) InColdStart(now time.Time) bool { return now.Before(s.ColdStartEnd) }
 
-// Contents is everything that a source holds at one revision.
+// Contents is everything that a source holds at one position.
 type Contents struct {
 	// Declarations is nil if none are published.
 	Declarations *figroute.Declarations
@@ -44,8 +44,8 @@
 	DrainedDataCentres []string
 	// DecodeErrors holds the errors of the entries that couldn't be decoded and were skipped.
 	DecodeErrors []error
-	// Revision is the revision to watch from.
-	Revision uint64
+	// Position is where to watch from.
+	figview.Position
 }
 
 // Change is one change of a source. One of its fields is set, except that DecodeError may be set together with
@@ -82,9 +82,9 @@
 	Name string
 	// Read returns all contents.
 	Read func(ctx context.Context) (*Contents, error)
-	// Watch returns the changes after a revision, and the revision for the next call. It waits up to wait for the
-	// first change and returns no changes if none comes.
-	Watch func(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// Watch returns the changes after a revision, and the position for the next call, whose epoch is that of the
+	// answer. It waits up to wait for the first change and returns no changes if none comes.
+	Watch func(ctx context.Context, after figview.Position, wait time.Duration) ([]Change, figview.Position, error)
 }
 
 // View is a snapshot of the active declarations, servers and data centres. It is immutable.
@@ -98,8 +98,8 @@
 	// UpdatedAt is when the catalogue last received contents or the result of a watch, from the source or another
 	// instance.
 	UpdatedAt time.Time
-	// Revision is the source's revision of the contents.
-	Revision uint64
+	// Position is the source's position of the contents.
+	figview.Position
 }
 
 // Usable says whether s may be sent new work: it is live, listed, and its data centre isn't drained. For servers
--- a/internal/config/figfetch/fetch.go
+++ b/internal/config/figfetch/fetch.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	c := figfetch.New(figfetch.Options{Address: "10.0.0.1:8000", BodyLimit: 4 << 20})
-//	status, body, err := c.Get(ctx, "/values?after=3", 20*time.Second)
+//	answer, err := c.Get(ctx, "/values?after=3", 20*time.Second)
 //
 // The deadline of a call is the long poll's wait plus Options.Timeout. A connection
 // whose peer no longer acknowledges data or probes is closed after 3 s, which ends
@@ -42,6 +42,8 @@
 	Timeout time.Duration
 	// BodyLimit bounds the body of a response, in bytes.
 	BodyLimit int
+	// Header names a header field whose value is returned with each response; empty for none.
+	Header string
 }
 
 // Client sends requests to one service. It is safe for concurrent use.
@@ -72,38 +74,49 @@
 // Address returns the host and port of the service.
 func (c *Client) Address() string { return c.opts.Address }
 
-// response is the result of one request.
-type response struct {
-	status int
-	body   []byte
-	err    error
+// Response is the response to one request.
+type Response struct {
+	Status int
+	Body   []byte
+	// Header is the value of the field that Options.Header names; empty if there is none.
+	Header string
+}
+
+// result is the result of one request.
+type result struct {
+	response *Response
+	err      error
 }
 
 // Get requests path, which includes the query. It returns with the response, at the deadline of wait plus
 // Options.Timeout, or when ctx ends. A response of any status is returned without an error. Errors name the path
 // and the address.
-func (c *Client) Get(ctx context.Context, path string, wait time.Duration) (status int, body []byte, err error) {
+func (c *Client) Get(ctx context.Context, path string, wait time.Duration) (*Response, error) {
 	deadline := time.Now().Add(wait + c.opts.Timeout)
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	done := make(chan response, 1)
+	done := make(chan result, 1)
 	go func() { done <- c.send("http://"+c.opts.Address+path, deadline) }()
 	select {
 	case <-ctx.Done():
-		return 0, nil, figerror.Wrap(ctx.Err(), "read "+path, c.opts.Address)
+		return nil, figerror.Wrap(ctx.Err(), "read "+path, c.opts.Address)
 	case f := <-done:
-		return f.status, f.body, figerror.Wrap(f.err, "read "+path, c.opts.Address)
+		return f.response, figerror.Wrap(f.err, "read "+path, c.opts.Address)
 	}
 }
 
-func (c *Client) send(uri string, deadline time.Time) response {
+func (c *Client) send(uri string, deadline time.Time) result {
 	q, r := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(q)
 	defer fasthttp.ReleaseResponse(r)
 	q.SetRequestURI(uri)
 	if err := c.http.DoDeadline(q, r, deadline); err != nil {
-		return response{err: err}
+		return result{err: err}
+	}
+	answer := &Response{Status: r.StatusCode(), Body: append([]byte(nil), r.Body()...)}
+	if c.opts.Header != "" {
+		answer.Header = string(r.Header.Peek(c.opts.Header))
 	}
-	return response{status: r.StatusCode(), body: append([]byte(nil), r.Body()...)}
+	return result{response: answer}
 }
--- a/internal/config/figplatform/http.go
+++ b/internal/config/figplatform/http.go
@@ -48,12 +48,12 @@
 	if path == valuesPath {
 		q.Set("limit", strconv.Itoa(maxValues))
 	}
-	status, body, err := c.Get(ctx, path+"?"+q.Encode(), wait)
+	answer, err := c.Get(ctx, path+"?"+q.Encode(), wait)
 	if err != nil {
 		return err
 	}
-	if status != fasthttp.StatusOK {
-		return figerror.Newf("read "+path, c.Address(), "unexpected status %d", status)
+	if answer.Status != fasthttp.StatusOK {
+		return figerror.Newf("read "+path, c.Address(), "unexpected status %d", answer.Status)
 	}
-	return figerror.Wrap(json.Unmarshal(body, out), "decode "+path, c.Address())
+	return figerror.Wrap(json.Unmarshal(answer.Body, out), "decode "+path, c.Address())
 }
