--- a/internal/app/figrouter/fleet.go
+++ b/internal/app/figrouter/fleet.go
@@ -66,8 +66,8 @@
 		ProbeThrough:   remote[figdiscovery.IndirectProbe, figdiscovery.IndirectResult](r, callProbeThrough),
 		Sync:           remote[figdiscovery.SyncRequest, figdiscovery.SyncAnswer](r, callSync),
 		Push:           remote[figdiscovery.Message, figdiscovery.Message](r, callPush),
-		Revision:       r.catalogue.Revision,
-		OnRevision:     r.catalogue.NoteRevision,
+		Position:       r.catalogue.Position,
+		OnPosition:     r.catalogue.NotePosition,
 		Evidence:       func() uint64 { return r.quarantine.Digest() },
 		OnEvidence:     func(from figview.Member, digest uint64) { r.quarantine.OnDigest(from, digest) },
 		OnGone:         func(name string, incarnation uint64) { r.coordinator.OnGone(name, incarnation) },
@@ -182,7 +182,7 @@
 		}
 		a, err := figpeer.CallUntil[figcatalogue.FollowRequest, figcatalogue.FollowAnswer](ctx, r.client, m.Target(), callFollow, q)
 		if err == nil {
-			if last = a; a.Reading || a.Revision > q.After {
+			if last = a; a.Serves(q) {
 				return a, nil
 			}
 			continue
--- a/internal/app/figrouter/run.go
+++ b/internal/app/figrouter/run.go
@@ -92,6 +92,7 @@
 		for name, value := range map[string]float64{
 			"ready":                    ready,
 			"declarations_version":     float64(s.Version),
+			"source_epoch":             float64(s.SourceEpoch),
 			"view_age_seconds":         float64(s.ViewAgeMillis) / millisPerSecond,
 			"source_calls":             float64(s.SourceCalls),
 			"source_failures":          float64(s.SourceFailures),
@@ -179,6 +180,8 @@
 	// ViewAgeMillis is the time since the source last confirmed the configuration, in
 	// milliseconds.
 	ViewAgeMillis int64 `json:"viewAgeMillis"`
+	// SourceEpoch counts the restorations of the source from an older copy, as the source reports it.
+	SourceEpoch uint64 `json:"sourceEpoch"`
 	// Servers holds the number of servers by pool.
 	Servers map[string]int `json:"servers"`
 	// SourceCalls and SourceFailures count the calls to the source and the failed ones.
@@ -212,6 +215,7 @@
 		DataCentre:       r.DataCentre,
 		Ready:            readyText,
 		Servers:          map[string]int{},
+		SourceEpoch:      v.Epoch,
 		SourceCalls:      r.catalogue.Calls.Load(),
 		SourceFailures:   r.catalogue.Failures.Load(),
 		Members:          r.discovery.Status(),
--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -46,12 +47,17 @@
 	table   *figroute.Table
 	servers map[string]Server
 	drained map[string]bool
-	// revision is the source's revision of the active contents, which may come from another instance.
-	revision uint64
+	// tableEpoch is the latest epoch in which the source had the active declarations.
+	tableEpoch uint64
+	// position is the source's position of the active contents, which may come from another instance.
+	position figview.Position
+	kept     restoration
+	// endWait ends the call that waits for changes; nil if none does.
+	endWait context.CancelFunc
 	// log holds the latest changes for followers, and changed is closed at the next one.
 	log     []logEntry
 	changed chan struct{}
-	// ahead is an instance with a newer revision; behind tells RunCatchUp of it.
+	// ahead is an instance with a newer position; behind tells RunCatchUp of it.
 	ahead   *ahead
 	behind  chan struct{}
 	reading readState
@@ -60,18 +66,18 @@
 // New returns an empty catalogue. Call Run to fill it.
 func New(o Options) *Catalogue {
 	c := &Catalogue{
-		opts: o, servers: map[string]Server{}, drained: map[string]bool{},
+		opts: o, servers: map[string]Server{}, drained: map[string]bool{}, kept: newRestoration(),
 		changed: make(chan struct{}), behind: make(chan struct{}, 1),
 	}
 	c.view.Store(&View{})
 	return c
 }
 
-// Revision returns the source's revision of the active contents.
-func (c *Catalogue) Revision() uint64 {
+// Position returns the source's position of the active contents.
+func (c *Catalogue) Position() figview.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revision
+	return c.position
 }
 
 // View returns the current view. It is never nil.
@@ -93,29 +99,45 @@
 }
 
 // Replace applies all contents of the source. Servers that are missing from them are marked as removed. Contents
-// that are older than the active ones, which may have come from another instance meanwhile, are ignored.
+// that are older than the active ones, which may have come from another instance meanwhile, are ignored. Contents of a
+// new epoch are those of a source that was restored from an older copy: what they lack stays in use for restoredGrace.
 func (c *Catalogue) Replace(n *Contents) {
 	now := c.opts.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n.Revision < c.revision {
-		klog.InfoS("contents ignored", "epoch", n.Epoch, "revision", n.Revision, "inForce", c.revision, "reason", "older")
+	if n.Before(c.position) {
+		klog.InfoS("contents ignored", "epoch", n.Epoch, "revision", n.Revision,
+			"epochInForce", c.position.Epoch, "revisionInForce", c.position.Revision, "reason", "older")
 		c.publish(now)
 		return
 	}
-	c.setDeclarations(n.Declarations)
+	restored := c.position.Epoch != 0 && c.position.Epoch < n.Epoch
+	if restored {
+		klog.InfoS("source restored from an older copy", "epoch", n.Epoch, "revision", n.Revision,
+			"epochBefore", c.position.Epoch, "revisionBefore", c.position.Revision)
+	}
+	c.setDeclarations(n.Declarations, n.Epoch)
 	listed := make(map[string]bool, len(n.Servers))
 	for i := range n.Servers {
 		listed[n.Servers[i].Name] = true
+		c.kept.listed(&n.Servers[i], restored, now)
 		c.setServer(n.Servers[i])
 	}
-	for name := range c.servers {
-		if !listed[name] {
+	for name, s := range c.servers {
+		switch _, kept := c.kept.servers[name]; {
+		case listed[name]:
+		case restored && s.RemovedAt.IsZero():
+			c.kept.servers[name] = now.Add(restoredGrace)
+		case !kept:
 			c.markServerRemoved(name, now)
 		}
 	}
 	for name := range c.drained {
-		if !slices.Contains(n.DrainedDataCentres, name) {
+		switch _, kept := c.kept.dataCentres[name]; {
+		case slices.Contains(n.DrainedDataCentres, name):
+		case restored:
+			c.kept.dataCentres[name] = now.Add(restoredGrace)
+		case !kept:
 			c.setDrained(name, false)
 		}
 	}
@@ -123,17 +145,21 @@
 		c.setDrained(name, true)
 	}
 	logDecodeErrors(n.DecodeErrors)
-	c.revision = max(c.revision, n.Revision)
+	c.position = n.Position
+	if restored && c.endWait != nil {
+		c.endWait()
+	}
 	c.publish(now)
 }
 
-// Apply applies changes in order. revision is the source's revision after them. Changes up to a revision before
-// the active one, which came from another instance meanwhile, are ignored.
-func (c *Catalogue) Apply(changes []Change, revision uint64) {
+// Apply applies changes in order. position is the source's position after them. Changes up to a position before
+// the active one, which came from another instance meanwhile, are ignored, as are those of a new epoch: they lack what the
+// source lost.
+func (c *Catalogue) Apply(changes []Change, position figview.Position) {
 	now := c.opts.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision < c.revision {
+	if position.Before(c.position) || c.position.Epoch != 0 && position.Epoch != c.position.Epoch {
 		c.publish(now)
 		return
 	}
@@ -143,10 +169,12 @@
 		}
 		switch {
 		case change.Declarations != nil:
-			c.setDeclarations(change.Declarations)
+			c.setDeclarations(change.Declarations, position.Epoch)
 		case change.Server != nil:
+			c.kept.written(change.Server)
 			c.setServer(*change.Server)
 		case change.ServerRemoved != "":
+			c.kept.forget(change.ServerRemoved)
 			c.markServerRemoved(change.ServerRemoved, now)
 		case change.DrainedDataCentre != "":
 			c.setDrained(change.DrainedDataCentre, true)
@@ -154,22 +182,28 @@
 			c.setDrained(change.RestoredDataCentre, false)
 		}
 	}
-	if revision > c.revision {
-		c.record(c.revision, revision, changes)
-		c.revision = revision
+	if c.position.Before(position) {
+		c.record(c.position, position, changes)
+		c.position = position
 	}
 	c.publish(now)
 }
 
-// setDeclarations activates d if its version is higher than the active one. Otherwise it keeps the active ones and
-// logs a lower version.
-func (c *Catalogue) setDeclarations(d *figroute.Declarations) {
+// setDeclarations activates d if its version is higher than the active one, or the same with other contents in a later
+// epoch. Otherwise it keeps the active ones and logs a lower version.
+func (c *Catalogue) setDeclarations(d *figroute.Declarations, epoch uint64) {
 	if d == nil {
 		return
 	}
-	if c.table != nil && d.Version <= c.table.Version {
+	same := c.table != nil && d.Version == c.table.Version
+	changed := same && epoch > c.tableEpoch && !reflect.DeepEqual(d, &c.table.Declarations)
+	if same {
+		c.tableEpoch = max(c.tableEpoch, epoch)
+	}
+	if c.table != nil && d.Version <= c.table.Version && !changed {
 		if d.Version < c.table.Version {
-			klog.InfoS("declarations rejected", "version", d.Version, "inForce", c.table.Version, "reason", "older")
+			klog.InfoS("declarations rejected", "version", d.Version, "inForce", c.table.Version,
+				"epoch", epoch, "reason", "older")
 		}
 		return
 	}
@@ -177,12 +211,13 @@
 	if c.table != nil {
 		before = c.table.Version
 	}
-	c.table = figroute.NewTable(d)
-	klog.InfoS("declarations activated", "version", d.Version, "before", before,
+	c.table, c.tableEpoch = figroute.NewTable(d), epoch
+	klog.InfoS("declarations activated", "version", d.Version, "before", before, "epoch", epoch,
 		"routes", len(d.Routes), "pools", len(d.Pools), "accounts", len(d.Accounts))
 }
 
-// setServer adds or replaces a server, unless s is an entry of an earlier process than the one known.
+// setServer adds or replaces a server, unless s is an entry of an earlier process than the one known. A process that was
+// leaving stays so.
 func (c *Catalogue) setServer(s Server) {
 	old, known := c.servers[s.Name]
 	if known && s.StartedAt.Before(old.StartedAt) {
@@ -190,6 +225,9 @@
 			"startedAt", s.StartedAt, "known", old.StartedAt, "reason", "older process")
 		return
 	}
+	if s.State == figview.Live && (known && old.State == figview.Leaving && old.Lifetime() == s.Lifetime() || c.kept.hasLeft(&s)) {
+		s.State = figview.Leaving
+	}
 	c.servers[s.Name] = s
 	if known && old.Lifetime() == s.Lifetime() && old.State == s.State && old.Role == s.Role &&
 		old.RemovedAt.IsZero() && old.ColdStartEnd.IsZero() == s.ColdStartEnd.IsZero() {
@@ -208,10 +246,12 @@
 	}
 	s.RemovedAt = now
 	c.servers[name] = s
+	c.kept.recordDeparture(&s, now)
 	klog.InfoS("server removed from the list", "server", name, "pool", s.Pool, "state", s.State.String())
 }
 
 func (c *Catalogue) setDrained(name string, drained bool) {
+	delete(c.kept.dataCentres, name)
 	if c.drained[name] == drained {
 		return
 	}
@@ -225,9 +265,10 @@
 
 // publish stores a new view. It drops the servers that were removed longer than RemovedServerGrace ago.
 func (c *Catalogue) publish(now time.Time) {
+	c.expireKept(now)
 	v := &View{
 		Table: c.table, Servers: map[string][]Server{}, DrainedDataCentres: make(map[string]bool, len(c.drained)),
-		UpdatedAt: now, Position: figview.Position{Revision: c.revision},
+		UpdatedAt: now, Position: c.position,
 	}
 	for name := range c.drained {
 		v.DrainedDataCentres[name] = true
@@ -237,6 +278,9 @@
 			delete(c.servers, name)
 			continue
 		}
+		if _, doubted := c.kept.doubted[name]; doubted {
+			s.State = figview.Leaving
+		}
 		v.Servers[s.Pool] = append(v.Servers[s.Pool], s)
 	}
 	c.view.Store(v)
--- a/internal/config/figcatalogue/catalogue_test.go
+++ b/internal/config/figcatalogue/catalogue_test.go
@@ -39,7 +39,7 @@
 	c := newCatalogueAt(&now)
 	require.Nil(t, c.View().Table)
 	for _, n := range []struct{ get, want uint64 }{{5, 5}, {4, 5}, {5, 5}, {9, 9}, {7, 9}} {
-		c.Apply([]Change{{Declarations: version(n.get)}}, 0)
+		c.Apply([]Change{{Declarations: version(n.get)}}, at(0))
 		require.Equal(t, n.want, c.View().Table.Version)
 	}
 	c.Replace(&Contents{Declarations: version(8)})
@@ -55,9 +55,9 @@
 	c := newCatalogueAt(&now)
 	c.Replace(&Contents{Servers: []Server{server("a", 1), server("b", 1)}})
 	require.False(t, c.Ready(), "no declarations yet")
-	c.Apply([]Change{{Declarations: version(1)}}, 0)
+	c.Apply([]Change{{Declarations: version(1)}}, at(0))
 	require.True(t, c.Ready())
-	c.Apply([]Change{{ServerRemoved: "a"}, {ServerRemoved: "nobody"}}, 0)
+	c.Apply([]Change{{ServerRemoved: "a"}, {ServerRemoved: "nobody"}}, at(0))
 	find := func(name string) *Server {
 		for i := range c.View().Servers["p"] {
 			if s := &c.View().Servers["p"][i]; s.Name == name {
@@ -73,13 +73,13 @@
 	require.False(t, v.LastResort(find("a"), now.Add(RemovedServerGrace)))
 	leaving := server("b", 1)
 	leaving.State = figview.Leaving
-	c.Apply([]Change{{Server: &leaving}, {ServerRemoved: "b"}}, 0)
+	c.Apply([]Change{{Server: &leaving}, {ServerRemoved: "b"}}, at(0))
 	require.False(t, c.View().LastResort(find("b"), now), "a server that was leaving before its removal is no last resort")
 	again := server("a", 1)
-	c.Apply([]Change{{Server: &again}}, 0)
+	c.Apply([]Change{{Server: &again}}, at(0))
 	require.True(t, c.View().Usable(find("a")))
 	now = now.Add(2 * RemovedServerGrace)
-	c.Apply(nil, 0)
+	c.Apply(nil, at(0))
 	require.Nil(t, find("b"))
 	require.NotNil(t, find("a"))
 }
@@ -89,8 +89,8 @@
 	now := time.Unix(1000, 0)
 	c := newCatalogueAt(&now)
 	old, restarted := server("a", 1), server("a", 2)
-	c.Apply([]Change{{Server: &old}}, 0)
-	c.Apply([]Change{{Server: &restarted}, {Server: &old}}, 0)
+	c.Apply([]Change{{Server: &old}}, at(0))
+	c.Apply([]Change{{Server: &restarted}, {Server: &old}}, at(0))
 	_, ok := c.View().Find("p", restarted.Lifetime())
 	require.True(t, ok)
 	_, ok = c.View().Find("p", old.Lifetime())
@@ -101,12 +101,12 @@
 	now := time.Unix(1000, 0)
 	c := newCatalogueAt(&now)
 	s := server("a", 1)
-	c.Apply([]Change{{Server: &s}, {DrainedDataCentre: "east"}}, 0)
+	c.Apply([]Change{{Server: &s}, {DrainedDataCentre: "east"}}, at(0))
 	require.False(t, c.View().Usable(&s))
 	c.Replace(&Contents{Servers: []Server{s}, DrainedDataCentres: []string{"west"}})
 	require.True(t, c.View().Usable(&s))
 	require.True(t, c.View().DrainedDataCentres["west"])
-	c.Apply([]Change{{RestoredDataCentre: "west"}, {DecodeError: errors.New("bad"), ServerRemoved: "a"}}, 0)
+	c.Apply([]Change{{RestoredDataCentre: "west"}, {DecodeError: errors.New("bad"), ServerRemoved: "a"}}, at(0))
 	require.Empty(t, c.View().DrainedDataCentres)
 	require.False(t, c.View().Usable(&c.View().Servers["p"][0]))
 }
@@ -180,7 +180,7 @@
 		cold := server("a", 1)
 		cold.ColdStartEnd = now.Add(time.Second)
 		other.Replace(&Contents{Declarations: version(7), Servers: []Server{cold, server("b", 1)}, DrainedDataCentres: []string{"west"}, Position: at(70)})
-		other.Apply([]Change{{ServerRemoved: "b"}}, 71)
+		other.Apply([]Change{{ServerRemoved: "b"}}, at(71))
 		failing := Source{Name: "test", Read: func(context.Context) (*Contents, error) { return nil, errors.New("busy") }}
 		c := New(Options{IsReader: always, Source: failing, Clock: figtimer.System(), QueryPeer: func(ctx context.Context, q *SnapshotRequest) (*Snapshot, string, error) {
 			s, err := other.Answer(ctx, q)
@@ -195,7 +195,7 @@
 		require.True(t, v.DrainedDataCentres["west"])
 		require.Len(t, v.Servers["p"], 1)
 		require.WithinDuration(t, cold.ColdStartEnd, v.Servers["p"][0].ColdStartEnd, time.Second)
-		other.Apply([]Change{{Declarations: version(8)}}, 72)
+		other.Apply([]Change{{Declarations: version(8)}}, at(72))
 		<-time.After(time.Second)
 		synctest.Wait()
 		require.EqualValues(t, 8, c.View().Table.Version)
--- a/internal/config/figcatalogue/doc.go
+++ b/internal/config/figcatalogue/doc.go
@@ -11,9 +11,14 @@
 //
 // In a large fleet only a few instances, the readers, call the source, because each call costs. The others
 // follow one of them: a call to it waits until there are changes. A follower whose readers don't answer or
-// can't read the source reads it itself. Instances also tell each other their revision, and one that stays
+// can't read the source reads it itself. Instances also tell each other their position, and one that stays
 // behind another fetches the changes from there, whatever its reader or its own watch does.
 //
+// Positions in the source have an epoch, which rises when the source is restored from an older copy, so that it has
+// lost changes and assigns their revisions again. Contents of a later epoch replace those of an earlier one whatever
+// their revisions, except for what this instance knows better: versions of declarations only grow, servers that
+// were leaving or removed don't return, and missing entries stay in use until they have been written again.
+//
 // A View is immutable. A request should load the current one again right before each
 // send to a server. Declarations with a lower version than the active one, as in a
 // stale response, are rejected. While the source can't be read, the last view stays
--- a/internal/config/figcatalogue/follow.go
+++ b/internal/config/figcatalogue/follow.go
@@ -29,9 +29,9 @@
 	behindLimit = 250 * time.Millisecond
 )
 
-// logEntry holds the changes between two revisions.
+// logEntry holds the changes between two positions.
 type logEntry struct {
-	from, to uint64
+	from, to figview.Position
 	changes  []Change
 }
 
@@ -40,6 +40,18 @@
 	After uint64 `cbor:"1,keyasint"`
 	// Wait is how long the answer may wait for a change.
 	Wait time.Duration `cbor:"2,keyasint,omitempty"`
+	// Epoch is the epoch of After.
+	Epoch uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// position returns the position after which changes are asked for.
+func (q *FollowRequest) position() figview.Position {
+	return figview.Position{Epoch: q.Epoch, Revision: q.After}
+}
+
+// newFollowRequest asks for the changes after a position.
+func newFollowRequest(after figview.Position, wait time.Duration) *FollowRequest {
+	return &FollowRequest{After: after.Revision, Epoch: after.Epoch, Wait: wait}
 }
 
 // FollowAnswer holds changes, or all contents if the changes are no longer known.
@@ -51,6 +63,19 @@
 	Changes []ChangeMessage `cbor:"3,keyasint,omitempty"`
 	// All holds all contents; nil if Changes are complete.
 	All *Snapshot `cbor:"4,keyasint,omitempty"`
+	// Epoch is the epoch of Revision.
+	Epoch uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Position returns the position after the changes.
+func (a *FollowAnswer) Position() figview.Position {
+	return figview.Position{Epoch: a.Epoch, Revision: a.Revision}
+}
+
+// Serves says whether the answer is of use to the sender of q: it holds something newer, or is from an instance that can read
+// the source and knows of no earlier epoch than the sender.
+func (a *FollowAnswer) Serves(q *FollowRequest) bool {
+	return q.position().Before(a.Position()) || a.Reading && a.Epoch >= q.Epoch
 }
 
 // ChangeMessage is the wire form of a Change without its decode error.
@@ -63,7 +88,7 @@
 }
 
 // record adds changes to the log. c.mu must be held.
-func (c *Catalogue) record(from, to uint64, changes []Change) {
+func (c *Catalogue) record(from, to figview.Position, changes []Change) {
 	c.log = append(c.log, logEntry{from, to, changes})
 	if len(c.log) > maxLog {
 		c.log = c.log[len(c.log)-maxLog:]
@@ -71,16 +96,16 @@
 }
 
 // HandleFollow answers a follower as soon as this instance has changes that it lacks, can't read the
-// source, or the wait is over.
+// source, or the wait is over. It answers at once a follower that knows a later epoch.
 func (c *Catalogue) HandleFollow(ctx context.Context, q *FollowRequest) (*FollowAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, min(max(q.Wait, 0), followWait))
 	defer cancel()
 	for {
 		c.mu.Lock()
-		revision, changed := c.revision, c.changed
+		news, late, changed := c.isNews(q.position()), c.position.Epoch < q.Epoch, c.changed
 		c.mu.Unlock()
 		reading := c.unavailableSince.Load() == nil
-		if revision > q.After || !reading || ctx.Err() != nil {
+		if news || late || !reading || ctx.Err() != nil {
 			break
 		}
 		select {
@@ -88,25 +113,30 @@
 		case <-ctx.Done():
 		}
 	}
-	return c.changesAfter(q.After), nil
+	return c.changesAfter(q.position()), nil
 }
 
-// changesAfter returns the changes after a revision.
-func (c *Catalogue) changesAfter(after uint64) *FollowAnswer {
+// changesAfter returns the changes after a position.
+func (c *Catalogue) changesAfter(after figview.Position) *FollowAnswer {
 	now := c.opts.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a := &FollowAnswer{Revision: c.revision, Reading: c.unavailableSince.Load() == nil}
-	if c.table == nil || c.revision <= after {
-		a.Revision = min(c.revision, after)
+	a := &FollowAnswer{Epoch: c.position.Epoch, Revision: c.position.Revision, Reading: c.unavailableSince.Load() == nil}
+	if after.Epoch == 0 {
+		after.Epoch = c.position.Epoch
+	}
+	if c.table == nil || !c.isNews(after) {
+		if after.Before(c.position) {
+			a.Epoch, a.Revision = after.Epoch, after.Revision
+		}
 		return a
 	}
-	// The log is a chain of changes up to the current revision, broken where all contents were replaced.
+	// The log is a chain of changes up to the current position, broken where all contents were replaced.
 	first := len(c.log)
-	for next := c.revision; first > 0 && next > after && c.log[first-1].to == next; first-- {
+	for next := c.position; first > 0 && after.Before(next) && c.log[first-1].to == next; first-- {
 		next = c.log[first-1].from
 	}
-	if first == len(c.log) || c.log[first].from > after {
+	if first == len(c.log) || after.Before(c.log[first].from) {
 		a.All = c.snapshot(now)
 		return a
 	}
@@ -155,7 +185,7 @@
 	for i := range a.Changes {
 		changes = append(changes, a.Changes[i].change(now))
 	}
-	c.Apply(changes, a.Revision)
+	c.Apply(changes, a.Position())
 }
 
 // follow asks a reader for changes once. It returns false if this instance is to read the source itself
@@ -165,16 +195,17 @@
 	if c.opts.IsReader() || now.Before(c.reading.directUntil) {
 		return false
 	}
-	c.mu.Lock()
-	after := c.revision
-	c.mu.Unlock()
-	limited, cancel := context.WithTimeout(ctx, followWait+time.Second)
-	a, err := c.opts.Follow(limited, &FollowRequest{After: after, Wait: followWait})
+	waiting, end := c.beginWait(ctx)
+	q := newFollowRequest(c.Position(), c.maxWait(followWait))
+	limited, cancel := context.WithTimeout(waiting, followWait+time.Second)
+	a, err := c.opts.Follow(limited, q)
+	ended := waiting.Err() != nil
 	cancel()
-	if ctx.Err() != nil {
+	end()
+	if ended {
 		return true
 	}
-	if err == nil && (a.Revision > after || a.Reading) {
+	if err == nil && a.Serves(q) {
 		c.applyAnswer(a)
 		if a.Reading {
 			c.recordResult(nil)
@@ -185,7 +216,7 @@
 		klog.InfoS("reading the source directly", "reason", "no reader can read it", "err", err)
 		c.reading.directUntil = now.Add(directTime)
 		c.mu.Lock()
-		c.reading.position.Revision, c.reading.complete = c.revision, c.table != nil
+		c.reading.position, c.reading.complete = c.position, c.table != nil
 		c.mu.Unlock()
 		return false
 	}
@@ -201,29 +232,28 @@
 	c.reading.directUntil = time.Time{}
 }
 
-// NoteRevision records the revision that another instance has. If this instance stays behind it, Run
+// NotePosition records the position that another instance has. If this instance stays behind it, RunCatchUp
 // fetches the changes from there.
-func (c *Catalogue) NoteRevision(from figview.Member, revision uint64) {
+func (c *Catalogue) NotePosition(from figview.Member, position figview.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision <= c.revision || c.ahead != nil && c.ahead.revision > c.revision {
+	if !c.position.Before(position) || c.ahead != nil && c.position.Before(c.ahead.position) && c.ahead.position.Epoch >= position.Epoch {
 		return
 	}
-	c.ahead = &ahead{from: from, revision: revision, since: c.opts.Clock.Now()}
+	c.ahead = &ahead{from, position}
 	select {
 	case c.behind <- struct{}{}:
 	default:
 	}
 }
 
-// ahead is an instance that has a newer revision than this one.
+// ahead is an instance that has a newer position than this one.
 type ahead struct {
 	from     figview.Member
-	revision uint64
-	since    time.Time
+	position figview.Position
 }
 
-// RunCatchUp fetches changes from instances that have a newer revision for behindLimit, until ctx ends. It
+// RunCatchUp fetches changes from instances that have a newer position for behindLimit, until ctx ends. It
 // returns nil.
 func (c *Catalogue) RunCatchUp(ctx context.Context, t *figtimer.Timer) error {
 	for {
@@ -232,28 +262,37 @@
 			return nil
 		case <-c.behind:
 		}
-		if t.Sleep(ctx, behindLimit) != nil {
+		if !c.isBehindEpoch() && t.Sleep(ctx, behindLimit) != nil {
 			return nil
 		}
 		c.catchUp(ctx)
 	}
 }
 
+// isBehindEpoch says whether another instance has contents of a later epoch. The reader that this one follows may not know
+// of it.
+func (c *Catalogue) isBehindEpoch() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ahead != nil && c.position.Epoch < c.ahead.position.Epoch
+}
+
 func (c *Catalogue) catchUp(ctx context.Context) {
 	c.mu.Lock()
-	from, after := c.ahead, c.revision
+	from, after := c.ahead, c.position
 	c.ahead = nil
 	c.mu.Unlock()
-	if from == nil || from.revision <= after {
+	if from == nil || !after.Before(from.position) {
 		return
 	}
 	limited, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	a, err := c.opts.FetchFrom(limited, from.from, &FollowRequest{After: after})
+	a, err := c.opts.FetchFrom(limited, from.from, newFollowRequest(after, 0))
 	if err != nil {
 		klog.InfoS("failed to fetch changes from another instance", "instance", from.from.Name, "err", err)
 		return
 	}
-	klog.InfoS("changes fetched from another instance", "instance", from.from.Name, "revision", a.Revision, "before", after)
+	klog.InfoS("changes fetched from another instance", "instance", from.from.Name, "epoch", a.Epoch, "revision", a.Revision,
+		"epochBefore", after.Epoch, "before", after.Revision)
 	c.applyAnswer(a)
 }
--- a/internal/config/figcatalogue/follow_test.go
+++ b/internal/config/figcatalogue/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -20,16 +21,18 @@
 // fakeStore is a source with a history of changes that serves or refuses each instance.
 type fakeStore struct {
 	mu       sync.Mutex
+	epoch    uint64
 	revision uint64
 	history  []Change
 	calls    map[string]int
 	// refuses and silent hold the instances whose calls fail at once, or get no answer.
 	refuses, silent map[string]bool
 	changed         chan struct{}
+	noticing        string
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{calls: map[string]int{}, refuses: map[string]bool{}, silent: map[string]bool{}, changed: make(chan struct{})}
+	return &fakeStore{epoch: 1, calls: map[string]int{}, refuses: map[string]bool{}, silent: map[string]bool{}, changed: make(chan struct{})}
 }
 
 func (s *fakeStore) put(c Change) {
@@ -41,6 +44,31 @@
 	s.changed = make(chan struct{})
 }
 
+// restore puts the store back to a copy that lacks its latest changes. Waiting watches hang, except that of the instance called
+// noticing, which fails at once.
+func (s *fakeStore) restore(lost int, noticing string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.revision -= uint64(lost)
+	s.history = slices.Clone(s.history[:s.revision])
+	s.noticing = noticing
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) setRefused(name string, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuses[name] = refused
+}
+
+func (s *fakeStore) currentEpoch() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch
+}
+
 // check counts a call of an instance and waits or fails if the store does not serve it.
 func (s *fakeStore) check(ctx context.Context, name string, wait time.Duration) error {
 	s.mu.Lock()
@@ -76,7 +104,7 @@
 			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			n := &Contents{Position: at(s.revision)}
+			n := &Contents{Position: figview.Position{Epoch: s.epoch, Revision: s.revision}}
 			for _, c := range s.history {
 				n.Add(c)
 			}
@@ -87,13 +115,22 @@
 				return nil, at(0), err
 			}
 			end := time.After(wait)
+			begun := s.currentEpoch()
 			for {
 				s.mu.Lock()
-				revision, changed, stuck := s.revision, s.changed, s.silent[name]
-				changes := s.history[after.Revision:]
+				now, changed, stuck := figview.Position{Epoch: s.epoch, Revision: s.revision}, s.changed, s.silent[name] || s.epoch != begun
+				noticed := s.epoch != begun && s.noticing == name
+				lost := now.Revision < after.Revision
+				changes := s.history[min(after.Revision, now.Revision):]
 				s.mu.Unlock()
-				if revision > after.Revision && !stuck {
-					return changes, at(revision), nil
+				if noticed {
+					return nil, at(0), errDown
+				}
+				if lost && !stuck {
+					return nil, at(0), ErrHistoryLost
+				}
+				if now.Revision > after.Revision && !stuck {
+					return changes, now, nil
 				}
 				select {
 				case <-changed:
@@ -103,7 +140,7 @@
 					if stuck {
 						return nil, at(0), errDown
 					}
-					return nil, after, nil
+					return nil, now, nil
 				}
 			}
 		},
@@ -115,6 +152,8 @@
 	store *fakeStore
 	all   map[string]*Catalogue
 	names []string
+	// rounds counts the calls of gossip, each of which pairs other instances.
+	rounds int
 
 	mu   sync.Mutex
 	dead map[string]bool
@@ -158,12 +197,13 @@
 	return g
 }
 
-// gossip makes each instance hear the revision of another one, as membership does every 0.4 s.
+// gossip makes each instance hear the position of another one, as membership does every 0.4 s.
 func (g *group) gossip() {
+	g.rounds++
 	for i, name := range g.names {
-		other := g.names[(i*7+3)%len(g.names)]
-		g.all[name].NoteRevision(figview.Member{Name: other}, g.all[other].Revision())
-		g.all[other].NoteRevision(figview.Member{Name: name}, g.all[name].Revision())
+		other := g.names[(i*7+3+g.rounds*11)%len(g.names)]
+		g.all[name].NotePosition(figview.Member{Name: other}, g.all[other].Position())
+		g.all[other].NotePosition(figview.Member{Name: name}, g.all[name].Position())
 	}
 }
 
@@ -277,12 +317,12 @@
 	c := newCatalogueAt(&now)
 	leaving, live := server("a", 1), server("a", 1)
 	leaving.State = figview.Leaving
-	c.Apply([]Change{{Server: &live}}, 5)
+	c.Apply([]Change{{Server: &live}}, at(5))
 	c.applyAnswer(&FollowAnswer{Revision: 9, Changes: []ChangeMessage{{Server: &SnapshotServer{Server: leaving.Server}}}})
-	c.Apply([]Change{{Server: &live}}, 7)
+	c.Apply([]Change{{Server: &live}}, at(7))
 	c.Replace(&Contents{Servers: []Server{live}, Position: at(8)})
 	require.Equal(t, figview.Leaving, c.View().Servers["p"][0].State)
-	require.EqualValues(t, 9, c.Revision())
+	require.Equal(t, at(9), c.Position())
 }
 
 // A follower gets just the changes that it lacks, or all contents if the log no longer has them.
@@ -292,17 +332,17 @@
 	c.Replace(&Contents{Declarations: version(1), Position: at(10)})
 	for i := range uint64(maxLog + 5) {
 		s := server("a", int64(i))
-		c.Apply([]Change{{Server: &s}}, 11+i)
+		c.Apply([]Change{{Server: &s}}, at(11+i))
 	}
-	newest := c.Revision()
-	require.Len(t, c.changesAfter(newest-2).Changes, 2)
-	require.Nil(t, c.changesAfter(newest-2).All)
-	require.NotNil(t, c.changesAfter(10).All)
-	require.NotNil(t, c.changesAfter(0).All)
-	require.Equal(t, newest, c.changesAfter(0).All.Revision)
-	a := c.changesAfter(newest)
+	newest := c.Position().Revision
+	require.Len(t, c.changesAfter(at(newest-2)).Changes, 2)
+	require.Nil(t, c.changesAfter(at(newest-2)).All)
+	require.NotNil(t, c.changesAfter(at(10)).All)
+	require.NotNil(t, c.changesAfter(at(0)).All)
+	require.Equal(t, newest, c.changesAfter(at(0)).All.Revision)
+	a := c.changesAfter(at(newest))
 	require.Equal(t, newest, a.Revision)
 	require.Empty(t, a.Changes)
 	c.Replace(&Contents{Declarations: version(2), Position: at(newest + 10)})
-	require.NotNil(t, c.changesAfter(newest).All)
+	require.NotNil(t, c.changesAfter(at(newest)).All)
 }
--- a/internal/config/figcatalogue/relay.go
+++ b/internal/config/figcatalogue/relay.go
@@ -12,8 +12,9 @@
 
 // SnapshotRequest asks another instance for its active contents.
 type SnapshotRequest struct {
-	// HeldRevision is the revision that the sender holds; only a newer one is returned.
+	// HeldRevision and HeldEpoch are the position that the sender holds; only a newer one is returned.
 	HeldRevision uint64 `cbor:"1,keyasint"`
+	HeldEpoch    uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Snapshot is the active contents of an instance in wire form.
@@ -24,6 +25,18 @@
 	Declarations       *figroute.Declarations `cbor:"2,keyasint,omitempty"`
 	Servers            []SnapshotServer       `cbor:"3,keyasint,omitempty"`
 	DrainedDataCentres []string               `cbor:"4,keyasint,omitempty"`
+	// Epoch is the source's epoch of the contents.
+	Epoch uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// held returns the position that the sender holds.
+func (q *SnapshotRequest) held() figview.Position {
+	return figview.Position{Epoch: q.HeldEpoch, Revision: q.HeldRevision}
+}
+
+// position returns the source's position of the contents.
+func (s *Snapshot) position() figview.Position {
+	return figview.Position{Epoch: s.Epoch, Revision: s.Revision}
 }
 
 // SnapshotServer is the wire form of a server. Clocks differ between machines, so the remaining time of the cold
@@ -50,29 +63,40 @@
 	now := c.opts.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.table == nil || c.revision <= q.HeldRevision {
+	if c.table == nil || !c.isNews(q.held()) {
 		return &Snapshot{}, nil
 	}
 	return c.snapshot(now), nil
 }
 
-// snapshot returns the active contents. c.mu must be held.
+// isNews says whether this instance has a newer position than held. Instances that know of no epochs send none; their
+// position counts as one of the current epoch. c.mu must be held.
+func (c *Catalogue) isNews(held figview.Position) bool {
+	if held.Epoch == 0 {
+		held.Epoch = c.position.Epoch
+	}
+	return held.Before(c.position)
+}
+
+// snapshot returns the active contents without what a restored source lacks. c.mu must be held.
 func (c *Catalogue) snapshot(now time.Time) *Snapshot {
-	s := &Snapshot{Revision: c.revision, Declarations: &c.table.Declarations}
-	for _, n := range c.servers {
-		if n.RemovedAt.IsZero() {
+	s := &Snapshot{Epoch: c.position.Epoch, Revision: c.position.Revision, Declarations: &c.table.Declarations}
+	for name, n := range c.servers {
+		if _, kept := c.kept.servers[name]; !kept && n.RemovedAt.IsZero() {
 			s.Servers = append(s.Servers, snapshotServer(&n, now))
 		}
 	}
 	for name := range c.drained {
-		s.DrainedDataCentres = append(s.DrainedDataCentres, name)
+		if _, kept := c.kept.dataCentres[name]; !kept {
+			s.DrainedDataCentres = append(s.DrainedDataCentres, name)
+		}
 	}
 	return s
 }
 
 // contents converts a received snapshot.
 func (s *Snapshot) contents(now time.Time) *Contents {
-	n := &Contents{Declarations: s.Declarations, DrainedDataCentres: s.DrainedDataCentres, Position: figview.Position{Revision: s.Revision}}
+	n := &Contents{Declarations: s.Declarations, DrainedDataCentres: s.DrainedDataCentres, Position: s.position()}
 	for i := range s.Servers {
 		n.Servers = append(n.Servers, s.Servers[i].server(now))
 	}
@@ -94,17 +118,16 @@
 // fetchFromPeer requests the contents of another instance, which may have read newer ones from the source, and
 // applies them if they are newer.
 func (c *Catalogue) fetchFromPeer(ctx context.Context) {
-	c.mu.Lock()
-	heldRevision := c.revision
-	c.mu.Unlock()
-	s, from, err := c.opts.QueryPeer(ctx, &SnapshotRequest{HeldRevision: heldRevision})
+	held := c.Position()
+	s, from, err := c.opts.QueryPeer(ctx, &SnapshotRequest{HeldEpoch: held.Epoch, HeldRevision: held.Revision})
 	if err != nil {
 		klog.V(1).InfoS("fetching contents from another instance failed", "err", err)
 		return
 	}
-	if s.Revision <= heldRevision {
+	if !held.Before(s.position()) {
 		return
 	}
-	klog.InfoS("contents fetched from another instance", "instance", from, "revision", s.Revision, "before", heldRevision)
+	klog.InfoS("contents fetched from another instance", "instance", from, "epoch", s.Epoch, "revision", s.Revision,
+		"epochBefore", held.Epoch, "before", held.Revision)
 	c.Replace(s.contents(c.opts.Clock.Now()))
 }
--- /dev/null
+++ b/internal/config/figcatalogue/restore.go
@@ -0,0 +1,136 @@
+package figcatalogue
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+const (
+	// restoredGrace is how long servers and drained data centres that a restored source lacks stay in use.
+	// Their writers write them again within about 2 s of its return.
+	restoredGrace = 3 * time.Second
+	// departedDoubt is how long a server gets no work that had been removed before the source was restored, and that the
+	// restored source lists. Entries that nobody renews expire sooner.
+	departedDoubt = 4 * time.Second
+	// departedMemory is how long removed servers are remembered.
+	departedMemory = time.Minute
+)
+
+// restoration holds what this instance knows better than a source that was restored from an older copy.
+type restoration struct {
+	// servers and dataCentres hold until when entries that the source lacks stay in use, by name.
+	servers, dataCentres map[string]time.Time
+	// doubted holds until when listed servers get no work, by name.
+	doubted map[string]time.Time
+	// departed holds the removed servers, by lifetime.
+	departed map[string]departure
+}
+
+// departure is the removal of a server.
+type departure struct {
+	at time.Time
+	// announced says that the server was leaving before it was removed.
+	announced bool
+}
+
+func newRestoration() restoration {
+	return restoration{
+		servers: map[string]time.Time{}, dataCentres: map[string]time.Time{}, doubted: map[string]time.Time{},
+		departed: map[string]departure{},
+	}
+}
+
+// recordDeparture records that s was removed at now.
+func (r *restoration) recordDeparture(s *Server, now time.Time) {
+	r.departed[s.Lifetime()] = departure{now, s.State == figview.Leaving}
+	for lifetime, d := range r.departed {
+		if now.Sub(d.at) > departedMemory {
+			delete(r.departed, lifetime)
+		}
+	}
+}
+
+// hasLeft says whether the process of s is known to have been leaving before it was removed.
+func (r *restoration) hasLeft(s *Server) bool { return r.departed[s.Lifetime()].announced }
+
+// listed records that a source lists s. restored says that it was just restored from an older copy.
+func (r *restoration) listed(s *Server, restored bool, now time.Time) {
+	delete(r.servers, s.Name)
+	_, departed := r.departed[s.Lifetime()]
+	switch {
+	case departed && restored:
+		r.doubted[s.Name] = now.Add(departedDoubt)
+		klog.InfoS("server entry doubted", "server", s.Name, "startedAt", s.StartedAt, "reason", "removed before the restoration")
+	case !r.doubted[s.Name].IsZero():
+	case departed && !r.hasLeft(s):
+		delete(r.departed, s.Lifetime())
+	}
+}
+
+// written records that s was written after the source's contents were read.
+func (r *restoration) written(s *Server) {
+	delete(r.servers, s.Name)
+	delete(r.doubted, s.Name)
+	if !r.hasLeft(s) {
+		delete(r.departed, s.Lifetime())
+	}
+}
+
+// forget drops what is kept of a server whose removal the source reports.
+func (r *restoration) forget(name string) {
+	delete(r.servers, name)
+	delete(r.doubted, name)
+}
+
+// next returns the earliest time at which something ends to be kept; zero if nothing is.
+func (r *restoration) next() time.Time {
+	var first time.Time
+	for _, all := range []map[string]time.Time{r.servers, r.dataCentres, r.doubted} {
+		for _, until := range all {
+			if first.IsZero() || until.Before(first) {
+				first = until
+			}
+		}
+	}
+	return first
+}
+
+// expireKept removes what a restored source still lacks, and trusts what it still lists, after the time for that. c.mu must
+// be held.
+func (c *Catalogue) expireKept(now time.Time) {
+	for name, until := range c.kept.servers {
+		if !now.Before(until) {
+			delete(c.kept.servers, name)
+			c.markServerRemoved(name, now)
+		}
+	}
+	for name, until := range c.kept.dataCentres {
+		if !now.Before(until) {
+			delete(c.kept.dataCentres, name)
+			c.setDrained(name, false)
+		}
+	}
+	for name, until := range c.kept.doubted {
+		if !now.Before(until) {
+			delete(c.kept.doubted, name)
+			if s, ok := c.servers[name]; ok && !c.kept.hasLeft(&s) {
+				delete(c.kept.departed, s.Lifetime())
+			}
+		}
+	}
+}
+
+// maxWait returns limit, or less if something ends to be kept sooner.
+func (c *Catalogue) maxWait(limit time.Duration) time.Duration {
+	now := c.opts.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := c.kept.next()
+	if next.IsZero() {
+		return limit
+	}
+	return min(limit, max(next.Sub(now), batchDelay))
+}
--- /dev/null
+++ b/internal/config/figcatalogue/restore_test.go
@@ -0,0 +1,332 @@
+package figcatalogue
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/core/figtimer"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+// applyLimit is the time within which a change must be active.
+const applyLimit = 2 * time.Second
+
+// contactLimit is how long after the source's return instances may still be without a change that was written then.
+const contactLimit = 3 * time.Second
+
+func in(epoch, revision uint64) figview.Position {
+	return figview.Position{Epoch: epoch, Revision: revision}
+}
+
+// The revisions of a restored source go back and are assigned again. Changes written after its return must be active
+// in time, whatever their revisions, and cost few calls.
+func TestRestoredSourceHidesNoChanges(t *testing.T) {
+	for name, c := range map[string]struct {
+		lost, written int
+		// between says that the source is restored between two watches, none of which fails.
+		between bool
+	}{
+		"lower revision":                   {6, 2, false},
+		"same revision":                    {3, 3, false},
+		"higher revision":                  {1, 4, false},
+		"lower revision between watches":   {6, 2, true},
+		"same revision between watches":    {3, 3, true},
+		"higher revision between watches":  {3, 5, true},
+		"nothing written, between watches": {3, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := newFakeStore()
+				for n := range uint64(10) {
+					s.put(Change{Declarations: version(n + 1)})
+				}
+				c1 := New(Options{IsReader: always, Source: s.source("a"), Clock: figtimer.System(), QueryPeer: noPeer})
+				go func() { _ = c1.Run(ctx, figtimer.New(figtimer.System())) }()
+				<-time.After(time.Second)
+				if c.between {
+					s.put(Change{Declarations: version(11)})
+					<-time.After(batchDelay / 2)
+				} else {
+					s.setRefused("a", true)
+					<-time.After(watchWait + time.Second)
+					s.setRefused("a", false)
+				}
+				s.restore(c.lost, "")
+				for n := range c.written {
+					s.put(Change{Declarations: version(uint64(20 + n))})
+				}
+				called := s.callsOf("a")
+				<-time.After(applyLimit)
+				require.LessOrEqual(t, s.callsOf("a")-called, 8)
+				s.put(Change{Declarations: version(40)})
+				<-time.After(applyLimit)
+				require.EqualValues(t, 40, c1.View().Table.Version)
+				require.EqualValues(t, 2, c1.View().Epoch)
+				cancel()
+				<-time.After(10 * time.Second)
+			})
+		})
+	}
+}
+
+// Watches of all but one reader hang over the restoration. They end when another instance has read the restored source.
+func TestRestorationReachesAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		g := newGroup(ctx, 30)
+		for n := range uint64(20) {
+			g.store.put(Change{Declarations: version(n + 1)})
+		}
+		<-time.After(time.Second)
+		for round := range uint64(4) {
+			<-time.After(time.Duration(round) * 1300 * time.Millisecond)
+			g.store.restore(5, g.names[int(round)%groupReaders])
+			g.requireVersion(t, 30+2*round, contactLimit, true)
+			g.requireVersion(t, 31+2*round, applyLimit, true)
+			for _, name := range g.names {
+				require.Equal(t, 2+round, g.all[name].Position().Epoch, name)
+			}
+		}
+		cancel()
+		<-time.After(20 * time.Second)
+	})
+}
+
+// Whatever the revision, what is left of an earlier epoch must not replace the contents of a later one.
+func TestEarlierEpochsAreIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newCatalogueAt(&now)
+	a, b := server("a", 1), server("b", 1)
+	c.Replace(&Contents{Declarations: version(3), Servers: []Server{a}, Position: in(1, 500)})
+	c.Replace(&Contents{Declarations: version(3), Servers: []Server{a}, Position: in(2, 400)})
+	c.Replace(&Contents{Servers: []Server{a, b}, Position: in(1, 900)})
+	c.Apply([]Change{{Server: &b}}, in(1, 901))
+	c.Apply([]Change{{Server: &b}}, in(3, 10))
+	c.applyAnswer(&FollowAnswer{Epoch: 1, Revision: 950, All: &Snapshot{Epoch: 1, Revision: 950, Declarations: version(9)}})
+	require.Equal(t, in(2, 400), c.Position())
+	require.Len(t, c.View().Servers["p"], 1)
+	require.EqualValues(t, 3, c.View().Table.Version)
+	c.NotePosition(figview.Member{Name: "old"}, in(1, 999))
+	require.Nil(t, c.ahead)
+	c.NotePosition(figview.Member{Name: "new"}, in(2, 401))
+	c.NotePosition(figview.Member{Name: "newer"}, in(3, 5))
+	require.Equal(t, "newer", c.ahead.from.Name)
+	require.False(t, (&FollowAnswer{Epoch: 1, Revision: 950, Reading: true}).Serves(newFollowRequest(in(2, 400), 0)))
+	require.True(t, (&FollowAnswer{Epoch: 3, Revision: 1}).Serves(newFollowRequest(in(2, 400), 0)))
+}
+
+// A follower of an earlier epoch gets all contents, and a reader of an earlier epoch keeps no follower waiting.
+func TestFollowAcrossEpochs(t *testing.T) {
+	now := time.Now()
+	c := newCatalogueAt(&now)
+	c.Replace(&Contents{Declarations: version(3), Position: in(2, 400)})
+	c.Apply([]Change{{Declarations: version(4)}}, in(2, 401))
+	a := c.changesAfter(in(1, 400))
+	require.NotNil(t, a.All)
+	require.Equal(t, in(2, 401), a.Position())
+	require.Len(t, c.changesAfter(in(2, 400)).Changes, 1)
+	require.Nil(t, c.changesAfter(in(2, 400)).All)
+	began := time.Now()
+	a, err := c.HandleFollow(t.Context(), newFollowRequest(in(3, 1), followWait))
+	require.NoError(t, err)
+	require.Less(t, time.Since(began), time.Second)
+	require.Equal(t, in(2, 401), a.Position())
+	require.Len(t, c.changesAfter(at(400)).Changes, 1, "instances that know no epochs send none")
+	require.Empty(t, c.changesAfter(at(401)).Changes)
+	require.Nil(t, c.changesAfter(at(401)).All)
+}
+
+// Versions only grow. A version with other contents in a later epoch is what the operators wrote last.
+func TestDeclarationsOfRestoredSource(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newCatalogueAt(&now)
+	c.Replace(&Contents{Declarations: version(12), Position: in(1, 50)})
+	c.Replace(&Contents{Declarations: version(6), Position: in(2, 40)})
+	require.EqualValues(t, 12, c.View().Table.Version)
+	other := version(12)
+	other.Limits.BodyBytes = 5
+	c.Apply([]Change{{Declarations: other}}, in(2, 41))
+	require.Equal(t, 5, c.View().Table.Limits.BodyBytes)
+	c.Apply([]Change{{Declarations: version(12)}}, in(2, 42))
+	require.Equal(t, 5, c.View().Table.Limits.BodyBytes)
+}
+
+// What an older copy says of servers must not undo what is known of them: leaving servers stay so, removed ones get
+// no work unless they are written again or stay listed, and missing ones stay in use until they are written again.
+func TestServersOfRestoredSource(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newCatalogueAt(&now)
+	usable := func(name string) bool {
+		for i := range c.View().Servers["p"] {
+			if s := &c.View().Servers["p"][i]; s.Name == name {
+				return c.View().Usable(s)
+			}
+		}
+		return false
+	}
+	names := []string{"live", "leaving", "left", "removed", "removedButBack", "new", "newButGone"}
+	entries := map[string]*Server{}
+	first := make([]Server, 0, len(names))
+	for _, name := range names {
+		s := server(name, 1)
+		entries[name] = &s
+		first = append(first, s)
+	}
+	c.Replace(&Contents{Declarations: version(1), Servers: first, Position: in(1, 10)})
+	for _, name := range []string{"leaving", "left"} {
+		s := *entries[name]
+		s.State = figview.Leaving
+		c.Apply([]Change{{Server: &s}}, in(1, c.Position().Revision+1))
+	}
+	for _, name := range []string{"left", "removed", "removedButBack"} {
+		c.Apply([]Change{{ServerRemoved: name}}, in(1, c.Position().Revision+1))
+	}
+	now = now.Add(2 * RemovedServerGrace)
+	c.Apply(nil, c.Position())
+	copied := &Contents{Declarations: version(1), Servers: first[:5], Position: in(2, 10)}
+	for range 2 { // read twice, as after a failed watch
+		c.Replace(copied)
+		for name, want := range map[string]bool{
+			"live": true, "leaving": false, "left": false, "removed": false, "removedButBack": false, "new": true, "newButGone": true,
+		} {
+			require.Equal(t, want, usable(name), name)
+		}
+	}
+	follower := newCatalogueAt(&now)
+	follower.applyAnswer(c.changesAfter(in(0, 0)))
+	require.Empty(t, len(follower.View().Servers["p"])-5, "what the source lacks is not passed on")
+	require.Less(t, c.maxWait(watchWait), watchWait, "a watch must not outlast the time for that")
+	c.Apply([]Change{{Server: entries["removedButBack"]}, {Server: entries["new"]}}, in(2, 11))
+	require.True(t, usable("removedButBack"))
+	now = now.Add(restoredGrace)
+	c.Apply(nil, in(2, 11))
+	require.True(t, usable("new"))
+	require.False(t, usable("newButGone"))
+	require.False(t, usable("removed"))
+	now = now.Add(departedDoubt - restoredGrace)
+	c.Apply(nil, in(2, 11))
+	require.True(t, usable("removed"), "a server that stays listed is in use again")
+	require.False(t, usable("left"))
+	require.False(t, usable("leaving"))
+	require.Equal(t, watchWait, c.maxWait(watchWait))
+	again := server("left", 2)
+	c.Apply([]Change{{Server: &again}}, in(2, 12))
+	require.True(t, usable("left"), "a new process of a server that left is in use")
+}
+
+// A data centre that was drained before the source was restored stays drained until operators have had the time to drain
+// it again.
+func TestDrainedDataCentresOfRestoredSource(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newCatalogueAt(&now)
+	c.Replace(&Contents{Declarations: version(1), DrainedDataCentres: []string{"east", "west"}, Position: in(1, 10)})
+	c.Replace(&Contents{Position: in(2, 8)})
+	c.Replace(&Contents{Position: in(2, 8)})
+	require.Len(t, c.View().DrainedDataCentres, 2)
+	c.Apply([]Change{{DrainedDataCentre: "east"}}, in(2, 9))
+	now = now.Add(restoredGrace)
+	c.Apply(nil, in(2, 9))
+	require.Equal(t, map[string]bool{"east": true}, c.View().DrainedDataCentres)
+	c.Apply([]Change{{RestoredDataCentre: "east"}}, in(2, 10))
+	require.Empty(t, c.View().DrainedDataCentres)
+}
+
+// An instance that starts must not take an older copy's declarations while another instance knows later ones, and
+// must start without others.
+func TestStartFromRestoredSource(t *testing.T) {
+	for name, c := range map[string]struct {
+		peer bool
+		want uint64
+	}{"beside others": {true, 12}, "alone": {false, 6}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				now := time.Now()
+				other := newCatalogueAt(&now)
+				other.Replace(&Contents{Declarations: version(12), Position: in(1, 50)})
+				other.Replace(&Contents{Declarations: version(6), Position: in(2, 40)})
+				s := newFakeStore()
+				for range 41 {
+					s.put(Change{Declarations: version(6)})
+				}
+				s.epoch = 2
+				c1 := New(Options{
+					IsReader: always, Source: s.source("a"), Clock: figtimer.System(),
+					QueryPeer: func(ctx context.Context, q *SnapshotRequest) (*Snapshot, string, error) {
+						if !c.peer {
+							<-ctx.Done()
+							return nil, "", ctx.Err()
+						}
+						answer, err := other.Answer(ctx, q)
+						return answer, "other", err
+					},
+				})
+				go func() { _ = c1.Run(ctx, figtimer.New(figtimer.System())) }()
+				<-time.After(time.Second)
+				require.Equal(t, c.want, c1.View().Table.Version)
+				cancel()
+				<-time.After(10 * time.Second)
+			})
+		})
+	}
+}
+
+// An answer without an epoch counts as one of the current epoch, and a late one of an earlier epoch is a failure.
+func TestAnswersWithoutEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		positions := []figview.Position{in(2, 11), in(0, 12), in(1, 900)}
+		reads := 0
+		c := New(Options{IsReader: always, Clock: figtimer.System(), QueryPeer: noPeer, Source: Source{
+			Read: func(context.Context) (*Contents, error) {
+				reads++
+				return &Contents{Declarations: version(1), Position: in(2, 10)}, nil
+			},
+			Watch: func(ctx context.Context, _ figview.Position, _ time.Duration) ([]Change, figview.Position, error) {
+				if len(positions) > 0 {
+					next := positions[0]
+					positions = positions[1:]
+					return []Change{{Declarations: version(next.Revision)}}, next, nil
+				}
+				<-ctx.Done()
+				return nil, at(0), ctx.Err()
+			},
+		}})
+		go func() { _ = c.Run(ctx, figtimer.New(figtimer.System())) }()
+		<-time.After(time.Second)
+		require.Equal(t, in(2, 12), c.Position())
+		require.EqualValues(t, 12, c.View().Table.Version)
+		require.Equal(t, 2, reads)
+		require.EqualValues(t, 1, c.Failures.Load())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// A source that has the changes after no revision costs few calls.
+func TestLostHistoryCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := New(Options{IsReader: always, Clock: figtimer.System(), QueryPeer: noPeer, Source: Source{
+			Read: func(context.Context) (*Contents, error) {
+				return &Contents{Declarations: version(1), Position: in(2, 10)}, nil
+			},
+			Watch: func(context.Context, figview.Position, time.Duration) ([]Change, figview.Position, error) {
+				return nil, at(0), ErrHistoryLost
+			},
+		}})
+		go func() { _ = c.Run(ctx, figtimer.New(figtimer.System())) }()
+		<-time.After(10 * time.Second)
+		require.LessOrEqual(t, c.Calls.Load(), uint64(200))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/config/figcatalogue/run.go
+++ b/internal/config/figcatalogue/run.go
@@ -22,14 +22,21 @@
 	// source's return; the wait may use a fifth of that.
 	retryBase  = 50 * time.Millisecond
 	retryLimit = 400 * time.Millisecond
+	// firstQueryTimeout bounds the query of another instance by one that has no declarations yet.
+	firstQueryTimeout = 500 * time.Millisecond
 )
 
+var errOutdated = errors.New("the answer is of an epoch before the latest one")
+
 // readState is the state of reading the source. Only Run uses it.
 type readState struct {
 	// position is where to watch from.
 	position figview.Position
 	// complete says that all contents have been read, so that watching may continue from position.
 	complete bool
+	// losses counts the watches in a row for which the source lacked the history. After the first one reading
+	// all contents again at once is of no use.
+	losses int
 	// failures counts the failed calls since the last successful one; lostAt is when the first of them ended.
 	failures int
 	lostAt   time.Time
@@ -55,7 +62,7 @@
 			c.directFailed()
 			c.fetchFromPeer(ctx)
 		}
-		if err != nil && t.Sleep(ctx, backoff.Delay(c.reading.failures)) != nil {
+		if err != nil && t.Sleep(ctx, backoff.Delay(max(c.reading.failures, c.reading.losses))) != nil {
 			break
 		}
 	}
@@ -71,14 +78,45 @@
 		if err != nil {
 			return false, err
 		}
+		active := c.Position()
+		if n.Epoch == 0 {
+			n.Epoch = active.Epoch
+		}
+		if n.Epoch < active.Epoch {
+			return false, errOutdated
+		}
+		c.mergeFromPeer(ctx)
 		c.Replace(n)
 		c.reading.position = n.Position
 		c.reading.complete = true
 		return false, nil
 	}
-	c.reading.position.Revision = max(c.reading.position.Revision, c.Revision())
-	changes, next, err := c.opts.Source.Watch(ctx, c.reading.position, watchWait)
+	waiting, cancel := c.beginWait(ctx)
+	if active := c.Position(); c.reading.position.Before(active) {
+		c.reading.position = active
+	}
+	changes, next, err := c.opts.Source.Watch(waiting, c.reading.position, c.maxWait(watchWait))
+	ended := waiting.Err() != nil
+	cancel()
+	if next.Epoch == 0 {
+		next.Epoch = c.reading.position.Epoch
+	}
+	switch {
+	case ctx.Err() != nil:
+		return false, ctx.Err()
+	case ended || err == nil && next.Epoch > c.reading.position.Epoch:
+		// The restored source has given out revisions again, so that the changes after an old one are not all.
+		klog.InfoS("source was restored; reading all contents again",
+			"source", c.opts.Source.Name, "epoch", c.reading.position.Epoch, "revision", c.reading.position.Revision)
+		c.reading.complete = false
+		return false, nil
+	case err == nil && next.Epoch < c.reading.position.Epoch:
+		err = errOutdated
+	}
 	if errors.Is(err, ErrHistoryLost) {
+		c.reading.losses++
+	}
+	if c.reading.losses == 1 && errors.Is(err, ErrHistoryLost) {
 		klog.InfoS("changes no longer available; reading all contents again",
 			"source", c.opts.Source.Name, "epoch", c.reading.position.Epoch,
 			"revision", c.reading.position.Revision, "reason", err)
@@ -91,12 +129,39 @@
 		c.reading.complete = false
 		return false, err
 	}
-	c.Apply(changes, next.Revision)
-	next.Revision = max(next.Revision, c.reading.position.Revision)
-	c.reading.position = next
+	c.reading.losses = 0
+	c.Apply(changes, next)
+	if c.reading.position.Before(next) {
+		c.reading.position = next
+	}
 	return len(changes) > 0, nil
 }
 
+// beginWait returns the context of a call that waits for changes. It ends when RunCatchUp has applied contents of a later epoch.
+func (c *Catalogue) beginWait(ctx context.Context) (context.Context, func()) {
+	waiting, cancel := context.WithCancel(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endWait = cancel
+	return waiting, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.endWait = nil
+		cancel()
+	}
+}
+
+// mergeFromPeer fetches the contents of another instance if this one has no declarations yet: a source that was just restored
+// may have older ones than other instances.
+func (c *Catalogue) mergeFromPeer(ctx context.Context) {
+	if c.View().Table != nil {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, firstQueryTimeout)
+	defer cancel()
+	c.fetchFromPeer(limited)
+}
+
 // recordResult counts failures, and logs when the source becomes unavailable and available again.
 func (c *Catalogue) recordResult(err error) {
 	now := c.opts.Clock.Now()
--- a/internal/config/figcatalogue/wire_test.go
+++ b/internal/config/figcatalogue/wire_test.go
@@ -41,6 +41,7 @@
 			Slots: 24, ColdStartRemaining: 11 * time.Second,
 		}},
 		DrainedDataCentres: []string{"west"},
+		Epoch:              5,
 	}
 }
 
@@ -77,6 +78,7 @@
 			"Slots": uint64(24), "ColdLeft": uint64(11e9),
 		}},
 		uint64(4): []any{"west"},
+		uint64(5): uint64(5),
 	}
 
 	encoded, err := cbor.Marshal(snapshotMessage())
@@ -97,10 +99,10 @@
 	sent := server("a", 1700000000123)
 	sent.ColdStartEnd = now.Add(3 * time.Second)
 	c := newCatalogueAt(&now)
-	c.Apply([]Change{{Declarations: version(1)}, {Server: &sent}}, 1)
-	c.Apply([]Change{{Server: &sent}}, 2)
+	c.Apply([]Change{{Declarations: version(1)}, {Server: &sent}}, at(1))
+	c.Apply([]Change{{Server: &sent}}, at(2))
 	for _, after := range []uint64{0, 1} {
-		encoded, err := cbor.Marshal(c.changesAfter(after))
+		encoded, err := cbor.Marshal(c.changesAfter(at(after)))
 		require.NoError(t, err)
 		var decoded FollowAnswer
 		require.NoError(t, cbor.Unmarshal(encoded, &decoded))
--- a/internal/fleet/figdiscovery/discovery.go
+++ b/internal/fleet/figdiscovery/discovery.go
@@ -52,10 +52,10 @@
 	ProbeThrough func(ctx context.Context, to figview.Member, q *IndirectProbe) (*IndirectResult, error)
 	Sync         func(ctx context.Context, to figview.Member, q *SyncRequest) (*SyncAnswer, error)
 	Push         func(ctx context.Context, to figview.Member, m *Message) (*Message, error)
-	// Revision returns the revision of the configuration that this instance uses. OnRevision receives
+	// Position returns the position of the configuration that this instance uses. OnPosition receives
 	// that of another instance.
-	Revision   func() uint64
-	OnRevision func(from figview.Member, revision uint64)
+	Position   func() figview.Position
+	OnPosition func(from figview.Member, position figview.Position)
 	// Evidence returns the digest of this instance's evidence on prompt parts. OnEvidence receives that of
 	// another instance.
 	Evidence   func() uint64
--- a/internal/fleet/figdiscovery/discovery_test.go
+++ b/internal/fleet/figdiscovery/discovery_test.go
@@ -96,8 +96,8 @@
 		Sync: func(ctx context.Context, to figview.Member, q *SyncRequest) (*SyncAnswer, error) {
 			return deliver(ctx, n, name, to, q, func(d *Discovery) func(context.Context, *SyncRequest) (*SyncAnswer, error) { return d.HandleSync })
 		},
-		Revision:   func() uint64 { return 1 },
-		OnRevision: func(figview.Member, uint64) {},
+		Position:   func() figview.Position { return figview.Position{Revision: 1} },
+		OnPosition: func(figview.Member, figview.Position) {},
 		Evidence:   func() uint64 { return 0 },
 		OnEvidence: func(figview.Member, uint64) {},
 		OnGone: func(member string, _ uint64) {
--- a/internal/fleet/figdiscovery/member.go
+++ b/internal/fleet/figdiscovery/member.go
@@ -90,10 +90,11 @@
 	Members int    `cbor:"3,keyasint"`
 	// News holds records that changed recently.
 	News []Record `cbor:"4,keyasint,omitempty"`
-	// Revision is the revision of the configuration that the sender uses.
+	// Revision and Epoch are the position of the configuration that the sender uses.
 	Revision uint64 `cbor:"5,keyasint,omitempty"`
 	// Evidence is the digest of what the sender knows of prompt parts on which servers crash.
 	Evidence uint64 `cbor:"6,keyasint,omitempty"`
+	Epoch    uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // IndirectProbe asks an instance to probe another one.
--- a/internal/fleet/figdiscovery/merge.go
+++ b/internal/fleet/figdiscovery/merge.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
 )
 
 // newsFactor times the logarithm of the number of members is the number of messages that carry a
@@ -165,8 +167,10 @@
 
 // messageLocked returns a message without news. d.mu must be held.
 func (d *Discovery) messageLocked() *Message {
+	position := d.opts.Position()
 	return &Message{
-		From: d.self, Digest: d.digest + d.self.hash(), Members: len(d.members) + 1, Revision: d.opts.Revision(),
+		From: d.self, Digest: d.digest + d.self.hash(), Members: len(d.members) + 1,
+		Epoch: position.Epoch, Revision: position.Revision,
 		Evidence: d.opts.Evidence(),
 	}
 }
@@ -191,7 +195,7 @@
 	}
 	now := d.opts.Clock.Now()
 	d.merge(now, slices.Concat(m.News, []Record{m.From}), true)
-	d.opts.OnRevision(m.From.Target(), m.Revision)
+	d.opts.OnPosition(m.From.Target(), figview.Position{Epoch: m.Epoch, Revision: m.Revision})
 	d.opts.OnEvidence(m.From.Target(), m.Evidence)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/place/figcoordinator/coordinator.go
+++ b/internal/place/figcoordinator/coordinator.go
@@ -201,7 +201,7 @@
 func (c *Coordinator) tryPlace(q *Request, answer *Answer, deadline time.Time) (*placed, figqueue.PlaceResult) {
 	now := c.Clock.Now()
 	v := c.View()
-	answer.Revision, answer.Elsewhere = v.Revision, !c.Shares.ownsAny(v, q.Pool)
+	answer.Epoch, answer.Revision, answer.Elsewhere = v.Epoch, v.Revision, !c.Shares.ownsAny(v, q.Pool)
 	if v.Table == nil {
 		answer.Reason = "the coordinator has no configuration"
 		return nil, figqueue.Rejected
--- a/internal/place/figcoordinator/message.go
+++ b/internal/place/figcoordinator/message.go
@@ -62,10 +62,11 @@
 	Reason     string        `cbor:"6,keyasint,omitempty"`
 	// Limits holds rate limits of the pool's servers that the coordinator knows.
 	Limits []Limit `cbor:"7,keyasint,omitempty"`
-	// Revision is the revision of the coordinator's list of servers. Elsewhere says that it coordinates no
+	// Revision and Epoch are the position of the coordinator's list of servers. Elsewhere says that it coordinates no
 	// server of the pool by its list of members.
 	Revision  uint64 `cbor:"8,keyasint,omitempty"`
 	Elsewhere bool   `cbor:"9,keyasint,omitempty"`
+	Epoch     uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Await asks for the answer to a waiting request.
--- a/internal/place/figcoordinator/placer.go
+++ b/internal/place/figcoordinator/placer.go
@@ -186,7 +186,9 @@
 // knowsMore reports whether this instance knows more than a coordinator that found no usable server: the
 // coordinator has an older list of servers, as one that was cut off has, or an older list of members, by which
 // it isn't a coordinator of the pool. It counts as one that doesn't answer then.
-func (p *Placer) knowsMore(a *Answer) bool { return a.Elsewhere || a.Revision < p.View().Revision }
+func (p *Placer) knowsMore(a *Answer) bool {
+	return a.Elsewhere || figview.Position{Epoch: a.Epoch, Revision: a.Revision}.Before(p.View().Position)
+}
 
 // refusal returns the error for an answer without a placement.
 func refusal(a *Answer) error {
