Keep a server as leaving only if its start time tells it from the next process

Since a process that was leaving stays so, a server that publishes no start time and restarts under its name would have got no work for a minute. Its entries can't be told apart, so the latest one holds for it. The answers of coordinators that know of no epochs are compared as of the current epoch.

TestServerWithoutStartTimeReturns; without the condition the server is still leaving after its restart.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -225,7 +225,7 @@
 			"startedAt", s.StartedAt, "known", old.StartedAt, "reason", "older process")
 		return
 	}
-	if s.State == figview.Live && (known && old.State == figview.Leaving && old.Lifetime() == s.Lifetime() || c.kept.hasLeft(&s)) {
+	if s.State == figview.Live && (known && remainsLeaving(&old, &s) || c.kept.hasLeft(&s)) {
 		s.State = figview.Leaving
 	}
 	c.servers[s.Name] = s
--- a/internal/config/figcatalogue/restore.go
+++ b/internal/config/figcatalogue/restore.go
@@ -53,8 +53,16 @@
 	}
 }
 
-// hasLeft says whether the process of s is known to have been leaving before it was removed.
-func (r *restoration) hasLeft(s *Server) bool { return r.departed[s.Lifetime()].announced }
+// hasLeft says whether the process of s is known to have been leaving before it was removed. A restarted server without a
+// start time can't be told from the process before.
+func (r *restoration) hasLeft(s *Server) bool {
+	return !s.StartedAt.IsZero() && r.departed[s.Lifetime()].announced
+}
+
+// remainsLeaving says whether s, which is listed as live, is the process that was leaving as old.
+func remainsLeaving(old, s *Server) bool {
+	return !s.StartedAt.IsZero() && old.State == figview.Leaving && old.Lifetime() == s.Lifetime()
+}
 
 // listed records that a source lists s. restored says that it was just restored from an older copy.
 func (r *restoration) listed(s *Server, restored bool, now time.Time) {
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -330,3 +330,17 @@
 		synctest.Wait()
 	})
 }
+
+// A server that names no start time may be another process each time, which is in use again.
+func TestServerWithoutStartTimeReturns(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newCatalogueAt(&now)
+	s := Server{Server: figview.Server{Name: "a", Pool: "p"}}
+	leaving := s
+	leaving.State = figview.Leaving
+	for n := range uint64(2) {
+		c.Apply([]Change{{Server: &s}}, in(1, 10*n+1))
+		require.Equal(t, figview.Live, c.View().Servers["p"][0].State)
+		c.Apply([]Change{{Server: &leaving}, {ServerRemoved: "a"}}, in(1, 10*n+2))
+	}
+}
--- a/internal/place/figcoordinator/placer.go
+++ b/internal/place/figcoordinator/placer.go
@@ -187,7 +187,11 @@
 // coordinator has an older list of servers, as one that was cut off has, or an older list of members, by which
 // it isn't a coordinator of the pool. It counts as one that doesn't answer then.
 func (p *Placer) knowsMore(a *Answer) bool {
-	return a.Elsewhere || figview.Position{Epoch: a.Epoch, Revision: a.Revision}.Before(p.View().Position)
+	own, other := p.View().Position, figview.Position{Epoch: a.Epoch, Revision: a.Revision}
+	if other.Epoch == 0 { // a coordinator that knows of no epochs
+		other.Epoch = own.Epoch
+	}
+	return a.Elsewhere || other.Before(own)
 }
 
 // refusal returns the error for an answer without a placement.
