Don't take a refusal that a server writes again for the answer to a later request

What callers saw: a faulty server writes an earlier refusal once more on a kept connection. The caller of the next request on it got 503, "not run, try again", although its request was running, or the request ran at a second server.

Cause: an answer without the request's id counted as the answer to the request that waited, also on a connection that had carried others. And an id alone doesn't tell a second send of a request to the same server (without the KV cache that was refused, or a caller's repeat) from the first one's refusal.

Change: with Options.RequireID, set by figtrail route, whose servers echo the id in all answers, an answer without an id on a reused connection fails the call with an unknown outcome. A connection remembers the ids that were refused on it as hashes, 64 at most, is not used for these ids again, and is closed when the list is full. Remembering costs no connection for other requests; asking for a new connection for each second send would cost one each time and miss callers' repeats.

--- a/internal/app/figrouter/router.go
+++ b/internal/app/figrouter/router.go
@@ -207,6 +207,7 @@
 		MaxPooledConnections:   connectionsPerServer,
 		MaxBodyBytes:           int64(r.MemoryMB) << 20 / answerMemoryDivisor,
 		IDHeader:               r.adapter.Dialect.IDHeader,
+		RequireID:              true,
 		IsRefusal:              r.adapter.IsRefusal,
 		AllowCloseDelimited:    true,
 	})
--- a/internal/request/figsend/acquire.go
+++ b/internal/request/figsend/acquire.go
@@ -44,7 +44,7 @@
 			return acquired{}, dialFailure(ctx, c, err)
 		}
 		conn := cc.Conn().(*connection)
-		if !s.reusable(conn) {
+		if !s.reusable(conn) || conn.hasRefused(c.ID) {
 			h.CloseConn(cc)
 			continue
 		}
--- a/internal/request/figsend/connection.go
+++ b/internal/request/figsend/connection.go
@@ -1,8 +1,10 @@
 package figsend
 
 import (
+	"hash/maphash"
 	"net"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +21,8 @@
 	dialedAt, idleSince time.Time
 	// reused says that the connection has carried an earlier call.
 	reused bool
+	// refusals holds the hashes of the ids of the requests that the server refused on the connection.
+	refusals []uint64
 	// written counts the bytes that the kernel has accepted.
 	written atomic.Int64
 	// now returns the current time, from which readTimeout counts.
@@ -31,6 +35,22 @@
 	readTimedOut bool
 }
 
+// maxRefusals is the number of refusals after which a connection is closed.
+const maxRefusals = 64
+
+var refusalSeed = maphash.MakeSeed()
+
+// recordRefusal records that the server refused the request id on the connection.
+func (c *connection) recordRefusal(id string) {
+	c.refusals = append(c.refusals, maphash.String(refusalSeed, id))
+}
+
+// hasRefused reports whether the server refused the request id on the connection. If the server sends that refusal
+// again, its id doesn't tell it from the answer to a second send of the request.
+func (c *connection) hasRefused(id string) bool {
+	return len(c.refusals) > 0 && slices.Contains(c.refusals, maphash.String(refusalSeed, id))
+}
+
 // Write counts the bytes that the kernel accepts, so that a failed send can tell whether the server may have received
 // any.
 func (c *connection) Write(p []byte) (int, error) {
--- a/internal/request/figsend/do.go
+++ b/internal/request/figsend/do.go
@@ -26,11 +26,15 @@
 		return nil, f
 	}
 	answer, f := x.readAnswer()
+	var err error
+	if f == nil {
+		answer, err = x.checkRefusal(answer)
+	}
 	x.finish(f == nil && c.allowsPooled() && x.hasFraming() && !x.response.ConnectionClose())
 	if f != nil {
 		return nil, f
 	}
-	return s.checkRefusal(c, answer)
+	return answer, err
 }
 
 // allowsPooled reports whether Do uses a pooled connection for c.
@@ -44,11 +48,12 @@
 }
 
 // checkRefusal returns answer, or a Failure if answer is the server's refusal of the request.
-func (s *Sender) checkRefusal(c *Call, answer *Answer) (*Answer, error) {
-	if !s.opts.IsRefusal(answer) {
+func (x *exchange) checkRefusal(answer *Answer) (*Answer, error) {
+	if !x.sender.opts.IsRefusal(answer) {
 		return answer, nil
 	}
-	f := fail(c, "answer", KindRefused, NotRun, errors.New("the server refused the request"))
+	x.conn.recordRefusal(x.call.ID)
+	f := fail(x.call, "answer", KindRefused, NotRun, errors.New("the server refused the request"))
 	f.Answer = answer
 	return nil, f
 }
--- a/internal/request/figsend/exchange.go
+++ b/internal/request/figsend/exchange.go
@@ -156,15 +156,19 @@
 	return fail(x.call, "answer", KindOther, OutcomeUnknown, errInterim)
 }
 
-// checkHeader fails an answer that carries the id of another request, and a 408 on a reused connection: servers send
-// one when they close an idle connection, not in answer to a request.
+// checkHeader fails an answer that carries the id of another request, one without an id on a reused connection if
+// Options.RequireID is set, and a 408 on a reused connection: servers send one when they close an idle connection, not
+// in answer to a request.
 func (x *exchange) checkHeader() *Failure {
 	if x.conn.reused && x.response.StatusCode() == fasthttp.StatusRequestTimeout {
 		x.sender.Unsolicited.Add(1)
 		return x.failure("answer", errIdleClosed)
 	}
 	echoed := x.response.Header.Peek(x.sender.opts.IDHeader)
-	if len(echoed) == 0 || x.call.ID == "" || string(echoed) == x.call.ID {
+	if x.call.ID == "" || string(echoed) == x.call.ID {
+		return nil
+	}
+	if len(echoed) == 0 && (!x.conn.reused || !x.sender.opts.RequireID) {
 		return nil
 	}
 	return x.sender.MismatchFailure(x.call, string(echoed))
@@ -207,7 +211,7 @@
 // finish releases the connection and the buffers. The connection is reused only if reuse is set, the request was sent
 // completely, the context hasn't closed the connection, and no unread bytes are left on it.
 func (x *exchange) finish(reuse bool) {
-	reuse = x.stop() && reuse && x.writeFailure == nil
+	reuse = x.stop() && reuse && x.writeFailure == nil && len(x.conn.refusals) < maxRefusals
 	if x.reader != nil {
 		if left := x.reader.Buffered(); reuse && left > 0 {
 			x.sender.Unsolicited.Add(1)
--- a/internal/request/figsend/match.go
+++ b/internal/request/figsend/match.go
@@ -23,9 +23,9 @@
 	return false
 }
 
-// MismatchFailure counts an answer to c that carries id, the id of another request, and returns a Failure of c with
+// MismatchFailure counts an answer to c that carries id, the id of another request or none, and returns a Failure of c with
 // KindMismatched. The answer must not be relayed to c's caller.
 func (s *Sender) MismatchFailure(c *Call, id string) *Failure {
 	s.Mismatched.Add(1)
-	return fail(c, "answer", KindMismatched, OutcomeUnknown, errors.Newf("the answer carries the id of another request: %q", id))
+	return fail(c, "answer", KindMismatched, OutcomeUnknown, errors.Newf("the answer doesn't carry the id of the request: %q", id))
 }
--- a/internal/request/figsend/sender.go
+++ b/internal/request/figsend/sender.go
@@ -55,6 +55,9 @@
 	MaxBodyBytes int64
 	// IDHeader is the name of the header field that carries the request id, in requests and answers.
 	IDHeader string
+	// RequireID says that servers echo the request id in all answers. An answer without an id on a reused connection is
+	// then an answer to an earlier request.
+	RequireID bool
 	// IsRefusal reports whether an answer means that the server refused the request without running it. Nil stands for a
 	// function that tests for status 429.
 	IsRefusal func(a *Answer) bool
--- a/internal/request/figsend/stream.go
+++ b/internal/request/figsend/stream.go
@@ -103,11 +103,14 @@
 // readWhole reads an answer that is not an event stream and returns it as a Stream without events.
 func (x *exchange) readWhole() (*Stream, error) {
 	answer, f := x.readBody()
+	var err error
+	if f == nil {
+		answer, err = x.checkRefusal(answer)
+	}
 	x.finish(f == nil && x.call.KeepAlive && x.hasFraming() && !x.response.ConnectionClose())
 	if f != nil {
 		return nil, f
 	}
-	answer, err := x.sender.checkRefusal(x.call, answer)
 	if err != nil {
 		return nil, err
 	}
