End a stream as broken off at a line that no event has

What callers saw: a server that stops its stream and writes another answer, an error's header or text, into it. The caller found these bytes in the middle of its stream, before the next event, or the stream ended as if it were complete.

Cause: events are passed on as received, with all lines before them; a line that isn't a field of an event was skipped by the parser and passed on. Followed by an empty line it also counted as the end of an event, so that a body that ended there was complete.

Change: figsend.Options.EventFields names the fields that events may have besides those of the standard, set by figtrail route to what the platform names. Any other line fails the stream with an unknown outcome, and it is resumed where the route allows that. figtrail serve writes events anew from their data, which must have the request's id, and needs an end marker, so that it stays lenient.

A data line that was cut and goes on with an error's text, and nothing after it but an empty line, is a valid event and can't be told from one.

--- a/internal/app/figrouter/router.go
+++ b/internal/app/figrouter/router.go
@@ -208,6 +208,7 @@
 		MaxBodyBytes:           int64(r.MemoryMB) << 20 / answerMemoryDivisor,
 		IDHeader:               r.adapter.Dialect.IDHeader,
 		RequireID:              true,
+		EventFields:            r.adapter.Dialect.EventFields,
 		IsRefusal:              r.adapter.IsRefusal,
 		AllowCloseDelimited:    true,
 	})
--- a/internal/request/figproxy/dialect.go
+++ b/internal/request/figproxy/dialect.go
@@ -103,6 +103,9 @@
 	// StripsFromAnswer says that this field of a server's answer is not forwarded to
 	// callers. name is in lower case.
 	StripsFromAnswer func(name string) bool
+	// EventFields holds the names of the fields that the events of servers may have besides those of the standard. It
+	// isn't nil.
+	EventFields []string
 	// ReadPrefillResult reads the body of the answer to a prefill. server is the address
 	// of the prefill server.
 	ReadPrefillResult func(server string, body []byte) (*PrefillResult, error)
--- a/internal/request/figsend/event.go
+++ b/internal/request/figsend/event.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 )
@@ -18,7 +19,10 @@
 // endMarker is the data of the last event in a model engine's stream.
 const endMarker = "[DONE]"
 
-var errEventTooLarge = errors.New("a server-sent event exceeds 1 MiB")
+var (
+	errEventTooLarge = errors.New("a server-sent event exceeds 1 MiB")
+	errEventLine     = errors.New("a line is not a field of a server-sent event")
+)
 
 // Event is one server-sent event. Its slices are valid until the next call of Stream.Next.
 type Event struct {
@@ -50,7 +54,9 @@
 
 // eventReader splits a body into server-sent events. It reuses its buffers for each event.
 type eventReader struct {
-	lines    *bufio.Reader
+	lines *bufio.Reader
+	// fields holds the names of fields besides those of the standard that lines may have. Nil accepts all lines.
+	fields   []string
 	name     []byte
 	data     []byte
 	id       []byte
@@ -59,7 +65,7 @@
 }
 
 // next returns the next event that has data. It returns io.EOF if the body ends between two events, and
-// io.ErrUnexpectedEOF if it ends inside one.
+// io.ErrUnexpectedEOF if it ends inside one. It returns errEventLine for a line that r.fields doesn't allow.
 func (r *eventReader) next() (Event, error) {
 	r.name, r.data, r.id, r.raw = r.name[:0], r.data[:0], r.id[:0], r.raw[:0]
 	inEvent, hasData := false, false
@@ -97,6 +103,11 @@
 			}
 			r.data = append(r.data, value...)
 			hasData = true
+		case "", "retry":
+		default:
+			if r.fields != nil && !slices.Contains(r.fields, string(field)) {
+				return Event{}, errEventLine
+			}
 		}
 		if len(r.raw) > maxEventBytes {
 			return Event{}, errEventTooLarge
--- a/internal/request/figsend/sender.go
+++ b/internal/request/figsend/sender.go
@@ -58,6 +58,9 @@
 	// RequireID says that servers echo the request id in all answers. An answer without an id on a reused connection is
 	// then an answer to an earlier request.
 	RequireID bool
+	// EventFields holds the names of the fields that the events of streams may have besides event, data, id and retry. A
+	// stream with any other line is broken: the line may be part of another answer. Nil accepts all lines.
+	EventFields []string
 	// IsRefusal reports whether an answer means that the server refused the request without running it. Nil stands for a
 	// function that tests for status 429.
 	IsRefusal func(a *Answer) bool
--- a/internal/request/figsend/stream.go
+++ b/internal/request/figsend/stream.go
@@ -85,6 +85,7 @@
 		x.finish(false)
 		return nil, f
 	}
+	t.events.fields = s.opts.EventFields
 	t.events.lines = bufio.NewReaderSize(r.BodyStream(), lineBufferBytes)
 	return t, nil
 }
@@ -195,6 +196,8 @@
 		return fail(x.call, "stream", KindCancelled, OutcomeUnknown, errClosed)
 	case errors.Is(err, io.EOF):
 		return t.checkEnd()
+	case errors.Is(err, errEventLine):
+		return fail(x.call, "stream", KindOther, OutcomeUnknown, err)
 	}
 	f = x.failure("stream", err)
 	if f.Kind == KindTimeout {
--- a/internal/request/figsend/stream_test.go
+++ b/internal/request/figsend/stream_test.go
@@ -96,6 +96,40 @@
 	}
 }
 
+// With EventFields, lines that no event has end the stream, and all others are passed on unchanged.
+func TestLinesThatEventsDoNotHave(t *testing.T) {
+	const one = "id: 1\ndata: a\n\n"
+	for text, events := range map[string]int{
+		one:                             1,
+		": comment\n\n:\n" + one:        1,
+		"version: 7\n" + one:            1,
+		"retry: 9\r\n\r\n" + one:        1,
+		"\r\n\n" + one:                  1,
+		"event\nid\ndata\n\n":           1,
+		"Version: 7\n" + one:            0,
+		"versions: 7\n" + one:           0,
+		" data: a\n\n":                  0,
+		"Data: a\n\n":                   0,
+		"HTTP/1.1 503 No\r\n\r\n" + one: 0,
+		"full\n\n" + one:                0,
+		"full\n\n":                      0,
+		"{}\n" + one:                    0,
+	} {
+		s := newSender(t, Options{EventFields: []string{"version"}})
+		stream, err := s.Stream(t.Context(), callTo(oneAnswerServer(t, streamHead+chunked(true, text), true), http.MethodPost, false))
+		require.NoError(t, err)
+		e, err := stream.Next(t.Context(), waitTimeout)
+		if events == 0 {
+			requireKind(t, err, KindOther, OutcomeUnknown)
+			continue
+		}
+		require.NoError(t, err, "%q", text)
+		require.Equal(t, text, string(e.Raw))
+		_, err = stream.Next(t.Context(), waitTimeout)
+		require.Equal(t, io.EOF, err)
+	}
+}
+
 func TestStreamOfAnotherType(t *testing.T) {
 	s := newSender(t, Options{})
 	stream, err := s.Stream(t.Context(), callTo(oneAnswerServer(t, ok, true), http.MethodPost, false))
