Let a resumed stream begin only with an event of a higher id

What callers saw: the next server answered the resumption of a stream with an event that has no id, such as an error, and the caller found it in its stream; or the stream began again with events that the caller had, after an event without an id or where the caller itself resumed it.

Cause: an event without an id was accepted everywhere, and made the relay forget the last id. A stream that a caller resumes was not compared with the caller's Last-Event-Id.

Change: the first event of a stream that is resumed on a resumable route, by the instance or by the caller, must have a higher id than the last one; otherwise the server has failed, and another is tried within the route's limit and the budget. An event without an id no longer clears the last id; as before, a stream is not resumed after it.

Evidence: before the change failed the two cases without an id of TestResumptionAnsweredWithError (the error event was in the caller's stream), TestEventsFromBeginningAfterEventWithoutID (events 1, 2, then 1 to 3 again, ended as complete) and TestCallersResumptionFromBeginning (200 for events 1 to 3 after Last-Event-Id 2). All pass with it.

--- a/internal/request/figproxy/relay.go
+++ b/internal/request/figproxy/relay.go
@@ -26,8 +26,10 @@
 
 	// unread is the part of the current event that Read hasn't returned yet.
 	unread []byte
-	// lastEventID is the id of the last event read from a server.
+	// lastEventID is the id of the last event with an id that was read from a server.
 	lastEventID []byte
+	// endsWithoutID says that the last event had no id, so that the stream can't be resumed after it.
+	endsWithoutID bool
 	// endErr is the error with which the stream ended; nil before that.
 	endErr error
 }
@@ -57,7 +59,10 @@
 			err = &figsend.Failure{Kind: figsend.KindOther, Err: figerror.Wrap(errEventOrder, "stream", r.server.Name)}
 		case err == nil:
 			r.unread = event.Raw
-			r.lastEventID = append(r.lastEventID[:0], event.ID...)
+			r.endsWithoutID = len(event.ID) == 0
+			if !r.endsWithoutID {
+				r.lastEventID = append(r.lastEventID[:0], event.ID...)
+			}
 			x.recordEvent(r.openedStream)
 			return nil
 		case errors.Is(err, io.EOF):
@@ -99,22 +104,17 @@
 }
 
 // resume continues the stream on another server after the last event. It returns false if the
-// route, the retry budget or the servers don't allow it, or if the new stream doesn't continue
-// after the last event.
+// route, the retry budget or the servers don't allow it, or if a server answers with something other
+// than a stream.
 func (r *streamRelay) resume(err error) bool {
 	x := r.exchange
-	for x.route.Kind == figroute.ResumableStream && len(r.lastEventID) > 0 && x.takeRetry(r.server, err) {
+	for x.route.Kind == figroute.ResumableStream && len(r.lastEventID) > 0 && !r.endsWithoutID && x.takeRetry(r.server, err) {
 		var opened *openedStream
 		var s *figcatalogue.Server
 		opened, s, err = x.openStream(string(r.lastEventID), true)
 		switch {
 		case err == nil && opened.Answer != nil:
 			return false
-		case err == nil && !follows(r.lastEventID, opened.id):
-			opened.Close()
-			x.finishSend(opened.attempt, opened.metadata,
-				&figsend.Failure{Kind: figsend.KindOther, Err: figerror.Wrap(errEventOrder, "resume", s.Name)})
-			return false
 		case err == nil:
 			klog.InfoS("stream resumed on another server", "requestId", x.ID, "from", r.server.Name,
 				"at", s.Name, "after", string(r.lastEventID))
--- a/internal/request/figproxy/stream.go
+++ b/internal/request/figproxy/stream.go
@@ -178,7 +178,7 @@
 	if !opened.metadata.FromApplication || stream.Status != http.StatusOK {
 		err = &figsend.Failure{Kind: figsend.KindOther, Err: figerror.Wrap(errNotFromApplication, "stream", s.Name)}
 	} else {
-		err = x.markTryTimeout(ctx, x.readFirstEvent(ctx, opened))
+		err = x.markTryTimeout(ctx, x.readFirstEvent(ctx, opened, metadata.LastEventID))
 	}
 	if err != nil {
 		stream.Close()
@@ -224,8 +224,9 @@
 	return firstEventTimeoutTargets * x.route.LatencyTarget
 }
 
-// readFirstEvent waits for the first event and copies it into opened.
-func (x *exchange) readFirstEvent(ctx context.Context, opened *openedStream) error {
+// readFirstEvent waits for the first event and copies it into opened. It fails if a stream that resumes after the
+// event with the id after begins with another event than one of a higher id.
+func (x *exchange) readFirstEvent(ctx context.Context, opened *openedStream, after string) error {
 	event, err := opened.Next(ctx, x.answerDeadline.Sub(x.Clock.Now()))
 	if errors.Is(err, io.EOF) {
 		return &figsend.Failure{
@@ -236,6 +237,10 @@
 	if err != nil {
 		return err
 	}
+	resumes := after != "" && x.route.Kind == figroute.ResumableStream
+	if resumes && (len(event.ID) == 0 || !follows([]byte(after), event.ID)) {
+		return &figsend.Failure{Kind: figsend.KindOther, Err: figerror.Wrap(errEventOrder, "resume", opened.server.Name)}
+	}
 	opened.first = bytes.Clone(event.Raw)
 	opened.id = bytes.Clone(event.ID)
 	return nil
