Take no body in chunks of HTTP/1.0 for one that ends with the connection

What callers saw: nothing yet; found with tests of answers that are cut. The body of an HTTP/1.0 answer with Transfer-Encoding: chunked would reach the caller as a whole one, with the lines of its chunks in it.

Cause: fasthttp ignores Transfer-Encoding in HTTP/1.0 answers and drops the field, so that the body has no framing and ends with the connection.

Change: the end of the connection ends only HTTP/1.1 answers. An HTTP/1.0 answer needs a length.

Evidence: TestContradictoryFraming failed before in the case "chunks of HTTP/1.0" and for a stream.

--- a/internal/request/figsend/do.go
+++ b/internal/request/figsend/do.go
@@ -79,7 +79,7 @@
 		return answer, nil
 	}
 	length := r.Header.ContentLength()
-	if length <= lengthUnknown && !x.sender.opts.AllowCloseDelimited {
+	if length <= lengthUnknown && !x.allowsCloseDelimited() {
 		return nil, fail(x.call, "answer", KindIncomplete, OutcomeUnknown, errUnframed)
 	}
 	if err := r.ReadBody(x.reader, int(x.maxBody())); err != nil {
@@ -96,6 +96,12 @@
 	return answer, nil
 }
 
+// allowsCloseDelimited reports whether the end of the connection may end the answer. It may not for HTTP/1.0, where
+// fasthttp takes chunks for the body.
+func (x *exchange) allowsCloseDelimited() bool {
+	return x.sender.opts.AllowCloseDelimited && x.response.Header.IsHTTP11()
+}
+
 // maxBody returns the limit on the answer's body, in bytes.
 func (x *exchange) maxBody() int64 {
 	if x.call.MaxBodyBytes > 0 {
--- a/internal/request/figsend/stream.go
+++ b/internal/request/figsend/stream.go
@@ -67,6 +67,11 @@
 	if !bytes.HasPrefix(r.Header.ContentType(), []byte("text/event-stream")) {
 		return x.readWhole()
 	}
+	hasFraming := r.Header.ContentLength() > lengthUnknown
+	if !hasFraming && x.sender.opts.AllowCloseDelimited && !x.allowsCloseDelimited() {
+		x.finish(false)
+		return nil, fail(c, "stream", KindIncomplete, OutcomeUnknown, errUnframed)
+	}
 	reusable := x.call.KeepAlive && !r.ConnectionClose()
 	x.call = x.call.withoutBody()
 	t := &Stream{
@@ -75,7 +80,7 @@
 		ConnectionID: x.conn.id,
 		exchange:     x,
 		closed:       make(chan struct{}),
-		hasFraming:   r.Header.ContentLength() > lengthUnknown,
+		hasFraming:   hasFraming,
 		reusable:     reusable,
 		source:       x.shrinkReader(),
 	}
