--- a/internal/app/figrouter/router.go
+++ b/internal/app/figrouter/router.go
@@ -207,6 +207,8 @@
 		MaxPooledConnections:   connectionsPerServer,
 		MaxBodyBytes:           int64(r.MemoryMB) << 20 / answerMemoryDivisor,
 		IDHeader:               r.adapter.Dialect.IDHeader,
+		RequireID:              true,
+		EventFields:            r.adapter.Dialect.EventFields,
 		IsRefusal:              r.adapter.IsRefusal,
 		AllowCloseDelimited:    true,
 	})
--- a/internal/request/figsend/do.go
+++ b/internal/request/figsend/do.go
@@ -26,11 +26,15 @@
 		return nil, f
 	}
 	answer, f := x.readAnswer()
+	var err error
+	if f == nil {
+		answer, err = x.checkRefusal(answer)
+	}
 	x.finish(f == nil && c.allowsPooled() && x.hasFraming() && !x.response.ConnectionClose())
 	if f != nil {
 		return nil, f
 	}
-	return s.checkRefusal(c, answer)
+	return answer, err
 }
 
 // allowsPooled reports whether Do uses a pooled connection for c.
@@ -44,11 +48,12 @@
 }
 
 // checkRefusal returns answer, or a Failure if answer is the server's refusal of the request.
-func (s *Sender) checkRefusal(c *Call, answer *Answer) (*Answer, error) {
-	if !s.opts.IsRefusal(answer) {
+func (x *exchange) checkRefusal(answer *Answer) (*Answer, error) {
+	if !x.sender.opts.IsRefusal(answer) {
 		return answer, nil
 	}
-	f := fail(c, "answer", KindRefused, NotRun, errors.New("the server refused the request"))
+	x.conn.recordRefusal(x.call.ID)
+	f := fail(x.call, "answer", KindRefused, NotRun, errors.New("the server refused the request"))
 	f.Answer = answer
 	return nil, f
 }
@@ -74,7 +79,7 @@
 		return answer, nil
 	}
 	length := r.Header.ContentLength()
-	if length <= lengthUnknown && !x.sender.opts.AllowCloseDelimited {
+	if length <= lengthUnknown && !x.allowsCloseDelimited() {
 		return nil, fail(x.call, "answer", KindIncomplete, OutcomeUnknown, errUnframed)
 	}
 	if err := r.ReadBody(x.reader, int(x.maxBody())); err != nil {
@@ -91,6 +96,12 @@
 	return answer, nil
 }
 
+// allowsCloseDelimited reports whether the end of the connection may end the answer. It may not for HTTP/1.0, where
+// fasthttp takes chunks for the body.
+func (x *exchange) allowsCloseDelimited() bool {
+	return x.sender.opts.AllowCloseDelimited && x.response.Header.IsHTTP11()
+}
+
 // maxBody returns the limit on the answer's body, in bytes.
 func (x *exchange) maxBody() int64 {
 	if x.call.MaxBodyBytes > 0 {
--- a/internal/request/figsend/stream.go
+++ b/internal/request/figsend/stream.go
@@ -69,6 +69,11 @@
 	if !bytes.HasPrefix(r.Header.ContentType(), []byte("text/event-stream")) {
 		return x.readWhole()
 	}
+	hasFraming := r.Header.ContentLength() > lengthUnknown
+	if !hasFraming && x.sender.opts.AllowCloseDelimited && !x.allowsCloseDelimited() {
+		x.finish(false)
+		return nil, fail(c, "stream", KindIncomplete, OutcomeUnknown, errUnframed)
+	}
 	reusable := x.call.KeepAlive && !r.ConnectionClose()
 	x.call = x.call.withoutBody()
 	t := &Stream{
@@ -77,7 +82,7 @@
 		ConnectionID: x.conn.id,
 		exchange:     x,
 		closed:       make(chan struct{}),
-		hasFraming:   r.Header.ContentLength() > lengthUnknown,
+		hasFraming:   hasFraming,
 		reusable:     reusable,
 		source:       x.shrinkReader(),
 	}
@@ -87,6 +92,7 @@
 		x.finish(false)
 		return nil, f
 	}
+	t.events.fields = s.opts.EventFields
 	t.events.lines = bufio.NewReaderSize(r.BodyStream(), lineBufferBytes)
 	return t, nil
 }
@@ -105,11 +111,14 @@
 // readWhole reads an answer that is not an event stream and returns it as a Stream without events.
 func (x *exchange) readWhole() (*Stream, error) {
 	answer, f := x.readBody()
+	var err error
+	if f == nil {
+		answer, err = x.checkRefusal(answer)
+	}
 	x.finish(f == nil && x.call.KeepAlive && x.hasFraming() && !x.response.ConnectionClose())
 	if f != nil {
 		return nil, f
 	}
-	answer, err := x.sender.checkRefusal(x.call, answer)
 	if err != nil {
 		return nil, err
 	}
@@ -200,6 +209,8 @@
 		return fail(x.call, "stream", KindCancelled, OutcomeUnknown, errClosed)
 	case errors.Is(err, io.EOF):
 		return t.checkEnd()
+	case errors.Is(err, errEventLine):
+		return fail(x.call, "stream", KindOther, OutcomeUnknown, err)
 	}
 	f = x.failure("stream", err)
 	if f.Kind == KindTimeout {
