Send nothing more to servers whose answers say that they leave

What callers saw: requests went on to servers that had said in the header of their answers that they leave, until the list said so too, and failed when the servers ended.

Cause: nothing read the field. Servers were chosen by the list alone, so that a list that is late, or comes from an old copy, kept a leaving server in use.

Reports to coordinators carry it in an optional field; a coordinator that knows picks the server for nobody. An instance excludes such servers from its requests, so that a coordinator that doesn't know can't pick them. If all servers leave, the request is refused at once. The field isn't passed on to callers, nor taken from them.

A failed placement reports a result only if a send of its own was begun; before, a result of an earlier server could count against the next one.

Why it works: the check needs nothing but what the instance has read itself.

TestAllServersLeave failed before because the field reached callers. Virtual time: TestLeavingServerIsNotPicked, TestLeavingServerIsRemembered, TestWithdrawnServersAreNotPlaced, TestCoordinatorKnowsLeavingServers; TestMaySend, TestOnAnswer.

--- a/internal/app/figrouter/fleet.go
+++ b/internal/app/figrouter/fleet.go
@@ -138,6 +138,18 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// maySend reports whether a server may be sent a request by what it has told this instance.
+func (r *Router) maySend(server figview.Server) bool {
+	return !r.picker.Withdrawn(r.clock.Now(), &figcatalogue.Server{Server: server})
+}
+
+// recordNotices records what the header of any answer says about whether the server takes more requests.
+func (r *Router) recordNotices(server figview.Server, status int, field func(name string) string) {
+	if m := r.adapter.Dialect.ReadAnswer(status, field); m.Leaving {
+		r.picker.RecordLeaving(r.clock.Now(), &figcatalogue.Server{Server: server})
+	}
+}
+
 // mayTryPart reports whether this instance is the one that tries prompts with a quarantined part.
 func (r *Router) mayTryPart(part string) bool {
 	owners := r.assigner.Owners("part/"+part, 1)
--- a/internal/app/figrouter/router.go
+++ b/internal/app/figrouter/router.go
@@ -208,6 +208,8 @@
 		MaxBodyBytes:           int64(r.MemoryMB) << 20 / answerMemoryDivisor,
 		IDHeader:               r.adapter.Dialect.IDHeader,
 		IsRefusal:              r.adapter.IsRefusal,
+		MaySend:                r.maySend,
+		OnAnswer:               r.recordNotices,
 		AllowCloseDelimited:    true,
 	})
 	r.proxy = &figproxy.Proxy{
--- a/internal/app/figrouter/run.go
+++ b/internal/app/figrouter/run.go
@@ -117,6 +117,7 @@
 			"coordinators_silent":      float64(r.placer.Unanswered.Load()),
 			"placed_without":           float64(r.placer.FallbackCount.Load()),
 			"servers_limited":          float64(len(r.picker.Limits(now))),
+			"servers_withdrawn":        float64(r.picker.WithdrawnCount(now)),
 			"servers_ended_answering":  float64(r.quarantine.CrashCount.Load()),
 			"prompt_parts_suspected":   float64(r.quarantine.Len()),
 			"prompt_parts_quarantined": float64(len(s.QuarantinedParts)),
--- a/internal/place/figbalancer/limit_test.go
+++ b/internal/place/figbalancer/limit_test.go
@@ -104,11 +104,11 @@
 }
 
 // The beginning of a stream names the limit for the requests that follow.
-func TestRecordLimit(t *testing.T) {
+func TestRecordNotices(t *testing.T) {
 	p, v := newPicker(1), plainView(1, nil)
 	s := &v.Servers["desk"][0]
 	rv := p.Begin(start, v, s, 0)
-	rv.RecordLimit(start, Result{Answered: true, Limited: true, RateLimit: 1})
+	rv.RecordNotices(start, Result{Answered: true, Limited: true, RateLimit: 1})
 	sends, _ := sendFor(p, v, start, 3*time.Second, 10*time.Millisecond)
 	require.LessOrEqual(t, sends, 4)
 }
--- a/internal/place/figbalancer/pick.go
+++ b/internal/place/figbalancer/pick.go
@@ -30,6 +30,8 @@
 
 	mu     sync.Mutex
 	states map[string]*serverState
+	// listingsNotedAt is when noteListings last looked at the list of servers.
+	listingsNotedAt time.Time
 }
 
 // New returns a picker without recorded load or failures.
@@ -72,6 +74,11 @@
 	consecutiveRefusals int
 	// limit is the rate limit that the server names.
 	limit rateLimit
+	// leaving says that the server has said that it leaves. pool is its pool then, and listedAt when the
+	// server was last seen on the list.
+	leaving  bool
+	pool     string
+	listedAt time.Time
 	// usedAt is when the last send or reservation began.
 	usedAt time.Time
 }
@@ -117,6 +124,10 @@
 			continue
 		}
 		e := p.state(s, now)
+		if e.leaving {
+			failure.Reason = "servers of pool " + pool.Name + " leave"
+			continue
+		}
 		if now.Before(e.replacedUntil) {
 			failure.Reason, failure.NoCapacity = "servers of pool "+pool.Name+" have been replaced at their addresses", true
 			continue
@@ -314,11 +325,13 @@
 	return p.totalLoadLocked(p.state(s, now), now)
 }
 
-// removeExpired deletes the state of servers that were unused for idleStateTTL. p.mu must be held.
+// removeExpired deletes the state of servers that were unused for idleStateTTL, unless there is a notice of theirs to
+// remember. p.mu must be held.
 func (p *Picker) removeExpired(now time.Time) {
 	for name, e := range p.states {
 		limited := e.limit.perSecond > 0 && now.Sub(e.limit.namedAt) < limitTTL
-		if e.Requests == 0 && !limited && now.Sub(e.usedAt) > idleStateTTL {
+		leaving := e.leaving && now.Sub(e.listedAt) < leavingTTL
+		if e.Requests == 0 && !limited && !leaving && now.Sub(e.usedAt) > idleStateTTL {
 			delete(p.states, name)
 		}
 	}
--- a/internal/place/figbalancer/reservation.go
+++ b/internal/place/figbalancer/reservation.go
@@ -21,6 +21,7 @@
 // the next send interval if s is in a cold start. The caller must call End.
 func (p *Picker) Begin(now time.Time, v *figcatalogue.View, s *figcatalogue.Server, tokens int64) *Reservation {
 	p.mu.Lock()
+	p.noteListings(now, v)
 	p.removeExpired(now)
 	rv := p.reserveLocked(now, s, tokens)
 	rv.state.limit.take(now, p.opts.Members(now))
@@ -69,7 +70,7 @@
 func (rv *Reservation) End(now time.Time, r Result) {
 	rv.release(func(e *serverState) {
 		e.recordResult(now, r)
-		rv.picker.recordLimit(now, rv.server, e, r)
+		rv.picker.recordNotices(now, rv.server, e, r)
 		if r.HasLoad && rv.server.Role == figview.Decode {
 			e.recordUnattributed(now, r.Running+r.Waiting)
 		}
--- a/internal/place/figbalancer/types.go
+++ b/internal/place/figbalancer/types.go
@@ -117,6 +117,8 @@
 	// RateLimit is the limit that it named, in requests a second of all instances.
 	Answered, Limited bool
 	RateLimit         float64
+	// Leaving reports that the server said that it leaves.
+	Leaving bool `cbor:"Leaving,omitempty"`
 }
 
 // NoServerError is returned by Pick if no server can take the request now.
--- a/internal/place/figcoordinator/end.go
+++ b/internal/place/figcoordinator/end.go
@@ -34,7 +34,7 @@
 	switch {
 	case p == nil:
 	case e.Part == AnswerReport:
-		p.decode.RecordLimit(now, e.Result)
+		p.decode.RecordNotices(now, e.Result)
 	case e.Part != Whole && p.prefill == nil:
 	case e.Part == PrefillPart:
 		end(p.prefill, now, e)
--- a/internal/place/figcoordinator/placer.go
+++ b/internal/place/figcoordinator/placer.go
@@ -115,6 +115,7 @@
 
 // place asks for a placement once. The error is marked as errRejected if this instance rejected it.
 func (p *Placer) place(ctx context.Context, q *Request, deadline time.Time) (*Placement, error) {
+	q = p.excludeWithdrawn(q)
 	order := p.order(q)
 	if len(order) > 1 {
 		placement, full, err := p.placeQuickly(ctx, q, order)
@@ -299,7 +300,7 @@
 	v := p.View()
 	now := p.Clock.Now()
 	s, ok := v.Find(q.Pool, answer.Decode)
-	if !ok || !v.Usable(s) && !v.LastResort(s, now) {
+	if !ok || !v.Usable(s) && !v.LastResort(s, now) || p.Fallback.Withdrawn(now, s) {
 		p.outbox.add(m, End{Number: number, NoResult: true})
 		klog.InfoS("placement rejected", "coordinator", m.Name, "server", answer.Decode, "known", ok)
 		return nil, errors.Mark(&figbalancer.NoServerError{Reason: errRejected.Error(), NoCapacity: true}, errRejected)
@@ -309,7 +310,7 @@
 		prefillEnded: answer.Prefill == "",
 		Limited:      slices.ContainsFunc(answer.Limits, func(l Limit) bool { return l.Lifetime == answer.Decode }),
 	}
-	if f, ok := v.Find(q.Pool, answer.Prefill); ok && v.Usable(f) {
+	if f, ok := v.Find(q.Pool, answer.Prefill); ok && v.Usable(f) && !p.Fallback.Withdrawn(now, f) {
 		t.Prefill = f
 	} else if answer.Prefill != "" {
 		t.EndPrefill(figbalancer.Result{}, true)
@@ -354,7 +355,7 @@
 	t.report(End{Number: t.number, Part: PrefillReport, Result: r})
 }
 
-// ReportAnswer reports what the beginning of the decode server's answer says of its rate limit.
+// ReportAnswer reports what the beginning of the decode server's answer says of its rate limit and whether it leaves.
 func (t *Placement) ReportAnswer(r figbalancer.Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/request/figproxy/dialect.go
+++ b/internal/request/figproxy/dialect.go
@@ -84,6 +84,8 @@
 	// It is valid if Limited is set.
 	RateLimit float64
 	Limited   bool
+	// Leaving says that the server leaves, so that it should get no more requests.
+	Leaving bool
 }
 
 // Dialect translates between the router and the callers and servers of a platform.
--- a/internal/request/figproxy/send.go
+++ b/internal/request/figproxy/send.go
@@ -151,7 +151,7 @@
 	x.lastSendDuration = now.Sub(a.startedAt)
 	result := figbalancer.Result{
 		Running: metadata.Running, Waiting: metadata.Waiting, Slots: metadata.Slots, HasLoad: metadata.HasLoad,
-		ApplicationError: metadata.ApplicationError,
+		ApplicationError: metadata.ApplicationError, Leaving: metadata.Leaving,
 	}
 	if a.firstEventAt.IsZero() { // a stream has reported the limit when it began
 		result.Answered, result.Limited, result.RateLimit = metadata != AnswerMetadata{}, metadata.Limited, metadata.RateLimit
--- a/internal/request/figproxy/stream.go
+++ b/internal/request/figproxy/stream.go
@@ -110,17 +110,23 @@
 			}
 		}
 	}
+	sendsBefore := x.sends
 	opened, err := x.startStream(s, metadata, resume)
-	if metadata.PrefillResult != nil && figsend.KindOf(err) == figsend.KindRefused &&
-		!x.answerMetadata(nil, err).WrongServer && !x.answerMetadata(nil, err).Limited && x.ctx.Err() == nil && x.Retries.Take(x.Clock.Now(), x.pool) {
+	if metadata.PrefillResult != nil && x.lacksPrefillResult(err) && x.ctx.Err() == nil && x.Retries.Take(x.Clock.Now(), x.pool) {
 		opened, err = x.retryWithoutPrefill(s, prefillServer, metadata)
 	}
-	if err != nil && x.placement != nil {
+	if err != nil && x.placement != nil && x.sends > sendsBefore {
 		x.placement.End(x.lastResult, false, 0)
 	}
 	return opened, s, err
 }
 
+// lacksPrefillResult reports whether a send that failed with err may succeed at the same server without a KV cache.
+func (x *exchange) lacksPrefillResult(err error) bool {
+	m := x.answerMetadata(nil, err)
+	return figsend.KindOf(err) == figsend.KindRefused && !m.WrongServer && !m.Limited && !m.Leaving
+}
+
 // retryWithoutPrefill sends the request to s again without the KV cache of prefillServer, so
 // that s computes the prompt itself. A refusal doesn't say whether s had no room or the KV
 // cache was gone. If s accepts the request now, the KV cache was gone, and prefillServer is
@@ -168,7 +174,7 @@
 	if opened.metadata.HasLoad {
 		a.reservation.RecordLoad(x.Clock.Now(), opened.metadata.Running, opened.metadata.Waiting)
 	}
-	x.reportLimit(opened)
+	x.reportNotices(opened)
 	if stream.Answer != nil {
 		err = x.checkFromApplication(opened)
 		a.takePlacement(x, err)
@@ -189,13 +195,13 @@
 	return opened, nil
 }
 
-// reportLimit reports the rate limit that the server names at the beginning of its answer, because the end of
-// a stream would be too late.
-func (x *exchange) reportLimit(opened *openedStream) {
+// reportNotices reports the rate limit that the server names at the beginning of its answer, and whether the server
+// leaves, because the end of a stream would be too late.
+func (x *exchange) reportNotices(opened *openedStream) {
 	m := opened.metadata
-	result := figbalancer.Result{Answered: true, Limited: m.Limited, RateLimit: m.RateLimit}
-	opened.reservation.RecordLimit(x.Clock.Now(), result)
-	if x.placement != nil && (m.Limited || x.placement.Limited) {
+	result := figbalancer.Result{Answered: true, Limited: m.Limited, RateLimit: m.RateLimit, Leaving: m.Leaving}
+	opened.reservation.RecordNotices(x.Clock.Now(), result)
+	if x.placement != nil && (m.Limited || m.Leaving || x.placement.Limited) {
 		x.placement.ReportAnswer(result)
 	}
 }
--- a/internal/request/figsend/acquire.go
+++ b/internal/request/figsend/acquire.go
@@ -22,6 +22,15 @@
 	closeIdle func()
 }
 
+// releaseUnwritten ends the reservation of a connection that was not written to.
+func (a *acquired) releaseUnwritten() {
+	if a.releaseUnused != nil {
+		a.releaseUnused()
+		return
+	}
+	a.release(false)
+}
+
 // acquire returns a connection to c's server. If pooled is set, it comes from fasthttp's pool, which dials one if none
 // is idle; otherwise it is dialled for this call.
 func (s *Sender) acquire(ctx context.Context, c *Call, pooled bool) (acquired, *Failure) {
--- a/internal/request/figsend/exchange.go
+++ b/internal/request/figsend/exchange.go
@@ -24,6 +24,7 @@
 
 	errInterim    = errors.New("too many interim (1xx) answers")
 	errIdleClosed = errors.New("the server closed the idle connection with status 408")
+	errWithdrawn  = errors.New("the server takes no requests now")
 	errDeadline   = errors.New("the deadline of the call passed before the request was sent")
 )
 
@@ -72,6 +73,10 @@
 	if f != nil {
 		return nil, f
 	}
+	if !s.opts.MaySend(c.Server) {
+		h.releaseUnwritten()
+		return nil, fail(c, "send", KindBusy, NotRun, errWithdrawn)
+	}
 	x := &exchange{acquired: h, sender: s, ctx: ctx, call: c, deadline: deadline}
 	x.stop = context.AfterFunc(ctx, func() { _ = h.conn.Close() })
 	if x.writeFailure = x.write(q); x.writeFailure != nil && !x.mayHaveAnswer() {
@@ -157,19 +162,23 @@
 }
 
 // checkHeader fails an answer that carries the id of another request, and a 408 on a reused connection: servers send
-// one when they close an idle connection, not in answer to a request.
+// one when they close an idle connection, not in answer to a request. Any other answer is passed to Options.OnAnswer.
 func (x *exchange) checkHeader() *Failure {
 	if x.conn.reused && x.response.StatusCode() == fasthttp.StatusRequestTimeout {
 		x.sender.Unsolicited.Add(1)
 		return x.failure("answer", errIdleClosed)
 	}
 	echoed := x.response.Header.Peek(x.sender.opts.IDHeader)
-	if len(echoed) == 0 || x.call.ID == "" || string(echoed) == x.call.ID {
-		return nil
+	if len(echoed) > 0 && x.call.ID != "" && string(echoed) != x.call.ID {
+		return x.sender.MismatchFailure(x.call, string(echoed))
 	}
-	return x.sender.MismatchFailure(x.call, string(echoed))
+	x.sender.opts.OnAnswer(x.call.Server, x.response.StatusCode(), x.field)
+	return nil
 }
 
+// field returns the first value of a header field of the answer, or "" if there is none.
+func (x *exchange) field(name string) string { return string(x.response.Header.Peek(name)) }
+
 // failure returns a classified Failure for a read or write error and updates the counters. After a timeout it also
 // closes the server's idle connections, which may be dead as well.
 func (x *exchange) failure(step string, err error) *Failure {
--- a/internal/request/figsend/sender.go
+++ b/internal/request/figsend/sender.go
@@ -11,6 +11,7 @@
 
 	"figtrail.dev/figtrail/internal/core/fignet"
 	"figtrail.dev/figtrail/internal/core/figtimer"
+	"figtrail.dev/figtrail/internal/fleet/figview"
 )
 
 // Defaults of the fields of Options.
@@ -58,6 +59,12 @@
 	// IsRefusal reports whether an answer means that the server refused the request without running it. Nil stands for a
 	// function that tests for status 429.
 	IsRefusal func(a *Answer) bool
+	// MaySend reports whether a server may be sent a request now. It is asked right before each request is written; if it
+	// returns false, the call fails with KindBusy and NotRun. Nil allows all.
+	MaySend func(server figview.Server) bool
+	// OnAnswer is called with the status of each answer and a function that looks up its header fields, before the body
+	// is read. Nil stands for a function that does nothing.
+	OnAnswer func(server figview.Server, status int, field func(name string) string)
 	// AllowCloseDelimited accepts an answer with neither a content length nor chunked encoding as complete when the
 	// server closes the connection without an error. Otherwise such an answer is a failure.
 	AllowCloseDelimited bool
@@ -82,6 +89,12 @@
 	if o.IsRefusal == nil {
 		o.IsRefusal = tooManyRequests
 	}
+	if o.MaySend == nil {
+		o.MaySend = func(figview.Server) bool { return true }
+	}
+	if o.OnAnswer == nil {
+		o.OnAnswer = func(figview.Server, int, func(string) string) {}
+	}
 	return o
 }
 
