Keep the pauses that servers ask for with Retry-After

What callers saw: nothing at first; servers that turned requests away with 503 and named a time got more requests from the same instance within that time.

Cause: the field was dropped from answers and used for nothing; the backoff after refusals is shorter, and for plain servers only raises the load that they count with.

Change: the instance that got the answer keeps the end of the pause, for the server's lifetime and at most an hour, and sends nothing until then: prefills, retries, resumed streams and orders included, by the check before the first byte that leaving servers have. It excludes such servers from its requests to coordinators. Coordinators are told in an optional field and prefer other servers for up to 10 s, for all instances, but keep none from the others: the pause is for one instance. If it may use no other server, a request waits where the pause ends within its wait, and is refused at once with the time that is left otherwise. 429 and other statuses, zero, negative numbers and dates mean no pause: the Retry-After of a 429 is meant for the caller whose account is over its limit.

Why it works: the instance needs nothing but what it has read itself, so that it holds without a coordinator, and with one that knows nothing of the pause.

Virtual time: TestPausedServerIsNotPicked, TestPauseOfOneInstanceRanks, TestPauseOfOneInstance, with and without a coordinator.

--- a/internal/app/figrouter/fleet.go
+++ b/internal/app/figrouter/fleet.go
@@ -114,7 +114,7 @@
 		QueueLimits: r.queueLimits(),
 	})
 	r.placer = figcoordinator.NewPlacer(figcoordinator.PlacerOptions{
-		Clock: r.clock, View: r.catalogue.View, Instance: r.Name, Incarnation: r.incarnation,
+		Clock: r.clock, Timer: r.timer, View: r.catalogue.View, Instance: r.Name, Incarnation: r.incarnation,
 		Shares: shares, Assigner: r.assigner, Own: r.coordinator, Fallback: r.picker, Random: rand.Float64,
 		Call:      remoteMember[figcoordinator.Request, figcoordinator.Answer](r, callPlace),
 		Await:     remoteMember[figcoordinator.Await, figcoordinator.Answer](r, callAwait),
@@ -143,11 +143,15 @@
 	return !r.picker.Withdrawn(r.clock.Now(), &figcatalogue.Server{Server: server})
 }
 
-// recordNotices records what the header of any answer says about whether the server takes more requests.
+// recordNotices records what the header of any answer says about whether and when the server takes more requests.
 func (r *Router) recordNotices(server figview.Server, status int, field func(name string) string) {
-	if m := r.adapter.Dialect.ReadAnswer(status, field); m.Leaving {
+	m := r.adapter.Dialect.ReadAnswer(status, field)
+	if m.Leaving {
 		r.picker.RecordLeaving(r.clock.Now(), &figcatalogue.Server{Server: server})
 	}
+	if m.Pause > 0 {
+		r.picker.RecordPause(r.clock.Now(), &figcatalogue.Server{Server: server}, m.Pause)
+	}
 }
 
 // mayTryPart reports whether this instance is the one that tries prompts with a quarantined part.
--- a/internal/place/figbalancer/leaving.go
+++ b/internal/place/figbalancer/leaving.go
@@ -73,7 +73,7 @@
 }
 
 // withdrawn reports whether the server has said that it takes no requests at now.
-func (e *serverState) withdrawn(time.Time) bool { return e.leaving }
+func (e *serverState) withdrawn(now time.Time) bool { return e.leaving || e.paused(now) }
 
 // noteListings records which leaving servers are listed. p.mu must be held.
 func (p *Picker) noteListings(now time.Time, v *figcatalogue.View) {
--- a/internal/place/figbalancer/limit.go
+++ b/internal/place/figbalancer/limit.go
@@ -119,19 +119,22 @@
 	}
 }
 
-// RecordNotices records what the beginning of an answer says of the server's rate limit and whether it leaves.
+// RecordNotices records what the beginning of an answer says of the server's rate limit, whether it leaves and for which pause it asks.
 func (rv *Reservation) RecordNotices(now time.Time, r Result) {
 	rv.picker.mu.Lock()
 	defer rv.picker.mu.Unlock()
 	rv.picker.recordNotices(now, rv.server, rv.state, r)
 }
 
-// recordNotices records what an answer says of the server's rate limit and whether it leaves. p.mu must be held.
+// recordNotices records what an answer says of the server's rate limit, whether it leaves and for which pause it asks. p.mu must be held.
 func (p *Picker) recordNotices(now time.Time, s *figcatalogue.Server, e *serverState, r Result) {
 	p.recordLimit(now, s, e, r)
 	if r.Leaving {
 		p.recordLeaving(now, s, e)
 	}
+	if r.Pause > 0 {
+		p.recordPause(now, s, e, r.Pause)
+	}
 }
 
 // recordLimit records whether a server named a limit, and logs where that begins and ends. p.mu must be held.
--- /dev/null
+++ b/internal/place/figbalancer/pause_test.go
@@ -0,0 +1,65 @@
+package figbalancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+)
+
+// During a pause the server isn't picked, and the caller is told when the first pause ends. A shorter pause that is
+// asked for later doesn't end a longer one, and no other answer does.
+func TestPausedServerIsNotPicked(t *testing.T) {
+	p, v := newPicker(1), plainView(2, nil)
+	first, second := &v.Servers["desk"][0], &v.Servers["desk"][1]
+	p.Begin(start, v, first, 0).End(start, Result{Answered: true, NoCapacity: true, Pause: 5 * time.Minute})
+	p.RecordPause(start, second, 10*time.Minute)
+	p.RecordPause(start.Add(time.Second), first, time.Second)
+	p.Begin(start, v, first, 0).End(start.Add(time.Second), Result{Answered: true})
+	excluded := func(lifetime string) bool { return lifetime == first.Lifetime() }
+	for _, after := range []time.Duration{time.Second, 2 * time.Minute, 5*time.Minute - time.Millisecond} {
+		now := start.Add(after)
+		_, err := p.Pick(now, plainQuery(v))
+		var none *NoServerError
+		require.ErrorAs(t, err, &none)
+		require.Equal(t, 5*time.Minute-after, none.RetryAfter)
+		require.True(t, p.Withdrawn(now, first))
+		require.Len(t, p.WithdrawnServers(now, v, "desk", 9), 2)
+		require.Equal(t, 5*time.Minute-after, p.PauseLeft(now, v, "desk", func(string) bool { return false }, figview.Plain))
+		require.Equal(t, 10*time.Minute-after, p.PauseLeft(now, v, "desk", excluded, figview.Plain))
+		require.Zero(t, p.PauseLeft(now, v, "desk", excluded, figview.Decode))
+		p.Begin(now, v, second, 0).Release() // doesn't remove the idle state of the first
+	}
+	now := start.Add(5 * time.Minute)
+	s, err := p.Pick(now, plainQuery(v))
+	require.NoError(t, err)
+	require.Equal(t, first.Name, s.Name)
+	require.False(t, p.Withdrawn(now, first))
+	p.RecordLeaving(now, second)
+	require.Zero(t, p.PauseLeft(now, v, "desk", func(string) bool { return false }, figview.Plain), "a leaving server doesn't come back")
+}
+
+// A coordinator prefers other servers to one that has asked an instance for a pause, but doesn't keep it from the others.
+func TestPauseOfOneInstanceRanks(t *testing.T) {
+	v := plainView(2, nil)
+	p := New(Options{
+		Random: func() float64 { return 0 }, Members: func(time.Time) int { return 1 }, Coordinates: true,
+		OnLocalLoadChange: func(string, figview.ServerLoad) {},
+	})
+	first := v.Servers["desk"][0]
+	p.Begin(start, v, &first, 0).End(start, Result{Answered: true, Pause: time.Minute})
+	for range 5 {
+		s, err := p.Pick(start, plainQuery(v))
+		require.NoError(t, err)
+		require.NotEqual(t, first.Name, s.Name)
+		p.Begin(start, v, s, 0)
+	}
+	s, err := p.Pick(start.Add(maxSharedPause), plainQuery(v))
+	require.NoError(t, err)
+	require.Equal(t, first.Name, s.Name, "a long pause of one instance isn't kept by all")
+	v.Servers["desk"] = v.Servers["desk"][:1]
+	_, err = p.Pick(start, plainQuery(v))
+	require.NoError(t, err)
+}
--- a/internal/place/figbalancer/pick.go
+++ b/internal/place/figbalancer/pick.go
@@ -17,6 +17,9 @@
 	Random func() float64
 	// Members returns how many instances share the servers, at least 1.
 	Members func(now time.Time) int
+	// Coordinates says that the picker places requests of all instances. A pause that a server asked one of them
+	// for then only ranks the server behind others.
+	Coordinates bool
 	// UseReports makes the loads that decode servers report count. A coordinator knows newer ones.
 	UseReports bool
 	// OnLocalLoadChange is called with this instance's requests and tokens in flight at a
@@ -79,6 +82,8 @@
 	leaving  bool
 	pool     string
 	listedAt time.Time
+	// pausedUntil is when the pause ends that the server has asked for.
+	pausedUntil time.Time
 	// usedAt is when the last send or reservation began.
 	usedAt time.Time
 }
@@ -128,6 +133,11 @@
 			failure.Reason = "servers of pool " + pool.Name + " leave"
 			continue
 		}
+		if wait := e.pausedUntil.Sub(now); wait > 0 && !p.opts.Coordinates {
+			failure.Reason = "servers of pool " + pool.Name + " have asked for a pause"
+			failure.shorten(wait)
+			continue
+		}
 		if now.Before(e.replacedUntil) {
 			failure.Reason, failure.NoCapacity = "servers of pool "+pool.Name+" have been replaced at their addresses", true
 			continue
@@ -135,16 +145,12 @@
 		p.delayFirstColdSend(now, pool, s, e)
 		if wait := e.nextColdSend.Sub(now); s.InColdStart(now) && pool.ColdStartRate > 0 && wait > 0 {
 			failure.Reason = "servers of pool " + pool.Name + " are in a cold start and have reached their send rate"
-			if failure.RetryAfter == 0 || wait < failure.RetryAfter {
-				failure.RetryAfter = wait
-			}
+			failure.shorten(wait)
 			continue
 		}
 		if wait := e.limit.wait(now, p.opts.Members(now)); wait > 0 {
 			failure.Reason = "servers of pool " + pool.Name + " have got as many requests as they take"
-			if failure.RetryAfter == 0 || wait < failure.RetryAfter {
-				failure.RetryAfter = wait
-			}
+			failure.shorten(wait)
 			continue
 		}
 		if s.Role != figview.Plain && now.Before(e.refusedUntil) || q.LimitPlain && e.plainFull(s) ||
@@ -193,7 +199,7 @@
 }
 
 // score returns the load fraction of a server plus the weights of its failures,
-// unreachability, cold start and location.
+// unreachability, pause, cold start and location.
 func (p *Picker) score(now time.Time, q *Query, pool *figroute.Pool, s *figcatalogue.Server, e *serverState) float64 {
 	score := p.loadFraction(now, pool, s, e)
 	score += failureWeight * e.decayedFailures(now)
@@ -201,6 +207,9 @@
 	if now.Before(e.unreachableUntil) {
 		score += unreachableWeight
 	}
+	if e.paused(now) {
+		score += pausedWeight
+	}
 	if s.InColdStart(now) {
 		score += coldStartWeight
 	}
@@ -330,8 +339,8 @@
 func (p *Picker) removeExpired(now time.Time) {
 	for name, e := range p.states {
 		limited := e.limit.perSecond > 0 && now.Sub(e.limit.namedAt) < limitTTL
-		leaving := e.leaving && now.Sub(e.listedAt) < leavingTTL
-		if e.Requests == 0 && !limited && !leaving && now.Sub(e.usedAt) > idleStateTTL {
+		withdrawn := e.leaving && now.Sub(e.listedAt) < leavingTTL || e.paused(now)
+		if e.Requests == 0 && !limited && !withdrawn && now.Sub(e.usedAt) > idleStateTTL {
 			delete(p.states, name)
 		}
 	}
--- a/internal/place/figbalancer/types.go
+++ b/internal/place/figbalancer/types.go
@@ -119,11 +119,13 @@
 	RateLimit         float64
 	// Leaving reports that the server said that it leaves.
 	Leaving bool `cbor:"Leaving,omitempty"`
+	// Pause is the time for which the server asked the instance for no more requests; 0 for none.
+	Pause time.Duration `cbor:"Pause,omitempty"`
 }
 
 // NoServerError is returned by Pick if no server can take the request now.
 type NoServerError struct {
-	// RetryAfter is the shortest time until a server skipped for its cold start or its rate limit may be
+	// RetryAfter is the shortest time until a server skipped for its cold start, its rate limit or a pause may be
 	// sent a request; 0 if none was skipped for that.
 	RetryAfter time.Duration
 	// NoCapacity reports that at least one server was skipped because it has no capacity for
@@ -133,5 +135,12 @@
 	Reason string
 }
 
+// shorten makes RetryAfter at most wait.
+func (e *NoServerError) shorten(wait time.Duration) {
+	if e.RetryAfter == 0 || wait < e.RetryAfter {
+		e.RetryAfter = wait
+	}
+}
+
 // Error returns the reason.
 func (e *NoServerError) Error() string { return e.Reason }
--- a/internal/place/figcoordinator/coordinator.go
+++ b/internal/place/figcoordinator/coordinator.go
@@ -94,7 +94,7 @@
 	c.outputs.means = map[string]float64{}
 	c.queues = figqueue.NewSet(o.Timer, func(string) *figqueue.Queue { return figqueue.New(o.QueueLimits) })
 	c.picker = figbalancer.New(figbalancer.Options{
-		Random: o.Random,
+		Random: o.Random, Coordinates: true,
 		// This instance alone sends to its engines.
 		Members:           func(time.Time) int { return 1 },
 		OnLocalLoadChange: func(string, figview.ServerLoad) { c.queues.Wake() },
--- a/internal/place/figcoordinator/coordinator_test.go
+++ b/internal/place/figcoordinator/coordinator_test.go
@@ -127,7 +127,7 @@
 		},
 	})
 	p := NewPlacer(PlacerOptions{
-		Clock: figtimer.System(), View: view, Instance: name, Incarnation: 1, Shares: shares, Assigner: assigner, Own: c,
+		Clock: figtimer.System(), Timer: timer, View: view, Instance: name, Incarnation: 1, Shares: shares, Assigner: assigner, Own: c,
 		Fallback: figbalancer.New(figbalancer.Options{
 			Random: draw, Members: func(time.Time) int { f.mu.Lock(); defer f.mu.Unlock(); return len(f.members) }, UseReports: true,
 			OnLocalLoadChange: func(string, figview.ServerLoad) {},
--- a/internal/place/figcoordinator/placer.go
+++ b/internal/place/figcoordinator/placer.go
@@ -35,6 +35,7 @@
 // PlacerOptions holds the dependencies of a Placer. All fields are required.
 type PlacerOptions struct {
 	Clock figtimer.Clock
+	Timer *figtimer.Timer
 	View  func() *figcatalogue.View
 	// Instance and Incarnation identify the run of this instance.
 	Instance    string
@@ -106,7 +107,8 @@
 func (p *Placer) Place(ctx context.Context, q *Request) (placement *Placement, err error) {
 	deadline := p.Clock.Now().Add(q.Wait)
 	for range maxRejections {
-		if placement, err = p.place(ctx, q, deadline); !errors.Is(err, errRejected) {
+		placement, err = p.place(ctx, q, deadline)
+		if err == nil || !errors.Is(err, errRejected) && !p.awaitPause(ctx, q, deadline, err) {
 			break
 		}
 	}
--- a/internal/place/figcoordinator/withdrawn.go
+++ b/internal/place/figcoordinator/withdrawn.go
@@ -1,6 +1,15 @@
 package figcoordinator
 
-import "slices"
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/place/figbalancer"
+)
 
 // maxWithdrawn bounds the servers excluded from one request because they take no requests now.
 const maxWithdrawn = 32
@@ -16,3 +25,25 @@
 	limited.Excluded = slices.Concat(q.Excluded, withdrawn)
 	return &limited
 }
+
+// awaitPause waits for the end of a pause because of which no server was found for the request, as err says. It returns
+// false at once if there is none or it lasts beyond the deadline; err then names its end.
+func (p *Placer) awaitPause(ctx context.Context, q *Request, deadline time.Time, err error) bool {
+	var none *figbalancer.NoServerError
+	if !errors.As(err, &none) || none.NoCapacity {
+		return false
+	}
+	now := p.Clock.Now()
+	excluded := func(lifetime string) bool { return slices.Contains(q.Excluded, lifetime) }
+	left := p.Fallback.PauseLeft(now, p.View(), q.Pool, excluded, figview.Decode, figview.Plain)
+	if left == 0 {
+		return false
+	}
+	if now.Add(left).After(deadline) {
+		if none.RetryAfter == 0 || left < none.RetryAfter {
+			none.RetryAfter = left
+		}
+		return false
+	}
+	return p.Timer.Sleep(ctx, left) == nil
+}
--- a/internal/place/figcoordinator/withdrawn_test.go
+++ b/internal/place/figcoordinator/withdrawn_test.go
@@ -68,3 +68,40 @@
 		}
 	})
 }
+
+// During a pause of the only server that one instance has to keep, that instance's requests wait if the pause ends in
+// time, and are otherwise refused at once with its end. The others' requests are placed.
+func TestPauseOfOneInstance(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		run(t, func(ctx context.Context, t *testing.T) {
+			f := newFleetOf(ctx, 9, []figcatalogue.Server{newServer("s0", figview.Plain)})
+			<-time.After(adoptionTime + 2*adoptInterval)
+			if silent {
+				f.setSilent(f.coordinatorNames(0)...)
+				_, err := f.all[f.others()[0]].Placer.Place(ctx, &Request{Pool: pool, Wait: time.Second, Lasts: time.Second, NoPrefill: true})
+				require.NoError(t, err, "the coordinator is found to be silent")
+			}
+			s := &f.view.Servers[pool][0]
+			paused, other := f.all[f.others()[0]], f.others()[1]
+			place := func(wait time.Duration) (time.Duration, error) {
+				begun := time.Now()
+				p, err := paused.Placer.Place(ctx, &Request{Pool: pool, Wait: wait, Lasts: time.Second, NoPrefill: true})
+				if err == nil {
+					p.End(figbalancer.Result{Answered: true}, false, 0)
+				}
+				return time.Since(begun), err
+			}
+			paused.Fallback.RecordPause(time.Now(), s, 400*time.Millisecond)
+			waited, err := place(700 * time.Millisecond)
+			require.NoError(t, err)
+			require.GreaterOrEqual(t, waited, 390*time.Millisecond)
+			paused.Fallback.RecordPause(time.Now(), s, 30*time.Second)
+			waited, err = place(700 * time.Millisecond)
+			require.Less(t, waited, 100*time.Millisecond)
+			var none *figbalancer.NoServerError
+			require.ErrorAs(t, err, &none)
+			require.InDelta(t, 30, none.RetryAfter.Seconds(), 0.5)
+			require.Equal(t, map[string]int{"s0": 10}, placeOften(ctx, t, f, other, 10))
+		})
+	}
+}
--- a/internal/request/figproxy/dialect.go
+++ b/internal/request/figproxy/dialect.go
@@ -86,6 +86,8 @@
 	Limited   bool
 	// Leaving says that the server leaves, so that it should get no more requests.
 	Leaving bool
+	// Pause is the time for which the server takes no more requests from this instance; 0 for none.
+	Pause time.Duration
 }
 
 // Dialect translates between the router and the callers and servers of a platform.
--- a/internal/request/figproxy/send.go
+++ b/internal/request/figproxy/send.go
@@ -152,6 +152,7 @@
 	result := figbalancer.Result{
 		Running: metadata.Running, Waiting: metadata.Waiting, Slots: metadata.Slots, HasLoad: metadata.HasLoad,
 		ApplicationError: metadata.ApplicationError, Leaving: metadata.Leaving,
+		Pause: metadata.Pause,
 	}
 	if a.firstEventAt.IsZero() { // a stream has reported the limit when it began
 		result.Answered, result.Limited, result.RateLimit = metadata != AnswerMetadata{}, metadata.Limited, metadata.RateLimit
--- a/internal/request/figproxy/stream.go
+++ b/internal/request/figproxy/stream.go
@@ -124,7 +124,7 @@
 // lacksPrefillResult reports whether a send that failed with err may succeed at the same server without a KV cache.
 func (x *exchange) lacksPrefillResult(err error) bool {
 	m := x.answerMetadata(nil, err)
-	return figsend.KindOf(err) == figsend.KindRefused && !m.WrongServer && !m.Limited && !m.Leaving
+	return figsend.KindOf(err) == figsend.KindRefused && !m.WrongServer && !m.Limited && !m.Leaving && m.Pause == 0
 }
 
 // retryWithoutPrefill sends the request to s again without the KV cache of prefillServer, so
