Name the end of a pause also to the request that caused it

What callers saw: a request that the only server of its pool refused with Retry-After 30 was refused with Retry-After 0.4, the time for pools without a server. Later requests were told the right time.

Cause: a server that failed a request is excluded from its next placement, and pauses of excluded servers weren't looked at.

Change: the time until a pause ends is named for all servers of the pool if none takes requests before; only the wait within a request leaves excluded servers out.

Test: TestPauses/refused looks at the first request too, and failed before with 0.4 where 29 is the least.

--- a/internal/place/figbalancer/pause.go
+++ b/internal/place/figbalancer/pause.go
@@ -43,23 +43,24 @@
 // paused reports whether the server has asked for a pause that isn't over.
 func (e *serverState) paused(now time.Time) bool { return now.Before(e.pausedUntil) }
 
-// PauseLeft returns the time until the first pause of a server of these roles ends that the request might be sent to
-// then, or 0 if there is none.
-func (p *Picker) PauseLeft(now time.Time, v *figcatalogue.View, pool string, excluded func(lifetime string) bool, roles ...figview.Role) time.Duration {
+// PauseLeft returns the time until the first pause ends of a usable server of a pool and these roles that isn't excluded,
+// or 0 if none is paused. only says that no such server takes requests before.
+func (p *Picker) PauseLeft(now time.Time, v *figcatalogue.View, pool string, excluded []string, roles ...figview.Role) (left time.Duration, only bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	shortest := time.Duration(0)
-	for lifetime, e := range p.states {
-		if e.pool != pool || e.leaving || !e.paused(now) || excluded(lifetime) {
+	only = true
+	for i := range v.Servers[pool] {
+		s := &v.Servers[pool][i]
+		if !v.Usable(s) || !slices.Contains(roles, s.Role) || slices.Contains(excluded, s.Lifetime()) {
 			continue
 		}
-		s, ok := v.Find(pool, lifetime)
-		if !ok || !v.Usable(s) && !v.LastResort(s, now) || !slices.Contains(roles, s.Role) {
-			continue
-		}
-		if left := e.pausedUntil.Sub(now); shortest == 0 || left < shortest {
-			shortest = left
+		e, ok := p.states[s.Lifetime()]
+		switch {
+		case !ok || !e.withdrawn(now):
+			only = false
+		case !e.leaving && (left == 0 || e.pausedUntil.Sub(now) < left):
+			left = e.pausedUntil.Sub(now)
 		}
 	}
-	return shortest
+	return left, only
 }
--- a/internal/place/figcoordinator/withdrawn.go
+++ b/internal/place/figcoordinator/withdrawn.go
@@ -27,23 +27,26 @@
 }
 
 // awaitPause waits for the end of a pause because of which no server was found for the request, as err says. It returns
-// false at once if there is none or it lasts beyond the deadline; err then names its end.
+// false at once if there is none or it lasts beyond the deadline; err then names the end.
 func (p *Placer) awaitPause(ctx context.Context, q *Request, deadline time.Time, err error) bool {
 	var none *figbalancer.NoServerError
 	if !errors.As(err, &none) || none.NoCapacity {
 		return false
 	}
 	now := p.Clock.Now()
-	excluded := func(lifetime string) bool { return slices.Contains(q.Excluded, lifetime) }
-	left := p.Fallback.PauseLeft(now, p.View(), q.Pool, excluded, figview.Decode, figview.Plain)
-	if left == 0 {
-		return false
+	left, _ := p.pauseLeft(now, q, q.Excluded)
+	if left > 0 && !now.Add(left).After(deadline) {
+		return p.Timer.Sleep(ctx, left) == nil
 	}
-	if now.Add(left).After(deadline) {
-		if none.RetryAfter == 0 || left < none.RetryAfter {
-			none.RetryAfter = left
-		}
-		return false
+	// Another request may use the servers that this one has excluded.
+	left, only := p.pauseLeft(now, q, nil)
+	if left > 0 && (none.RetryAfter == 0 && only || left < none.RetryAfter) {
+		none.RetryAfter = left
 	}
-	return p.Timer.Sleep(ctx, left) == nil
+	return false
+}
+
+// pauseLeft returns when a pause of a server for the request ends; see PauseLeft of figbalancer.
+func (p *Placer) pauseLeft(now time.Time, q *Request, excluded []string) (left time.Duration, only bool) {
+	return p.Fallback.PauseLeft(now, p.View(), q.Pool, excluded, figview.Decode, figview.Plain)
 }
