--- a/internal/app/figrouter/router.go
+++ b/internal/app/figrouter/router.go
@@ -210,6 +210,8 @@
 		RequireID:              true,
 		EventFields:            r.adapter.Dialect.EventFields,
 		IsRefusal:              r.adapter.IsRefusal,
+		MaySend:                r.maySend,
+		OnAnswer:               r.recordNotices,
 		AllowCloseDelimited:    true,
 	})
 	r.proxy = &figproxy.Proxy{
--- a/internal/place/figcoordinator/placer.go
+++ b/internal/place/figcoordinator/placer.go
@@ -35,6 +35,7 @@
 // PlacerOptions holds the dependencies of a Placer. All fields are required.
 type PlacerOptions struct {
 	Clock figtimer.Clock
+	Timer *figtimer.Timer
 	View  func() *figcatalogue.View
 	// Instance and Incarnation identify the run of this instance.
 	Instance    string
@@ -106,7 +107,8 @@
 func (p *Placer) Place(ctx context.Context, q *Request) (placement *Placement, err error) {
 	deadline := p.Clock.Now().Add(q.Wait)
 	for range maxRejections {
-		if placement, err = p.place(ctx, q, deadline); !errors.Is(err, errRejected) {
+		placement, err = p.place(ctx, q, deadline)
+		if err == nil || !errors.Is(err, errRejected) && !p.awaitPause(ctx, q, deadline, err) {
 			break
 		}
 	}
@@ -115,6 +117,7 @@
 
 // place asks for a placement once. The error is marked as errRejected if this instance rejected it.
 func (p *Placer) place(ctx context.Context, q *Request, deadline time.Time) (*Placement, error) {
+	q = p.excludeWithdrawn(q)
 	order := p.order(q)
 	if len(order) > 1 {
 		placement, full, err := p.placeQuickly(ctx, q, order)
@@ -305,7 +308,7 @@
 	v := p.View()
 	now := p.Clock.Now()
 	s, ok := v.Find(q.Pool, answer.Decode)
-	if !ok || !v.Usable(s) && !v.LastResort(s, now) {
+	if !ok || !v.Usable(s) && !v.LastResort(s, now) || p.Fallback.Withdrawn(now, s) {
 		p.outbox.add(m, End{Number: number, NoResult: true})
 		klog.InfoS("placement rejected", "coordinator", m.Name, "server", answer.Decode, "known", ok)
 		return nil, errors.Mark(&figbalancer.NoServerError{Reason: errRejected.Error(), NoCapacity: true}, errRejected)
@@ -315,7 +318,7 @@
 		prefillEnded: answer.Prefill == "",
 		Limited:      slices.ContainsFunc(answer.Limits, func(l Limit) bool { return l.Lifetime == answer.Decode }),
 	}
-	if f, ok := v.Find(q.Pool, answer.Prefill); ok && v.Usable(f) {
+	if f, ok := v.Find(q.Pool, answer.Prefill); ok && v.Usable(f) && !p.Fallback.Withdrawn(now, f) {
 		t.Prefill = f
 	} else if answer.Prefill != "" {
 		t.EndPrefill(figbalancer.Result{}, true)
@@ -360,7 +363,7 @@
 	t.report(End{Number: t.number, Part: PrefillReport, Result: r})
 }
 
-// ReportAnswer reports what the beginning of the decode server's answer says of its rate limit.
+// ReportAnswer reports what the beginning of the decode server's answer says of its rate limit and whether it leaves.
 func (t *Placement) ReportAnswer(r figbalancer.Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/request/figproxy/dialect.go
+++ b/internal/request/figproxy/dialect.go
@@ -84,6 +84,10 @@
 	// It is valid if Limited is set.
 	RateLimit float64
 	Limited   bool
+	// Leaving says that the server leaves, so that it should get no more requests.
+	Leaving bool
+	// Pause is the time for which the server takes no more requests from this instance; 0 for none.
+	Pause time.Duration
 }
 
 // Dialect translates between the router and the callers and servers of a platform.
