--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -128,6 +128,7 @@
 		case listed[name]:
 		case restored && s.RemovedAt.IsZero():
 			c.kept.servers[name] = now.Add(restoredGrace)
+			klog.InfoS("restored source lacks a server; keeping it", "server", name, "for", restoredGrace)
 		case !kept:
 			c.markServerRemoved(name, now)
 		}
@@ -137,6 +138,7 @@
 		case slices.Contains(n.DrainedDataCentres, name):
 		case restored:
 			c.kept.dataCentres[name] = now.Add(restoredGrace)
+			klog.InfoS("restored source lacks a drained data centre; keeping it", "dataCentre", name, "for", restoredGrace)
 		case !kept:
 			c.setDrained(name, false)
 		}
