Wait for a silent server if the last event of its stream has no id

Cause: the watch on silent servers asked only whether some event had an id. The stream was given up for a place at another server, which then couldn't go on after an event without an id.

Change: the watch and the resumption ask the same question, streamRelay.resumable.

--- a/internal/request/figproxy/relay.go
+++ b/internal/request/figproxy/relay.go
@@ -99,18 +99,23 @@
 // the stream can't be resumed.
 func (r *streamRelay) stallTimeout() time.Duration {
 	x := r.exchange
-	if x.route.Kind == figroute.ResumableStream && len(r.lastEventID) > 0 && len(x.ranOn)+1 < x.route.MaxServers {
+	if r.resumable() && len(x.ranOn)+1 < x.route.MaxServers {
 		return resumableStallTimeout
 	}
 	return 0
 }
 
+// resumable says whether another server can go on after the last event.
+func (r *streamRelay) resumable() bool {
+	return r.exchange.route.Kind == figroute.ResumableStream && len(r.lastEventID) > 0 && !r.endsWithoutID
+}
+
 // resume continues the stream on another server after the last event. It returns false if the
 // route, the retry budget or the servers don't allow it, or if a server answers with something other
 // than a stream.
 func (r *streamRelay) resume(err error) bool {
 	x := r.exchange
-	for x.route.Kind == figroute.ResumableStream && len(r.lastEventID) > 0 && !r.endsWithoutID && x.takeRetry(r.server, err) {
+	for r.resumable() && x.takeRetry(r.server, err) {
 		var opened *openedStream
 		var s *figcatalogue.Server
 		opened, s, err = x.openStream(string(r.lastEventID), true)
