Resume a stream on a third server if the second one answers with an error

Cause: a whole answer ended the resumption, and later rounds counted the failure of the new server against the first one.

Change: a whole answer counts as a run of the request there and as a failed send, as before the first event; each failure is counted against its server.

Evidence: TestResumptionFailsOnce/error failed before ("unexpected EOF" after two requests) and passes now.

--- a/internal/request/figproxy/relay.go
+++ b/internal/request/figproxy/relay.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
-	"figtrail.dev/figtrail/internal/config/figcatalogue"
 	"figtrail.dev/figtrail/internal/config/figroute"
 	"figtrail.dev/figtrail/internal/core/figerror"
 	"figtrail.dev/figtrail/internal/request/figlifecycle"
@@ -111,17 +110,17 @@
 }
 
 // resume continues the stream on another server after the last event. It returns false if the
-// route, the retry budget or the servers don't allow it, or if a server answers with something other
-// than a stream.
+// route, the retry budget or the servers don't allow it.
 func (r *streamRelay) resume(err error) bool {
 	x := r.exchange
-	for r.resumable() && x.takeRetry(r.server, err) {
-		var opened *openedStream
-		var s *figcatalogue.Server
-		opened, s, err = x.openStream(string(r.lastEventID), true)
+	failed := r.server
+	for r.resumable() && x.takeRetry(failed, err) {
+		opened, s, openErr := x.openStream(string(r.lastEventID), true)
+		failed, err = s, openErr
 		switch {
 		case err == nil && opened.Answer != nil:
-			return false
+			x.recordRan(s)
+			err = &figsend.Failure{Kind: figsend.KindStatus}
 		case err == nil:
 			klog.InfoS("stream resumed on another server", "requestId", x.ID, "from", r.server.Name,
 				"at", s.Name, "after", string(r.lastEventID))
