End streams at the end marker only where the call requires one

What callers saw: nothing yet; found on the search for streams that end as complete too early. An event with the data "[DONE]" ended a stream of figtrail route: it was left out, and what followed was lost, though the caller got a complete answer.

Cause: the end marker of model engines was looked for in all streams.

Change: only calls with MatchEvents, those of figtrail serve, have an end marker.

Evidence: of TestStreamEnds the two new cases without MatchEvents failed before (0 events of 2, and 0 of 1), and pass.

--- a/internal/request/figsend/stream.go
+++ b/internal/request/figsend/stream.go
@@ -173,14 +173,16 @@
 	})
 }
 
-// checkEvent returns io.EOF for the end marker, and a Failure for an event that doesn't carry the id of the stream's
-// request.
+// checkEvent checks an event of a call with MatchEvents. It returns io.EOF for the end marker, and a Failure for an
+// event that doesn't carry the id of the stream's request.
 func (t *Stream) checkEvent(e Event) error {
-	if string(e.Data) == endMarker {
-		return io.EOF
-	}
 	c := t.exchange.call
-	if !c.MatchEvents || c.ID == "" {
+	switch {
+	case !c.MatchEvents:
+		return nil
+	case string(e.Data) == endMarker:
+		return io.EOF
+	case c.ID == "":
 		return nil
 	}
 	id := gjson.GetBytes(e.Data, "id")
@@ -224,7 +226,7 @@
 // checkEnd returns io.EOF if a stream whose body has ended is complete, otherwise a Failure with KindIncomplete.
 func (t *Stream) checkEnd() error {
 	x := t.exchange
-	if string(t.events.data) == endMarker {
+	if x.call.MatchEvents && string(t.events.data) == endMarker {
 		return io.EOF
 	}
 	if (t.hasFraming || x.sender.opts.AllowCloseDelimited) && !x.call.MatchEvents {
--- a/internal/request/figsend/stream_test.go
+++ b/internal/request/figsend/stream_test.go
@@ -52,6 +52,8 @@
 		{"end marker without length", identity + one + done, true, 1, 0},
 		{"last chunk without end marker", streamHead + chunked(true, one, two), true, 2, KindIncomplete},
 		{"last chunk, no end marker required", streamHead + chunked(true, "data: a\ndata: b\n\n", "event: x\ndata: c\n\n"), false, 2, 0},
+		{"end marker not required, then another event", streamHead + chunked(true, done, "data: a\n\n"), false, 2, 0},
+		{"end marker not required, connection lost after it", streamHead + chunked(false, done), false, 1, KindIncomplete},
 		{"neither length nor end marker", identity + "data: a\n\n", false, 1, KindIncomplete},
 		{"connection lost between events", streamHead + chunked(false, one), true, 1, KindIncomplete},
 		{"connection lost within an event", streamHead + chunked(false, one, "data: {\"id\""), true, 1, KindIncomplete},
