Send a request again if the replacement of its silent server refuses it

Cause: leaving a silent server takes a retry, and so does the refusal that follows. The silent server stayed excluded.

Change: if the replacement didn't run the request, it is sent once more whatever the budget, and the silent server may get it. Each such send follows one that was paid for, so that at most as many are added.

--- a/internal/request/figproxy/proxy.go
+++ b/internal/request/figproxy/proxy.go
@@ -161,7 +161,10 @@
 	placement *figcoordinator.Placement
 	// replacement is a place at another server, for which the last send was given up because its server was silent.
 	// Its retry has been taken from the budget. It is nil if there is none.
-	replacement  *figcoordinator.Placement
+	replacement *figcoordinator.Placement
+	// leftSilent is the lifetime of the silent server for whose replacement the send after it was made; empty if
+	// there is none.
+	leftSilent   string
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	events       int64
--- a/internal/request/figproxy/send.go
+++ b/internal/request/figproxy/send.go
@@ -252,8 +252,12 @@
 		x.avoid = append(x.avoid, s.Lifetime())
 	}
 	if x.replacement != nil {
+		x.leftSilent = s.Lifetime()
 		return "" // taken from the budget already
 	}
+	if x.returnToSilent(notRun) {
+		return ""
+	}
 	if notRun && figsend.KindOf(err) != figsend.KindRefused {
 		return "" // no server received the request
 	}
--- a/internal/request/figproxy/silence.go
+++ b/internal/request/figproxy/silence.go
@@ -130,6 +130,20 @@
 	return x.placement.Decode
 }
 
+// returnToSilent makes the silent server of the send before the last one available again if the server that replaced
+// it didn't run the request, notRun. It returns true if so: the request is then sent once more whatever the budget,
+// as it would have been answered without the replacement.
+func (x *exchange) returnToSilent(notRun bool) bool {
+	silent := x.leftSilent
+	x.leftSilent = ""
+	if silent == "" || !notRun {
+		return false
+	}
+	x.avoid = slices.DeleteFunc(x.avoid, func(lifetime string) bool { return lifetime == silent })
+	x.Retries.Spend(x.Clock.Now(), x.pool)
+	return true
+}
+
 // releaseReplacement ends a replacement to which nothing was sent.
 func (x *exchange) releaseReplacement() {
 	if s := x.takeReplacement(); s != nil {
