Don't take a second lost history in a row for an outage of the source

Cause: the second 410 in a row was recorded as a failed call, so that followers of a reader heard that it can't read the source, and all read it themselves for 10 s. Two restorations in a row would do that in a large fleet. Found by review.

No test shows the burst; the tests of figcatalogue pass.

--- a/internal/config/figcatalogue/run.go
+++ b/internal/config/figcatalogue/run.go
@@ -57,8 +57,12 @@
 		if ctx.Err() != nil || changed && t.Sleep(ctx, batchDelay) != nil {
 			break
 		}
-		c.recordResult(err)
-		if err != nil {
+		failure := err
+		if errors.Is(err, ErrHistoryLost) {
+			failure = nil // the source is available
+		}
+		c.recordResult(failure)
+		if failure != nil {
 			c.directFailed()
 			c.fetchFromPeer(ctx)
 		}
