Pass on with contents what an instance knows better than a restored source

What callers would have seen: a version that the operator wrote again with other contents stayed refused at followers until the next version (CONFIG), and an instance that started used a server whose removal had been confirmed before (DRAIN).

Found by review.

Evidence: TestSameVersionReachesFollowers and TestDoubtedServerIsPassedOn failed before, at the follower and at the instance that started, and pass now. TestSnapshotKeysOnTheWire holds both fields.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -1,6 +1,7 @@
 package figcatalogue
 
 import (
+	"cmp"
 	"context"
 	"reflect"
 	"slices"
@@ -116,11 +117,14 @@
 		klog.InfoS("source restored from an older copy", "epoch", n.Epoch, "revision", n.Revision,
 			"epochBefore", c.position.Epoch, "revisionBefore", c.position.Revision)
 	}
-	c.setDeclarations(n.Declarations, n.Epoch)
+	c.setDeclarations(n.Declarations, cmp.Or(n.DeclarationsEpoch, n.Epoch))
 	listed := make(map[string]bool, len(n.Servers))
 	for i := range n.Servers {
 		listed[n.Servers[i].Name] = true
 		c.kept.listed(&n.Servers[i], restored, now)
+		if left, doubted := n.Doubted[n.Servers[i].Name]; doubted {
+			c.kept.doubted[n.Servers[i].Name] = now.Add(left)
+		}
 		c.setServer(n.Servers[i])
 	}
 	for name, s := range c.servers {
--- a/internal/config/figcatalogue/relay.go
+++ b/internal/config/figcatalogue/relay.go
@@ -27,6 +27,10 @@
 	DrainedDataCentres []string               `cbor:"4,keyasint,omitempty"`
 	// Epoch is the source's epoch of the contents.
 	Epoch uint64 `cbor:"5,keyasint,omitempty"`
+	// DeclarationsEpoch is the latest epoch in which the source had the declarations.
+	DeclarationsEpoch uint64 `cbor:"6,keyasint,omitempty"`
+	// Doubted holds for how long listed servers get no work, by name; see departedDoubt.
+	Doubted map[string]time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // held returns the position that the sender holds.
@@ -80,7 +84,15 @@
 
 // snapshot returns the active contents without what a restored source lacks. c.mu must be held.
 func (c *Catalogue) snapshot(now time.Time) *Snapshot {
-	s := &Snapshot{Epoch: c.position.Epoch, Revision: c.position.Revision, Declarations: &c.table.Declarations}
+	s := &Snapshot{
+		Epoch: c.position.Epoch, Revision: c.position.Revision, Declarations: &c.table.Declarations, DeclarationsEpoch: c.tableEpoch,
+	}
+	for name, until := range c.kept.doubted {
+		if s.Doubted == nil {
+			s.Doubted = map[string]time.Duration{}
+		}
+		s.Doubted[name] = until.Sub(now)
+	}
 	for name, n := range c.servers {
 		if _, kept := c.kept.servers[name]; !kept && n.RemovedAt.IsZero() {
 			s.Servers = append(s.Servers, snapshotServer(&n, now))
@@ -96,7 +108,10 @@
 
 // contents converts a received snapshot.
 func (s *Snapshot) contents(now time.Time) *Contents {
-	n := &Contents{Declarations: s.Declarations, DrainedDataCentres: s.DrainedDataCentres, Position: s.position()}
+	n := &Contents{
+		Declarations: s.Declarations, DrainedDataCentres: s.DrainedDataCentres, Position: s.position(),
+		DeclarationsEpoch: s.DeclarationsEpoch, Doubted: s.Doubted,
+	}
 	for i := range s.Servers {
 		n.Servers = append(n.Servers, s.Servers[i].server(now))
 	}
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -344,3 +344,36 @@
 		c.Apply([]Change{{Server: &leaving}, {ServerRemoved: "a"}}, in(1, 10*n+2))
 	}
 }
+
+// A version that the operator writes with other contents after a restoration must reach followers that held the one before.
+func TestSameVersionReachesFollowers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r, f := newCatalogueAt(&now), newCatalogueAt(&now)
+	r.Replace(&Contents{Declarations: version(13), Position: in(1, 50)})
+	f.applyAnswer(r.changesAfter(in(0, 0)))
+	r.Replace(&Contents{Declarations: version(10), Position: in(2, 40)})
+	f.applyAnswer(r.changesAfter(f.Position()))
+	other := version(13)
+	other.Limits.BodyBytes = 5
+	r.Apply([]Change{{Declarations: other}}, in(2, 41))
+	f.applyAnswer(r.changesAfter(f.Position()))
+	require.Equal(t, r.Position(), f.Position())
+	require.Equal(t, 5, r.View().Table.Limits.BodyBytes, "reader")
+	require.Equal(t, 5, f.View().Table.Limits.BodyBytes, "follower")
+}
+
+// An instance that starts must not use a server that the instance it asks keeps from work.
+func TestDoubtedServerIsPassedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := server("s", 1)
+	r := newCatalogueAt(&now)
+	r.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(1, 10)})
+	r.Apply([]Change{{ServerRemoved: "s"}}, in(1, 11))
+	r.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(2, 10)})
+	v := r.View()
+	require.False(t, v.Usable(&v.Servers["p"][0]), "reader")
+	f := newCatalogueAt(&now)
+	f.applyAnswer(r.changesAfter(in(0, 0)))
+	v = f.View()
+	require.False(t, v.Usable(&v.Servers["p"][0]), "fresh instance")
+}
--- a/internal/config/figcatalogue/types.go
+++ b/internal/config/figcatalogue/types.go
@@ -46,6 +46,10 @@
 	DecodeErrors []error
 	// Position is where to watch from.
 	figview.Position
+	// DeclarationsEpoch is the latest epoch in which the source had the declarations; 0 if that of Position.
+	DeclarationsEpoch uint64
+	// Doubted holds for how long servers get no work though they are listed, by name.
+	Doubted map[string]time.Duration
 }
 
 // Change is one change of a source. One of its fields is set, except that DecodeError may be set together with
--- a/internal/config/figcatalogue/wire_test.go
+++ b/internal/config/figcatalogue/wire_test.go
@@ -42,6 +42,8 @@
 		}},
 		DrainedDataCentres: []string{"west"},
 		Epoch:              5,
+		DeclarationsEpoch:  4,
+		Doubted:            map[string]time.Duration{"engine-1": 2 * time.Second},
 	}
 }
 
@@ -79,6 +81,8 @@
 		}},
 		uint64(4): []any{"west"},
 		uint64(5): uint64(5),
+		uint64(6): uint64(4),
+		uint64(7): map[any]any{"engine-1": uint64(2e9)},
 	}
 
 	encoded, err := cbor.Marshal(snapshotMessage())
