Don't use the place at a replacement that became unusable meanwhile

A place at the server that replaces a silent one may be some time old when the request is sent: a slow caller, or an event that came as the send was given up. The server may be draining by then (DRAIN). Found by review, by reading; no test shows it. The place is given back and another one is asked for.

--- a/internal/request/figproxy/silence.go
+++ b/internal/request/figproxy/silence.go
@@ -120,14 +120,19 @@
 	return x.reservePlain()
 }
 
-// takeReplacement makes the replacement the request's placement and returns its server; nil if there is none.
+// takeReplacement makes the replacement the request's placement and returns its server; nil if there is none, or if
+// the server has become unusable since.
 func (x *exchange) takeReplacement() *figcatalogue.Server {
 	if x.replacement == nil {
 		return nil
 	}
 	x.view = x.View()
 	x.placement, x.replacement = x.replacement, nil
-	return x.placement.Decode
+	if s := x.placement.Decode; x.stillUsable(s) {
+		return s
+	}
+	x.releasePlacement()
+	return nil
 }
 
 // returnToSilent makes the silent server of the send before the last one available again if the server that replaced
