Let a server be in use again that writes so after it was leaving

Callers would have lost a sound server: one that was leaving and then wrote itself as ready, in one lifetime, got no more work.

Cause: that a leaving server stays so was meant for copies of the store that are older than the notice, but held for all entries.

Change: it holds for contents that are read from a restored source, until the server is written again.

Evidence: TestUnusableServers failed before and passes now; TestLeavingServerIsWrittenAgain holds both sides.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -125,6 +125,7 @@
 		if left, doubted := n.Doubted[n.Servers[i].Name]; doubted {
 			c.kept.doubted[n.Servers[i].Name] = now.Add(left)
 		}
+		c.kept.keepLeaving(c.servers, &n.Servers[i], restored)
 		c.setServer(n.Servers[i])
 	}
 	for name, s := range c.servers {
@@ -223,7 +224,7 @@
 }
 
 // setServer adds or replaces a server, unless s is an entry of an earlier process than the one known. A process that was
-// leaving stays so.
+// leaving and removed stays leaving.
 func (c *Catalogue) setServer(s Server) {
 	old, known := c.servers[s.Name]
 	if known && s.StartedAt.Before(old.StartedAt) {
@@ -231,7 +232,7 @@
 			"startedAt", s.StartedAt, "known", old.StartedAt, "reason", "older process")
 		return
 	}
-	if s.State == figview.Live && (known && remainsLeaving(&old, &s) || c.kept.hasLeft(&s)) {
+	if s.State == figview.Live && c.kept.hasLeft(&s) {
 		s.State = figview.Leaving
 	}
 	c.servers[s.Name] = s
--- a/internal/config/figcatalogue/restore.go
+++ b/internal/config/figcatalogue/restore.go
@@ -25,6 +25,9 @@
 	servers, dataCentres map[string]time.Time
 	// doubted holds until when listed servers get no work, by name.
 	doubted map[string]time.Time
+	// leaving holds the lifetimes of servers that were leaving before the source was restored and are listed as live
+	// since. They stay leaving until they are written again.
+	leaving map[string]bool
 	// departed holds the removed servers, by lifetime.
 	departed map[string]departure
 }
@@ -39,12 +42,13 @@
 func newRestoration() restoration {
 	return restoration{
 		servers: map[string]time.Time{}, dataCentres: map[string]time.Time{}, doubted: map[string]time.Time{},
-		departed: map[string]departure{},
+		leaving: map[string]bool{}, departed: map[string]departure{},
 	}
 }
 
 // recordDeparture records that s was removed at now.
 func (r *restoration) recordDeparture(s *Server, now time.Time) {
+	delete(r.leaving, s.Lifetime())
 	r.departed[s.Lifetime()] = departure{now, s.State == figview.Leaving}
 	for lifetime, d := range r.departed {
 		if now.Sub(d.at) > departedMemory {
@@ -64,6 +68,17 @@
 	return !s.StartedAt.IsZero() && old.State == figview.Leaving && old.Lifetime() == s.Lifetime()
 }
 
+// keepLeaving makes s, which is listed as live, leaving if its process was so among the known servers. restored says that
+// the source was just restored from an older copy.
+func (r *restoration) keepLeaving(known map[string]Server, s *Server, restored bool) {
+	old, ok := known[s.Name]
+	if s.State != figview.Live || !ok || !remainsLeaving(&old, s) || !restored && !r.leaving[s.Lifetime()] {
+		return
+	}
+	r.leaving[s.Lifetime()] = true
+	s.State = figview.Leaving
+}
+
 // listed records that a source lists s. restored says that it was just restored from an older copy.
 func (r *restoration) listed(s *Server, restored bool, now time.Time) {
 	delete(r.servers, s.Name)
@@ -80,6 +95,7 @@
 
 // written records that s was written after the source's contents were read.
 func (r *restoration) written(s *Server) {
+	delete(r.leaving, s.Lifetime())
 	delete(r.servers, s.Name)
 	delete(r.doubted, s.Name)
 	if !r.hasLeft(s) {
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -377,3 +377,20 @@
 	v = f.View()
 	require.False(t, v.Usable(&v.Servers["p"][0]), "fresh instance")
 }
+
+// A server that was leaving before the restoration stays so, however often the copy is read, until it is written again.
+func TestLeavingServerIsWrittenAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := server("s", 1)
+	leaving := s
+	leaving.State = figview.Leaving
+	c := newCatalogueAt(&now)
+	c.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(1, 10)})
+	c.Apply([]Change{{Server: &leaving}}, in(1, 11))
+	for revision := range uint64(3) {
+		c.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(2, 10+revision)})
+		require.Equal(t, figview.Leaving, c.View().Servers["p"][0].State)
+	}
+	c.Apply([]Change{{Server: &s}}, in(2, 14))
+	require.Equal(t, figview.Live, c.View().Servers["p"][0].State)
+}
