Tell other instances which servers are leaving against a restored source

Cause: an instance that gets the contents of a new epoch from another one finds the server leaving there, as the other one has corrected the copy, and records nothing. Its own read of the copy in the same epoch then counts as news, and the server as live. The class: a correction is passed on without saying that it is one.

Change: contents from other instances name the servers that the source lists as live.

Evidence of the fix: TestLeavingServerOfPeerStaysLeaving, both cases failed before. It works because the correction lasts until the server writes again, wherever the contents came from.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -125,6 +125,9 @@
 		if left, doubted := n.Doubted[n.Servers[i].Name]; doubted {
 			c.kept.doubted[n.Servers[i].Name] = now.Add(left)
 		}
+		if slices.Contains(n.KeptLeaving, n.Servers[i].Name) {
+			c.kept.leaving[n.Servers[i].Lifetime()] = true
+		}
 		c.kept.keepLeaving(c.servers, &n.Servers[i], restored)
 		c.setServer(n.Servers[i])
 	}
--- a/internal/config/figcatalogue/relay.go
+++ b/internal/config/figcatalogue/relay.go
@@ -31,6 +31,8 @@
 	DeclarationsEpoch uint64 `cbor:"6,keyasint,omitempty"`
 	// Doubted holds for how long listed servers get no work, by name; see departedDoubt.
 	Doubted map[string]time.Duration `cbor:"7,keyasint,omitempty"`
+	// KeptLeaving names the leaving servers that the source, which was restored from an older copy, lists as live.
+	KeptLeaving []string `cbor:"8,keyasint,omitempty"`
 }
 
 // held returns the position that the sender holds.
@@ -96,6 +98,9 @@
 	for name, n := range c.servers {
 		if _, kept := c.kept.servers[name]; !kept && n.RemovedAt.IsZero() {
 			s.Servers = append(s.Servers, snapshotServer(&n, now))
+			if c.kept.leaving[n.Lifetime()] {
+				s.KeptLeaving = append(s.KeptLeaving, name)
+			}
 		}
 	}
 	for name := range c.drained {
@@ -110,7 +115,7 @@
 func (s *Snapshot) contents(now time.Time) *Contents {
 	n := &Contents{
 		Declarations: s.Declarations, DrainedDataCentres: s.DrainedDataCentres, Position: s.position(),
-		DeclarationsEpoch: s.DeclarationsEpoch, Doubted: s.Doubted,
+		DeclarationsEpoch: s.DeclarationsEpoch, Doubted: s.Doubted, KeptLeaving: s.KeptLeaving,
 	}
 	for i := range s.Servers {
 		n.Servers = append(n.Servers, s.Servers[i].server(now))
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -394,3 +394,31 @@
 	c.Apply([]Change{{Server: &s}}, in(2, 14))
 	require.Equal(t, figview.Live, c.View().Servers["p"][0].State)
 }
+
+// A server that leaves stays leaving at an instance that has the restored source's contents from another instance, and then
+// reads the older copy itself.
+func TestLeavingServerOfPeerStaysLeaving(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := server("s", 1)
+	leaving := s
+	leaving.State = figview.Leaving
+	for name, starts := range map[string]bool{"knows the notice": false, "starts": true} {
+		t.Run(name, func(t *testing.T) {
+			other, c := newCatalogueAt(&now), newCatalogueAt(&now)
+			notified := []*Catalogue{other, c}
+			if starts {
+				notified = notified[:1]
+			}
+			for _, n := range notified {
+				n.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(1, 10)})
+				n.Apply([]Change{{Server: &leaving}}, in(1, 11))
+			}
+			other.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(2, 10)})
+			c.applyAnswer(other.changesAfter(c.Position()))
+			c.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(2, 10)})
+			require.Equal(t, figview.Leaving, c.View().Servers["p"][0].State, "after the copy was read")
+			c.Apply([]Change{{Server: &s}}, in(2, 11))
+			require.Equal(t, figview.Live, c.View().Servers["p"][0].State, "after the server was written again")
+		})
+	}
+}
--- a/internal/config/figcatalogue/types.go
+++ b/internal/config/figcatalogue/types.go
@@ -50,6 +50,8 @@
 	DeclarationsEpoch uint64
 	// Doubted holds for how long servers get no work though they are listed, by name.
 	Doubted map[string]time.Duration
+	// KeptLeaving names the leaving servers that the source itself lists as live.
+	KeptLeaving []string
 }
 
 // Change is one change of a source. One of its fields is set, except that DecodeError may be set together with
