Don't keep a server that a second restored source lacks if it had left before the first

Cause: the first copy listed the server, which got no work for 4 s as its entry was doubted. The second copy lacked it, so that it was taken for one that the store had lost and kept in use, longer than the doubt. An entry that expired or was missing in a later read ended the doubt too, and the server was one of last resort as if it had just been removed.

Change: a doubted server that is no longer listed is deleted at once.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -134,7 +134,7 @@
 	for name, s := range c.servers {
 		switch _, kept := c.kept.servers[name]; {
 		case listed[name]:
-		case restored && s.RemovedAt.IsZero():
+		case restored && s.RemovedAt.IsZero() && !c.kept.isDoubted(name):
 			c.kept.servers[name] = now.Add(restoredGrace)
 			klog.InfoS("restored source lacks a server; keeping it", "server", name, "for", restoredGrace)
 		case !kept:
@@ -184,7 +184,7 @@
 			c.kept.written(change.Server)
 			c.setServer(*change.Server)
 		case change.ServerRemoved != "":
-			c.kept.forget(change.ServerRemoved)
+			delete(c.kept.servers, change.ServerRemoved)
 			c.markServerRemoved(change.ServerRemoved, now)
 		case change.DrainedDataCentre != "":
 			c.setDrained(change.DrainedDataCentre, true)
@@ -248,7 +248,8 @@
 		"coldUntil", s.ColdStartEnd, "known", known)
 }
 
-// markServerRemoved records that a server is no longer listed; publish deletes it after RemovedServerGrace.
+// markServerRemoved records that a server is no longer listed; publish deletes it after RemovedServerGrace. A doubted one is
+// deleted at once, as its grace ended before the restoration.
 func (c *Catalogue) markServerRemoved(name string, now time.Time) {
 	s, ok := c.servers[name]
 	if !ok || !s.RemovedAt.IsZero() {
@@ -257,6 +258,10 @@
 	s.RemovedAt = now
 	c.servers[name] = s
 	c.kept.recordDeparture(&s, now)
+	if c.kept.isDoubted(name) {
+		delete(c.kept.doubted, name)
+		delete(c.servers, name)
+	}
 	klog.InfoS("server removed from the list", "server", name, "pool", s.Pool, "state", s.State.String())
 }
 
@@ -288,7 +293,7 @@
 			delete(c.servers, name)
 			continue
 		}
-		if _, doubted := c.kept.doubted[name]; doubted {
+		if c.kept.isDoubted(name) {
 			s.State = figview.Leaving
 		}
 		v.Servers[s.Pool] = append(v.Servers[s.Pool], s)
--- a/internal/config/figcatalogue/restore.go
+++ b/internal/config/figcatalogue/restore.go
@@ -103,10 +103,10 @@
 	}
 }
 
-// forget drops what is kept of a server whose removal the source reports.
-func (r *restoration) forget(name string) {
-	delete(r.servers, name)
-	delete(r.doubted, name)
+// isDoubted says whether a server gets no work though it is listed.
+func (r *restoration) isDoubted(name string) bool {
+	_, doubted := r.doubted[name]
+	return doubted
 }
 
 // next returns the earliest time at which something ends to be kept; zero if nothing is.
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -422,3 +422,33 @@
 		})
 	}
 }
+
+// A server that had been removed gets no work after a restored source that lists it, however the entry goes away again.
+func TestRemovedServerIsRemovedAgain(t *testing.T) {
+	for name, remove := range map[string]func(c *Catalogue){
+		"by the source":         func(c *Catalogue) { c.Apply([]Change{{ServerRemoved: "s"}}, in(2, 11)) },
+		"by a read":             func(c *Catalogue) { c.Replace(&Contents{Position: in(2, 11)}) },
+		"by a next restoration": func(c *Catalogue) { c.Replace(&Contents{Position: in(3, 10)}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			s := server("s", 1)
+			c := newCatalogueAt(&now)
+			c.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(1, 10)})
+			c.Apply([]Change{{ServerRemoved: "s"}}, in(1, 11))
+			now = now.Add(2 * RemovedServerGrace)
+			c.Replace(&Contents{Servers: []Server{s}, Position: in(2, 10)})
+			now = now.Add(departedDoubt - RemovedServerGrace/2)
+			remove(c)
+			for range 4 {
+				v := c.View()
+				for i := range v.Servers["p"] {
+					require.False(t, v.Usable(&v.Servers["p"][i]))
+					require.False(t, v.LastResort(&v.Servers["p"][i], now))
+				}
+				now = now.Add(RemovedServerGrace / 2)
+				c.Apply(nil, c.Position())
+			}
+		})
+	}
+}
