Count only answered heartbeats towards a majority in the simulation of budgets

The known red case of figbudget, an account that gets 7 tokens in 57 ms where 6.746 are allowed, is a fault of the test's own model of membership, not of the program.

Trace (kept sequence of TestAbandonedLeaseOfCutHolder): instance c is paused for 7.9 s; meanwhile it is taken off the list and cut off. When it wakes it handles the heartbeats that its peers sent before that, which the model counted as news of a majority at the time of their receipt. c takes its list for fresh and grants a lease from a slot that a has held since 14.71 s.

figmember counts a peer towards a majority only from the time at which this instance sent the heartbeat that the peer answered, so that such an instance is not fresh. The model does the same now; what it checks and all bounds are as before. A new case of TestFresh shows that received heartbeats alone make no list fresh.

--- a/internal/fleet/figmember/fresh_test.go
+++ b/internal/fleet/figmember/fresh_test.go
@@ -60,6 +60,11 @@
 			s.receiveAnswer(&Heartbeat{From: "c", Incarnation: 2, View: view - 1, AgeMillis: -1}, epoch, epoch, view)
 			s.receive(&Heartbeat{From: "c", Incarnation: 1, View: view}, epoch)
 		}, 0, false},
+		{"heartbeats of a majority that may have been sent long ago", func(s *state) {
+			for _, name := range []string{"b", "c", "d"} {
+				s.receive(&Heartbeat{From: name, Incarnation: 1, View: view}, epoch)
+			}
+		}, 0, false},
 		{"unlisted instances don't count", func(s *state) { answer(s, "x", view); answer(s, "y", view) }, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/limit/figbudget/member_test.go
+++ b/internal/limit/figbudget/member_test.go
@@ -53,10 +53,10 @@
 	var age time.Duration
 	n.sim.callNode(n, to, func(p *node) {
 		p.newestVersion = max(p.newestVersion, mine.Version)
-		p.recordPeerView(n.name, peerView{incarnation: incarnation, version: mine.Version, receivedAt: p.localTime()})
+		p.recordPeerView(n.name, peerView{incarnation: incarnation, version: mine.Version})
 		if p.view != nil {
 			view = p.view
-			theirs = peerView{incarnation: p.incarnation, version: view.Version, receivedAt: asked}
+			theirs = peerView{incarnation: p.incarnation, version: view.Version, answeredAt: asked}
 			age = p.localTime().Sub(p.confirmedAt)
 		}
 	}, func(ok bool) {
@@ -76,8 +76,8 @@
 func (n *node) recordPeerView(name string, h peerView) {
 	old := n.peerViews[name]
 	if h.incarnation > old.incarnation || (h.incarnation == old.incarnation && h.version >= old.version) {
-		if old.receivedAt.After(h.receivedAt) {
-			h.receivedAt = old.receivedAt
+		if old.answeredAt.After(h.answeredAt) {
+			h.answeredAt = old.answeredAt
 		}
 		n.peerViews[name] = h
 	}
@@ -94,13 +94,13 @@
 	return n.sim.majority && n.hasMajority()
 }
 
-// hasMajority says whether this node and peers that recently reported the same view are a majority
+// hasMajority says whether this node and peers that recently answered with the same view are a majority
 // of the view's members.
 func (n *node) hasMajority() bool {
 	count := 1
 	for _, m := range n.view.Members {
 		h := n.peerViews[m.Name]
-		if m.Name != n.name && h.version == n.view.Version && n.localTime().Sub(h.receivedAt) < maxViewAge {
+		if m.Name != n.name && h.version == n.view.Version && n.localTime().Sub(h.answeredAt) < maxViewAge {
 			count++
 		}
 	}
--- a/internal/limit/figbudget/simulation_test.go
+++ b/internal/limit/figbudget/simulation_test.go
@@ -60,10 +60,11 @@
 	credited           int64
 }
 
-// peerView is the incarnation and the view version that a node last received from another node.
+// peerView is the incarnation and the view version that a node last received from another node, and when the node sent
+// the latest heartbeat that the other one has answered.
 type peerView struct {
 	incarnation, version uint64
-	receivedAt           time.Time
+	answeredAt           time.Time
 }
 
 type event struct {
