Doubt a server's earlier processes too when a restored source lists them

Callers' requests could reach the address of a server that was gone, for as long as a restored source listed it: the copy held a process that had been restarted before it left.

Cause: departures were recorded by process, and only the last process of a server is ever removed: the ones before are overwritten. The entry of one of these in an older copy was no known departure.

Evidence: TestProcessBeforeRemovedOneGetsNoWork failed before (restore_test.go: Should be false).

Change: the latest removed process is recorded for each server; it and all that started before it are gone. A process that has announced that it leaves is still told by its own start.

It works because a server's processes follow one another: none is left of those before a removed one.

--- a/internal/config/figcatalogue/restore.go
+++ b/internal/config/figcatalogue/restore.go
@@ -28,15 +28,15 @@
 	// leaving holds the lifetimes of servers that were leaving before the source was restored and are listed as live
 	// since. They stay leaving until they are written again.
 	leaving map[string]bool
-	// departed holds the removed servers, by lifetime.
+	// departed holds the removed servers, by name.
 	departed map[string]departure
 }
 
 // departure is the removal of a server.
 type departure struct {
 	at time.Time
-	// announced says that the server was leaving before it was removed.
-	announced bool
+	// latest is the start of the latest process that was removed, announced that of the latest one that was leaving before.
+	latest, announced time.Time
 }
 
 func newRestoration() restoration {
@@ -49,18 +49,39 @@
 // recordDeparture records that s was removed at now.
 func (r *restoration) recordDeparture(s *Server, now time.Time) {
 	delete(r.leaving, s.Lifetime())
-	r.departed[s.Lifetime()] = departure{now, s.State == figview.Leaving}
-	for lifetime, d := range r.departed {
+	d := r.departed[s.Name]
+	d.at = now
+	if d.latest.Before(s.StartedAt) {
+		d.latest = s.StartedAt
+	}
+	if s.State == figview.Leaving && d.announced.Before(s.StartedAt) {
+		d.announced = s.StartedAt
+	}
+	r.departed[s.Name] = d
+	for name, d := range r.departed {
 		if now.Sub(d.at) > departedMemory {
-			delete(r.departed, lifetime)
+			delete(r.departed, name)
 		}
 	}
 }
 
+// hasDeparted says whether the process of s, or one that started later, was removed.
+func (r *restoration) hasDeparted(s *Server) bool {
+	d, departed := r.departed[s.Name]
+	return departed && !s.StartedAt.After(d.latest)
+}
+
 // hasLeft says whether the process of s is known to have been leaving before it was removed. A restarted server without a
 // start time can't be told from the process before.
 func (r *restoration) hasLeft(s *Server) bool {
-	return !s.StartedAt.IsZero() && r.departed[s.Lifetime()].announced
+	return !s.StartedAt.IsZero() && r.departed[s.Name].announced.Equal(s.StartedAt)
+}
+
+// trust forgets that the process of s was removed, unless it had been leaving before.
+func (r *restoration) trust(s *Server) {
+	if r.hasDeparted(s) && !r.hasLeft(s) {
+		delete(r.departed, s.Name)
+	}
 }
 
 // remainsLeaving says whether s, which is listed as live, is the process that was leaving as old.
@@ -82,14 +103,12 @@
 // listed records that a source lists s. restored says that it was just restored from an older copy.
 func (r *restoration) listed(s *Server, restored bool, now time.Time) {
 	delete(r.servers, s.Name)
-	_, departed := r.departed[s.Lifetime()]
 	switch {
-	case departed && restored:
+	case r.hasDeparted(s) && restored:
 		r.doubted[s.Name] = now.Add(departedDoubt)
 		klog.InfoS("server entry doubted", "server", s.Name, "startedAt", s.StartedAt, "reason", "removed before the restoration")
-	case !r.doubted[s.Name].IsZero():
-	case departed && !r.hasLeft(s):
-		delete(r.departed, s.Lifetime())
+	case !r.isDoubted(s.Name):
+		r.trust(s)
 	}
 }
 
@@ -98,9 +117,7 @@
 	delete(r.leaving, s.Lifetime())
 	delete(r.servers, s.Name)
 	delete(r.doubted, s.Name)
-	if !r.hasLeft(s) {
-		delete(r.departed, s.Lifetime())
-	}
+	r.trust(s)
 }
 
 // isDoubted says whether a server gets no work though it is listed.
@@ -140,8 +157,8 @@
 	for name, until := range c.kept.doubted {
 		if !now.Before(until) {
 			delete(c.kept.doubted, name)
-			if s, ok := c.servers[name]; ok && !c.kept.hasLeft(&s) {
-				delete(c.kept.departed, s.Lifetime())
+			if s, ok := c.servers[name]; ok {
+				c.kept.trust(&s)
 			}
 		}
 	}
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -452,3 +452,34 @@
 		})
 	}
 }
+
+// usable says whether the server called s gets work.
+func usable(c *Catalogue) bool {
+	v := c.View()
+	for i := range v.Servers["p"] {
+		if s := &v.Servers["p"][i]; s.Name == "s" && v.Usable(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// The copy of a restored source lists a process that was followed by one that has left, so that both are gone.
+func TestProcessBeforeRemovedOneGetsNoWork(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first, second := server("s", 1), server("s", 2)
+	c := newCatalogueAt(&now)
+	c.Replace(&Contents{Declarations: version(1), Servers: []Server{first}, Position: in(1, 10)})
+	c.Apply([]Change{{Server: &second}}, in(1, 11))
+	c.Apply([]Change{{ServerRemoved: "s"}}, in(1, 12))
+	now = now.Add(2 * RemovedServerGrace)
+	c.Apply(nil, c.Position())
+	for epoch := range uint64(2) {
+		c.Replace(&Contents{Servers: []Server{first}, Position: in(2+epoch, 10)})
+		require.False(t, usable(c))
+		now = now.Add(departedDoubt / 2)
+	}
+	third := server("s", 3)
+	c.Apply([]Change{{Server: &third}}, in(3, 11))
+	require.True(t, usable(c))
+}
