Doubt processes, not all that bear the name of a removed server

A server that had been restarted got no work for up to 4 s after a restoration, or until its next check-in, though it was live and known: the restored source listed the process before it, or it was found by a read instead of a change.

Cause: a doubt is kept by name. It was raised for an entry that was then rejected as one of an older process, and it ended only with a change, not with an entry of a later process in a read.

Evidence: TestRestartedServerIsNotDoubtedForProcessBefore and TestRestartedServerIsNotDoubted, both failed before (Should be true).

Change: entries of a process before the known one are passed over before anything is recorded. Where a restored source lists only that one, the known one counts as lost, as if its entry were missing: it stays in use for restoredGrace and is removed unless it is written again. An entry of a later process than the removed one ends the doubt.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -120,7 +120,11 @@
 	c.setDeclarations(n.Declarations, cmp.Or(n.DeclarationsEpoch, n.Epoch))
 	listed := make(map[string]bool, len(n.Servers))
 	for i := range n.Servers {
-		listed[n.Servers[i].Name] = true
+		outdated := c.isOutdated(&n.Servers[i])
+		listed[n.Servers[i].Name] = !outdated || !restored
+		if outdated {
+			continue
+		}
 		c.kept.listed(&n.Servers[i], restored, now)
 		if left, doubted := n.Doubted[n.Servers[i].Name]; doubted {
 			c.kept.doubted[n.Servers[i].Name] = now.Add(left)
@@ -181,8 +185,10 @@
 		case change.Declarations != nil:
 			c.setDeclarations(change.Declarations, position.Epoch)
 		case change.Server != nil:
-			c.kept.written(change.Server)
-			c.setServer(*change.Server)
+			if !c.isOutdated(change.Server) {
+				c.kept.written(change.Server)
+				c.setServer(*change.Server)
+			}
 		case change.ServerRemoved != "":
 			delete(c.kept.servers, change.ServerRemoved)
 			c.markServerRemoved(change.ServerRemoved, now)
@@ -226,15 +232,20 @@
 		"routes", len(d.Routes), "pools", len(d.Pools), "accounts", len(d.Accounts))
 }
 
-// setServer adds or replaces a server, unless s is an entry of an earlier process than the one known. A process that was
-// leaving and removed stays leaving.
+// isOutdated says whether s is an entry of an earlier process than the one known.
+func (c *Catalogue) isOutdated(s *Server) bool {
+	known, ok := c.servers[s.Name]
+	if !ok || !s.StartedAt.Before(known.StartedAt) {
+		return false
+	}
+	klog.InfoS("server entry rejected", "server", s.Name,
+		"startedAt", s.StartedAt, "known", known.StartedAt, "reason", "older process")
+	return true
+}
+
+// setServer adds or replaces a server. A process that was leaving and removed stays leaving.
 func (c *Catalogue) setServer(s Server) {
 	old, known := c.servers[s.Name]
-	if known && s.StartedAt.Before(old.StartedAt) {
-		klog.InfoS("server entry rejected", "server", s.Name,
-			"startedAt", s.StartedAt, "known", old.StartedAt, "reason", "older process")
-		return
-	}
 	if s.State == figview.Live && c.kept.hasLeft(&s) {
 		s.State = figview.Leaving
 	}
--- a/internal/config/figcatalogue/restore.go
+++ b/internal/config/figcatalogue/restore.go
@@ -104,7 +104,9 @@
 func (r *restoration) listed(s *Server, restored bool, now time.Time) {
 	delete(r.servers, s.Name)
 	switch {
-	case r.hasDeparted(s) && restored:
+	case !r.hasDeparted(s):
+		delete(r.doubted, s.Name)
+	case restored:
 		r.doubted[s.Name] = now.Add(departedDoubt)
 		klog.InfoS("server entry doubted", "server", s.Name, "startedAt", s.StartedAt, "reason", "removed before the restoration")
 	case !r.isDoubted(s.Name):
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -464,6 +464,37 @@
 	return false
 }
 
+// The process that follows a removed one stays in use when a restored source lists the one before.
+func TestRestartedServerIsNotDoubtedForProcessBefore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first, second := server("s", 1), server("s", 2)
+	c := newCatalogueAt(&now)
+	c.Replace(&Contents{Declarations: version(1), Servers: []Server{first}, Position: in(1, 10)})
+	c.Apply([]Change{{ServerRemoved: "s"}, {Server: &second}}, in(1, 12))
+	for range 2 { // read twice, as after a failed watch
+		c.Replace(&Contents{Servers: []Server{first}, Position: in(2, 10)})
+		require.True(t, usable(c))
+	}
+	now = now.Add(restoredGrace)
+	c.Apply([]Change{{Server: &first}}, in(2, 11))
+	require.False(t, usable(c), "not written again")
+	c.Apply([]Change{{Server: &second}}, in(2, 12))
+	require.True(t, usable(c))
+}
+
+// A process that the source lists after one that is doubted is in use at once, also if it is found by a read.
+func TestRestartedServerIsNotDoubted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first, second := server("s", 1), server("s", 2)
+	c := newCatalogueAt(&now)
+	c.Replace(&Contents{Declarations: version(1), Servers: []Server{first}, Position: in(1, 10)})
+	c.Apply([]Change{{ServerRemoved: "s"}}, in(1, 11))
+	c.Replace(&Contents{Servers: []Server{first}, Position: in(2, 10)})
+	require.False(t, usable(c))
+	c.Replace(&Contents{Servers: []Server{second}, Position: in(2, 11)})
+	require.True(t, usable(c))
+}
+
 // The copy of a restored source lists a process that was followed by one that has left, so that both are gone.
 func TestProcessBeforeRemovedOneGetsNoWork(t *testing.T) {
 	now := time.Unix(1000, 0)
