Renew doubts that came from another instance at the next restoration

An instance that had started between two restorations could use a server that was gone, while all others still kept it from work.

Cause: a doubt that comes from another instance was taken without the departure behind it, so that the next restored source that listed the server didn't renew it.

Evidence: TestDoubtOfPeerIsRenewed failed before (Should be false).

Change: a doubt from another instance records the departure too.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -127,7 +127,7 @@
 		}
 		c.kept.listed(&n.Servers[i], restored, now)
 		if left, doubted := n.Doubted[n.Servers[i].Name]; doubted {
-			c.kept.doubted[n.Servers[i].Name] = now.Add(left)
+			c.kept.listedDoubted(&n.Servers[i], now.Add(left), now)
 		}
 		if slices.Contains(n.KeptLeaving, n.Servers[i].Name) {
 			c.kept.leaving[n.Servers[i].Lifetime()] = true
--- a/internal/config/figcatalogue/restore.go
+++ b/internal/config/figcatalogue/restore.go
@@ -114,6 +114,12 @@
 	}
 }
 
+// listedDoubted records that another instance gives no work to s, which a restored source lists, until a time.
+func (r *restoration) listedDoubted(s *Server, until, now time.Time) {
+	r.recordDeparture(s, now)
+	r.doubted[s.Name] = until
+}
+
 // written records that s was written after the source's contents were read.
 func (r *restoration) written(s *Server) {
 	delete(r.leaving, s.Lifetime())
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -495,6 +495,25 @@
 	require.True(t, usable(c))
 }
 
+// An instance that starts with a doubted server of another instance doubts it again after the next restoration.
+func TestDoubtOfPeerIsRenewed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := server("s", 1)
+	r, f := newCatalogueAt(&now), newCatalogueAt(&now)
+	r.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(1, 10)})
+	r.Apply([]Change{{ServerRemoved: "s"}}, in(1, 11))
+	r.Replace(&Contents{Servers: []Server{s}, Position: in(2, 10)})
+	now = now.Add(departedDoubt / 2)
+	f.applyAnswer(r.changesAfter(in(0, 0)))
+	now = now.Add(departedDoubt / 4)
+	f.Replace(&Contents{Servers: []Server{s}, Position: in(3, 10)})
+	now = now.Add(departedDoubt * 3 / 4)
+	f.Apply(nil, f.Position())
+	require.False(t, usable(f))
+	f.Apply([]Change{{Server: &s}}, in(3, 11))
+	require.True(t, usable(f), "after the server was written again")
+}
+
 // The copy of a restored source lists a process that was followed by one that has left, so that both are gone.
 func TestProcessBeforeRemovedOneGetsNoWork(t *testing.T) {
 	now := time.Unix(1000, 0)
