Pass on which servers have left against a restored source, not only which are leaving

An instance that started after a restoration could use a server that had announced that it leaves and was gone, once the doubt of 4 s was over or the instance had read the copy itself, while the instance that it had asked would never.

Cause: contents for other instances name the leaving servers that the source lists as live, but not those that had been removed before the source was restored: these are told by their departure alone.

Evidence: TestServerThatLeftIsPassedOn failed before (Should be false).

Change: they are named as well. They stay leaving at the other instance until they are written again.

--- a/internal/config/figcatalogue/relay.go
+++ b/internal/config/figcatalogue/relay.go
@@ -98,7 +98,7 @@
 	for name, n := range c.servers {
 		if _, kept := c.kept.servers[name]; !kept && n.RemovedAt.IsZero() {
 			s.Servers = append(s.Servers, snapshotServer(&n, now))
-			if c.kept.leaving[n.Lifetime()] {
+			if c.kept.leaving[n.Lifetime()] || c.kept.hasLeft(&n) {
 				s.KeptLeaving = append(s.KeptLeaving, name)
 			}
 		}
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -514,6 +514,27 @@
 	require.True(t, usable(f), "after the server was written again")
 }
 
+// An instance that starts keeps a server from work for good that had left at the instance that it asks.
+func TestServerThatLeftIsPassedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := server("s", 1)
+	leaving := s
+	leaving.State = figview.Leaving
+	r, f := newCatalogueAt(&now), newCatalogueAt(&now)
+	r.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(1, 10)})
+	r.Apply([]Change{{Server: &leaving}, {ServerRemoved: "s"}}, in(1, 12))
+	now = now.Add(2 * RemovedServerGrace)
+	r.Apply(nil, r.Position())
+	r.Replace(&Contents{Servers: []Server{s}, Position: in(2, 10)})
+	f.applyAnswer(r.changesAfter(in(0, 0)))
+	f.Replace(&Contents{Servers: []Server{s}, Position: in(2, 10)})
+	now = now.Add(departedDoubt)
+	for _, c := range []*Catalogue{r, f} {
+		c.Apply(nil, c.Position())
+		require.False(t, usable(c))
+	}
+}
+
 // The copy of a restored source lists a process that was followed by one that has left, so that both are gone.
 func TestProcessBeforeRemovedOneGetsNoWork(t *testing.T) {
 	now := time.Unix(1000, 0)
