Keep doubting what another instance's contents leave out

A server that had left could get work again at an instance that was cut off over several restorations of the store: another instance brought it the new epoch, and then it read the copy itself.

Cause: what an instance knows better than a restored source was compared only with the first contents of an epoch. Where these come from another instance, they lack entries that it knows better, so that nothing was recorded, and the instance's own read counted as news.

Change: a departure holds its epoch, and an entry of a later one is doubted whenever it is first listed. All servers that are leaving when the source is restored stay so until they are written again, whether or not the first contents list them.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -116,6 +116,7 @@
 	if restored {
 		klog.InfoS("source restored from an older copy", "epoch", n.Epoch, "revision", n.Revision,
 			"epochBefore", c.position.Epoch, "revisionBefore", c.position.Revision)
+		c.kept.keepAllLeaving(c.servers)
 	}
 	c.setDeclarations(n.Declarations, cmp.Or(n.DeclarationsEpoch, n.Epoch))
 	listed := make(map[string]bool, len(n.Servers))
@@ -125,14 +126,14 @@
 		if outdated {
 			continue
 		}
-		c.kept.listed(&n.Servers[i], restored, now)
+		c.kept.listed(&n.Servers[i], n.Epoch, now)
 		if left, doubted := n.Doubted[n.Servers[i].Name]; doubted {
-			c.kept.listedDoubted(&n.Servers[i], now.Add(left), now)
+			c.kept.listedDoubted(&n.Servers[i], n.Epoch, now.Add(left), now)
 		}
 		if slices.Contains(n.KeptLeaving, n.Servers[i].Name) {
 			c.kept.leaving[n.Servers[i].Lifetime()] = true
 		}
-		c.kept.keepLeaving(c.servers, &n.Servers[i], restored)
+		c.kept.keepLeaving(c.servers, &n.Servers[i])
 		c.setServer(n.Servers[i])
 	}
 	for name, s := range c.servers {
@@ -268,7 +269,7 @@
 	}
 	s.RemovedAt = now
 	c.servers[name] = s
-	c.kept.recordDeparture(&s, now)
+	c.kept.recordDeparture(&s, c.position.Epoch, now)
 	if c.kept.isDoubted(name) {
 		delete(c.kept.doubted, name)
 		delete(c.servers, name)
--- a/internal/config/figcatalogue/restore.go
+++ b/internal/config/figcatalogue/restore.go
@@ -25,8 +25,8 @@
 	servers, dataCentres map[string]time.Time
 	// doubted holds until when listed servers get no work, by name.
 	doubted map[string]time.Time
-	// leaving holds the lifetimes of servers that were leaving before the source was restored and are listed as live
-	// since. They stay leaving until they are written again.
+	// leaving holds the lifetimes of servers that were leaving before the source was restored. They stay leaving until
+	// they are written again.
 	leaving map[string]bool
 	// departed holds the removed servers, by name.
 	departed map[string]departure
@@ -35,6 +35,8 @@
 // departure is the removal of a server.
 type departure struct {
 	at time.Time
+	// epoch is that of the removal, or the latest one in which the source listed the server again.
+	epoch uint64
 	// latest is the start of the latest process that was removed, announced that of the latest one that was leaving before.
 	latest, announced time.Time
 }
@@ -47,10 +49,10 @@
 }
 
 // recordDeparture records that s was removed at now.
-func (r *restoration) recordDeparture(s *Server, now time.Time) {
+func (r *restoration) recordDeparture(s *Server, epoch uint64, now time.Time) {
 	delete(r.leaving, s.Lifetime())
 	d := r.departed[s.Name]
-	d.at = now
+	d.at, d.epoch = now, epoch
 	if d.latest.Before(s.StartedAt) {
 		d.latest = s.StartedAt
 	}
@@ -89,24 +91,34 @@
 	return !s.StartedAt.IsZero() && old.State == figview.Leaving && old.Lifetime() == s.Lifetime()
 }
 
-// keepLeaving makes s, which is listed as live, leaving if its process was so among the known servers. restored says that
-// the source was just restored from an older copy.
-func (r *restoration) keepLeaving(known map[string]Server, s *Server, restored bool) {
+// keepAllLeaving records the known servers that are leaving as the source is restored.
+func (r *restoration) keepAllLeaving(known map[string]Server) {
+	for _, s := range known {
+		if s.State == figview.Leaving {
+			r.leaving[s.Lifetime()] = true
+		}
+	}
+}
+
+// keepLeaving makes s, which is listed as live, leaving if its process was so among the known servers before the source was
+// restored.
+func (r *restoration) keepLeaving(known map[string]Server, s *Server) {
 	old, ok := known[s.Name]
-	if s.State != figview.Live || !ok || !remainsLeaving(&old, s) || !restored && !r.leaving[s.Lifetime()] {
-		return
+	if s.State == figview.Live && ok && remainsLeaving(&old, s) && r.leaving[s.Lifetime()] {
+		s.State = figview.Leaving
 	}
-	r.leaving[s.Lifetime()] = true
-	s.State = figview.Leaving
 }
 
-// listed records that a source lists s. restored says that it was just restored from an older copy.
-func (r *restoration) listed(s *Server, restored bool, now time.Time) {
+// listed records that a source lists s in an epoch.
+func (r *restoration) listed(s *Server, epoch uint64, now time.Time) {
 	delete(r.servers, s.Name)
+	d := r.departed[s.Name]
 	switch {
 	case !r.hasDeparted(s):
 		delete(r.doubted, s.Name)
-	case restored:
+	case d.epoch != 0 && d.epoch < epoch:
+		d.epoch = epoch
+		r.departed[s.Name] = d
 		r.doubted[s.Name] = now.Add(departedDoubt)
 		klog.InfoS("server entry doubted", "server", s.Name, "startedAt", s.StartedAt, "reason", "removed before the restoration")
 	case !r.isDoubted(s.Name):
@@ -115,8 +127,8 @@
 }
 
 // listedDoubted records that another instance gives no work to s, which a restored source lists, until a time.
-func (r *restoration) listedDoubted(s *Server, until, now time.Time) {
-	r.recordDeparture(s, now)
+func (r *restoration) listedDoubted(s *Server, epoch uint64, until, now time.Time) {
+	r.recordDeparture(s, epoch, now)
 	r.doubted[s.Name] = until
 }
 
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -554,3 +554,36 @@
 	c.Apply([]Change{{Server: &third}}, in(3, 11))
 	require.True(t, usable(c))
 }
+
+// The first contents of an epoch come from another instance, which passes on none of the entries of a server that it knows
+// better. The instance's own read of the copy must not undo that the server has left.
+func TestGoneServerThatPeerOmitsStaysGone(t *testing.T) {
+	s := server("s", 1)
+	leaving := s
+	leaving.State = figview.Leaving
+	for name, known := range map[string][]Change{
+		"leaving": {{Server: &leaving}},
+		"removed": {{ServerRemoved: "s"}},
+		"left":    {{Server: &leaving}, {ServerRemoved: "s"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			c := newCatalogueAt(&now)
+			c.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(1, 10)})
+			c.Apply(known, in(1, 12))
+			now = now.Add(2 * RemovedServerGrace)
+			c.Apply(nil, c.Position())
+			for epoch := range uint64(2) {
+				c.applyAnswer(&FollowAnswer{All: &Snapshot{Epoch: 2 + epoch, Revision: 10, Declarations: version(1)}})
+				for range 2 {
+					c.Replace(&Contents{Servers: []Server{s}, Position: in(2+epoch, 10)})
+					require.False(t, usable(c))
+				}
+			}
+			if name != "left" {
+				c.Apply([]Change{{Server: &s}}, in(3, 11))
+				require.True(t, usable(c), "written again")
+			}
+		})
+	}
+}
