Pass on removed servers with all contents, and keep none of them as lost

A server that the restored source had removed got work for 3 s more from an instance that learned of the restoration late, up to 6 s after the source's return. An instance that started after a server had left used it when the next copy listed it.

Cause: contents from another instance name what it has, not what it knows to be gone. A server that they lack could be one that the copy lost, which stays in use, or one that was removed since.

Evidence: TestServerRemovedSinceRestorationIsNotKept (both cases) and TestDepartureIsPassedOn failed before (Should be false).

Change: all contents for other instances hold the departures of the last minute with their age. A server that they cover is removed as of then, not kept. An entry of a process before a removed one is doubted in the epoch of the removal too. The field on the wire is new and optional.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -119,6 +119,7 @@
 		c.kept.keepAllLeaving(c.servers)
 	}
 	c.setDeclarations(n.Declarations, cmp.Or(n.DeclarationsEpoch, n.Epoch))
+	c.kept.learn(n.Departed, now)
 	listed := make(map[string]bool, len(n.Servers))
 	for i := range n.Servers {
 		outdated := c.isOutdated(&n.Servers[i])
@@ -139,7 +140,10 @@
 	for name, s := range c.servers {
 		switch _, kept := c.kept.servers[name]; {
 		case listed[name]:
-		case restored && s.RemovedAt.IsZero() && !c.kept.isDoubted(name):
+		case c.kept.hasDeparted(&s):
+			delete(c.kept.servers, name)
+			c.markServerRemoved(name, c.kept.departed[name].at)
+		case restored && s.RemovedAt.IsZero():
 			c.kept.servers[name] = now.Add(restoredGrace)
 			klog.InfoS("restored source lacks a server; keeping it", "server", name, "for", restoredGrace)
 		case !kept:
--- a/internal/config/figcatalogue/relay.go
+++ b/internal/config/figcatalogue/relay.go
@@ -33,6 +33,21 @@
 	Doubted map[string]time.Duration `cbor:"7,keyasint,omitempty"`
 	// KeptLeaving names the leaving servers that the source, which was restored from an older copy, lists as live.
 	KeptLeaving []string `cbor:"8,keyasint,omitempty"`
+	// Departed holds the servers that were removed lately.
+	Departed []Departure `cbor:"9,keyasint,omitempty"`
+}
+
+// Departure is the removal of a server, in wire form.
+type Departure struct {
+	Name string `cbor:"1,keyasint"`
+	// LatestMillis is the start of the latest process that was removed, AnnouncedMillis that of the latest one that was
+	// leaving before, in Unix milliseconds.
+	LatestMillis    int64 `cbor:"2,keyasint"`
+	AnnouncedMillis int64 `cbor:"3,keyasint"`
+	// Epoch is that of the removal, or the latest one in which the source listed the server again.
+	Epoch uint64 `cbor:"4,keyasint"`
+	// Age is the time since the removal.
+	Age time.Duration `cbor:"5,keyasint"`
 }
 
 // held returns the position that the sender holds.
@@ -88,6 +103,7 @@
 func (c *Catalogue) snapshot(now time.Time) *Snapshot {
 	s := &Snapshot{
 		Epoch: c.position.Epoch, Revision: c.position.Revision, Declarations: &c.table.Declarations, DeclarationsEpoch: c.tableEpoch,
+		Departed: c.kept.departures(now),
 	}
 	for name, until := range c.kept.doubted {
 		if s.Doubted == nil {
@@ -115,7 +131,7 @@
 func (s *Snapshot) contents(now time.Time) *Contents {
 	n := &Contents{
 		Declarations: s.Declarations, DrainedDataCentres: s.DrainedDataCentres, Position: s.position(),
-		DeclarationsEpoch: s.DeclarationsEpoch, Doubted: s.Doubted, KeptLeaving: s.KeptLeaving,
+		DeclarationsEpoch: s.DeclarationsEpoch, Doubted: s.Doubted, KeptLeaving: s.KeptLeaving, Departed: s.Departed,
 	}
 	for i := range s.Servers {
 		n.Servers = append(n.Servers, s.Servers[i].server(now))
--- a/internal/config/figcatalogue/restore.go
+++ b/internal/config/figcatalogue/restore.go
@@ -61,12 +61,41 @@
 	}
 	r.departed[s.Name] = d
 	for name, d := range r.departed {
-		if now.Sub(d.at) > departedMemory {
+		if now.Sub(d.at) > departedMemory && !r.isDoubted(name) {
 			delete(r.departed, name)
 		}
 	}
 }
 
+// departures returns the wire form of the departures.
+func (r *restoration) departures(now time.Time) []Departure {
+	var all []Departure
+	for name, d := range r.departed {
+		all = append(all, Departure{
+			Name: name, LatestMillis: d.latest.UnixMilli(), AnnouncedMillis: d.announced.UnixMilli(), Epoch: d.epoch, Age: now.Sub(d.at),
+		})
+	}
+	return all
+}
+
+// learn adds departures that another instance knows.
+func (r *restoration) learn(all []Departure, now time.Time) {
+	for _, n := range all {
+		d, known := r.departed[n.Name]
+		if at := now.Add(-n.Age); !known || d.at.Before(at) {
+			d.at = at
+		}
+		d.epoch = max(d.epoch, n.Epoch)
+		if latest := time.UnixMilli(n.LatestMillis); d.latest.Before(latest) {
+			d.latest = latest
+		}
+		if announced := time.UnixMilli(n.AnnouncedMillis); d.announced.Before(announced) {
+			d.announced = announced
+		}
+		r.departed[n.Name] = d
+	}
+}
+
 // hasDeparted says whether the process of s, or one that started later, was removed.
 func (r *restoration) hasDeparted(s *Server) bool {
 	d, departed := r.departed[s.Name]
@@ -116,7 +145,7 @@
 	switch {
 	case !r.hasDeparted(s):
 		delete(r.doubted, s.Name)
-	case d.epoch != 0 && d.epoch < epoch:
+	case d.epoch != 0 && d.epoch < epoch, s.StartedAt.Before(d.latest) && !r.isDoubted(s.Name):
 		d.epoch = epoch
 		r.departed[s.Name] = d
 		r.doubted[s.Name] = now.Add(departedDoubt)
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -587,3 +587,42 @@
 		})
 	}
 }
+
+// A server that the restored source has removed since is not one that it has lost, for an instance that learns of both from
+// another one.
+func TestServerRemovedSinceRestorationIsNotKept(t *testing.T) {
+	for name, before := range map[string][]Server{"known": {server("s", 1)}, "restarted": {server("s", 1), server("s", 2)}} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			s := before[len(before)-1]
+			r, late := newCatalogueAt(&now), newCatalogueAt(&now)
+			for _, c := range []*Catalogue{r, late} {
+				c.Replace(&Contents{Declarations: version(1), Servers: before[:1], Position: in(1, 10)})
+				c.Apply([]Change{{Server: &s}}, in(1, 11))
+			}
+			r.Replace(&Contents{Servers: before[:1], Position: in(2, 10)})
+			r.Apply([]Change{{Server: &s}, {ServerRemoved: "s"}}, in(2, 12))
+			late.applyAnswer(r.changesAfter(late.Position()))
+			require.False(t, usable(late))
+			now = now.Add(2 * RemovedServerGrace)
+			late.Apply(nil, late.Position())
+			late.Replace(&Contents{Servers: []Server{s}, Position: in(3, 10)})
+			require.False(t, usable(late), "listed by the next copy")
+		})
+	}
+}
+
+// An instance that starts after a server has left must not use it when the next restored source lists it.
+func TestDepartureIsPassedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := server("s", 1)
+	r, f := newCatalogueAt(&now), newCatalogueAt(&now)
+	r.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(1, 10)})
+	r.Apply([]Change{{ServerRemoved: "s"}}, in(1, 11))
+	now = now.Add(2 * RemovedServerGrace)
+	f.applyAnswer(r.changesAfter(in(0, 0)))
+	f.Replace(&Contents{Servers: []Server{s}, Position: in(2, 10)})
+	require.False(t, usable(f))
+	f.Apply([]Change{{Server: &s}}, in(2, 11))
+	require.True(t, usable(f), "written again")
+}
--- a/internal/config/figcatalogue/types.go
+++ b/internal/config/figcatalogue/types.go
@@ -52,6 +52,8 @@
 	Doubted map[string]time.Duration
 	// KeptLeaving names the leaving servers that the source itself lists as live.
 	KeptLeaving []string
+	// Departed holds the servers that another instance knows to have been removed.
+	Departed []Departure
 }
 
 // Change is one change of a source. One of its fields is set, except that DecodeError may be set together with
--- a/internal/config/figcatalogue/wire_test.go
+++ b/internal/config/figcatalogue/wire_test.go
@@ -44,6 +44,7 @@
 		Epoch:              5,
 		DeclarationsEpoch:  4,
 		Doubted:            map[string]time.Duration{"engine-1": 2 * time.Second},
+		Departed:           []Departure{{Name: "engine-2", LatestMillis: 1700000000123, AnnouncedMillis: 1600000000123, Epoch: 3, Age: 9 * time.Second}},
 	}
 }
 
@@ -83,6 +84,9 @@
 		uint64(5): uint64(5),
 		uint64(6): uint64(4),
 		uint64(7): map[any]any{"engine-1": uint64(2e9)},
+		uint64(9): []any{map[any]any{
+			uint64(1): "engine-2", uint64(2): uint64(1700000000123), uint64(3): uint64(1600000000123), uint64(4): uint64(3), uint64(5): uint64(9e9),
+		}},
 	}
 
 	encoded, err := cbor.Marshal(snapshotMessage())
