Count the time for which lost servers stay in use from the restoration

A server that the restored source lacked got work for 3 s after each instance had heard of the restoration, so up to 5 s after the source's return where watches hang, and beyond the time in which servers write themselves again (about 2 s). Found by random sequences in virtual time.

Cause: the time began anew at each instance. Contents from another instance don't say how old its knowledge of the epoch is.

Evidence: TestGraceCountsFromRestoration failed before (Should be false).

Change: all contents for other instances hold how long instances have had contents of the epoch. The field on the wire is new and optional; without it the time begins as before.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -52,7 +52,9 @@
 	tableEpoch uint64
 	// position is the source's position of the active contents, which may come from another instance.
 	position figview.Position
-	kept     restoration
+	// epochBegan is the earliest time known at which an instance had contents of the position's epoch.
+	epochBegan time.Time
+	kept       restoration
 	// endWait ends the call that waits for changes; nil if none does.
 	endWait context.CancelFunc
 	// log holds the latest changes for followers, and changed is closed at the next one.
@@ -119,6 +121,9 @@
 		c.kept.keepAllLeaving(c.servers)
 	}
 	c.setDeclarations(n.Declarations, cmp.Or(n.DeclarationsEpoch, n.Epoch))
+	if began := now.Add(-n.EpochAge); c.position.Epoch != n.Epoch || began.Before(c.epochBegan) {
+		c.epochBegan = began
+	}
 	c.kept.learn(n.Departed, now)
 	listed := make(map[string]bool, len(n.Servers))
 	for i := range n.Servers {
@@ -144,8 +149,8 @@
 			delete(c.kept.servers, name)
 			c.markServerRemoved(name, c.kept.departed[name].at)
 		case restored && s.RemovedAt.IsZero():
-			c.kept.servers[name] = now.Add(restoredGrace)
-			klog.InfoS("restored source lacks a server; keeping it", "server", name, "for", restoredGrace)
+			c.kept.servers[name] = c.epochBegan.Add(restoredGrace)
+			klog.InfoS("restored source lacks a server; keeping it", "server", name, "until", c.epochBegan.Add(restoredGrace))
 		case !kept:
 			c.markServerRemoved(name, now)
 		}
@@ -154,8 +159,8 @@
 		switch _, kept := c.kept.dataCentres[name]; {
 		case slices.Contains(n.DrainedDataCentres, name):
 		case restored:
-			c.kept.dataCentres[name] = now.Add(restoredGrace)
-			klog.InfoS("restored source lacks a drained data centre; keeping it", "dataCentre", name, "for", restoredGrace)
+			c.kept.dataCentres[name] = c.epochBegan.Add(restoredGrace)
+			klog.InfoS("restored source lacks a drained data centre; keeping it", "dataCentre", name, "until", c.epochBegan.Add(restoredGrace))
 		case !kept:
 			c.setDrained(name, false)
 		}
@@ -205,6 +210,9 @@
 	}
 	if c.position.Before(position) {
 		c.record(c.position, position, changes)
+		if c.position.Epoch != position.Epoch {
+			c.epochBegan = now
+		}
 		c.position = position
 	}
 	c.publish(now)
--- a/internal/config/figcatalogue/relay.go
+++ b/internal/config/figcatalogue/relay.go
@@ -35,6 +35,8 @@
 	KeptLeaving []string `cbor:"8,keyasint,omitempty"`
 	// Departed holds the servers that were removed lately.
 	Departed []Departure `cbor:"9,keyasint,omitempty"`
+	// EpochAge is how long instances have had contents of this epoch.
+	EpochAge time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Departure is the removal of a server, in wire form.
@@ -103,7 +105,7 @@
 func (c *Catalogue) snapshot(now time.Time) *Snapshot {
 	s := &Snapshot{
 		Epoch: c.position.Epoch, Revision: c.position.Revision, Declarations: &c.table.Declarations, DeclarationsEpoch: c.tableEpoch,
-		Departed: c.kept.departures(now),
+		Departed: c.kept.departures(now), EpochAge: now.Sub(c.epochBegan),
 	}
 	for name, until := range c.kept.doubted {
 		if s.Doubted == nil {
@@ -131,7 +133,7 @@
 func (s *Snapshot) contents(now time.Time) *Contents {
 	n := &Contents{
 		Declarations: s.Declarations, DrainedDataCentres: s.DrainedDataCentres, Position: s.position(),
-		DeclarationsEpoch: s.DeclarationsEpoch, Doubted: s.Doubted, KeptLeaving: s.KeptLeaving, Departed: s.Departed,
+		DeclarationsEpoch: s.DeclarationsEpoch, Doubted: s.Doubted, KeptLeaving: s.KeptLeaving, Departed: s.Departed, EpochAge: s.EpochAge,
 	}
 	for i := range s.Servers {
 		n.Servers = append(n.Servers, s.Servers[i].server(now))
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -626,3 +626,25 @@
 	f.Apply([]Change{{Server: &s}}, in(2, 11))
 	require.True(t, usable(f), "written again")
 }
+
+// What a restored source lacks is kept for a time after the restoration, not after an instance has heard of it.
+func TestGraceCountsFromRestoration(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r, late := newCatalogueAt(&now), newCatalogueAt(&now)
+	for _, c := range []*Catalogue{r, late} {
+		c.Replace(&Contents{
+			Declarations: version(1), Servers: []Server{server("s", 1)}, DrainedDataCentres: []string{"west"}, Position: in(1, 10),
+		})
+	}
+	r.Replace(&Contents{Position: in(2, 9)})
+	now = now.Add(restoredGrace - 10*time.Millisecond)
+	late.applyAnswer(r.changesAfter(late.Position()))
+	require.True(t, usable(r))
+	require.True(t, usable(late))
+	now = now.Add(10 * time.Millisecond)
+	for _, c := range []*Catalogue{r, late} {
+		c.Apply(nil, c.Position())
+		require.False(t, usable(c))
+		require.Empty(t, c.View().DrainedDataCentres)
+	}
+}
--- a/internal/config/figcatalogue/types.go
+++ b/internal/config/figcatalogue/types.go
@@ -54,6 +54,8 @@
 	KeptLeaving []string
 	// Departed holds the servers that another instance knows to have been removed.
 	Departed []Departure
+	// EpochAge is how long other instances have had contents of this epoch.
+	EpochAge time.Duration
 }
 
 // Change is one change of a source. One of its fields is set, except that DecodeError may be set together with
