Keep what a restored source lacks while nobody hears from the source

A server that had left got work again, and a data centre that was drained was in service, at followers while the store was silent after a restoration.

Cause: the times after which a listed server is trusted and a missing evacuation counts as taken back assume that servers and operators can write meanwhile. Readers let them pass only with an answer of the source. A follower let them pass with any answer of its reader, which believes for as long as its watch hangs that it reads the source.

Evidence: TestKeptEntriesOutlastSilence failed before (Should be false).

Change: answers to followers and contents for other instances hold how long nothing was heard from the source, and entries are kept until it was heard after their time. The fields on the wire are new and optional; without them an answer counts as heard, as before.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -54,7 +54,9 @@
 	position figview.Position
 	// epochBegan is the earliest time known at which an instance had contents of the position's epoch.
 	epochBegan time.Time
-	kept       restoration
+	// heardAt is when an instance has last heard from the source what this one knows.
+	heardAt time.Time
+	kept    restoration
 	// endWait ends the call that waits for changes; nil if none does.
 	endWait context.CancelFunc
 	// log holds the latest changes for followers, and changed is closed at the next one.
@@ -114,6 +116,7 @@
 		c.publish(now)
 		return
 	}
+	c.hear(now.Add(-n.HeardAge))
 	restored := c.position.Epoch != 0 && c.position.Epoch < n.Epoch
 	if restored {
 		klog.InfoS("source restored from an older copy", "epoch", n.Epoch, "revision", n.Revision,
@@ -180,6 +183,11 @@
 // the active one, which came from another instance meanwhile, are ignored, as are those of a new epoch: they lack what the
 // source lost.
 func (c *Catalogue) Apply(changes []Change, position figview.Position) {
+	c.apply(changes, position, 0)
+}
+
+// apply is like Apply, with the time for which other instances have heard nothing from the source.
+func (c *Catalogue) apply(changes []Change, position figview.Position, heardAge time.Duration) {
 	now := c.opts.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -187,6 +195,7 @@
 		c.publish(now)
 		return
 	}
+	c.hear(now.Add(-heardAge))
 	for _, change := range changes {
 		if change.DecodeError != nil {
 			logDecodeErrors([]error{change.DecodeError})
@@ -218,6 +227,13 @@
 	c.publish(now)
 }
 
+// hear records that an instance heard from the source at a time.
+func (c *Catalogue) hear(at time.Time) {
+	if c.heardAt.Before(at) {
+		c.heardAt = at
+	}
+}
+
 // setDeclarations activates d if its version is higher than the active one, or the same with other contents in a later
 // epoch. Otherwise it keeps the active ones and logs a lower version.
 func (c *Catalogue) setDeclarations(d *figroute.Declarations, epoch uint64) {
@@ -304,7 +320,7 @@
 
 // publish stores a new view. It drops the servers that were removed longer than RemovedServerGrace ago.
 func (c *Catalogue) publish(now time.Time) {
-	c.expireKept(now)
+	c.expireKept()
 	v := &View{
 		Table: c.table, Servers: map[string][]Server{}, DrainedDataCentres: make(map[string]bool, len(c.drained)),
 		UpdatedAt: now, Position: c.position,
--- a/internal/config/figcatalogue/follow.go
+++ b/internal/config/figcatalogue/follow.go
@@ -65,6 +65,8 @@
 	All *Snapshot `cbor:"4,keyasint,omitempty"`
 	// Epoch is the epoch of Revision.
 	Epoch uint64 `cbor:"5,keyasint,omitempty"`
+	// HeardAge is how long instances have heard nothing from the source.
+	HeardAge time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Position returns the position after the changes.
@@ -121,7 +123,9 @@
 	now := c.opts.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a := &FollowAnswer{Epoch: c.position.Epoch, Revision: c.position.Revision, Reading: c.unavailableSince.Load() == nil}
+	a := &FollowAnswer{
+		Epoch: c.position.Epoch, Revision: c.position.Revision, Reading: c.unavailableSince.Load() == nil, HeardAge: now.Sub(c.heardAt),
+	}
 	if after.Epoch == 0 {
 		after.Epoch = c.position.Epoch
 	}
@@ -185,7 +189,7 @@
 	for i := range a.Changes {
 		changes = append(changes, a.Changes[i].change(now))
 	}
-	c.Apply(changes, a.Position())
+	c.apply(changes, a.Position(), a.HeardAge)
 }
 
 // follow asks a reader for changes once. It returns false if this instance is to read the source itself
--- a/internal/config/figcatalogue/relay.go
+++ b/internal/config/figcatalogue/relay.go
@@ -37,6 +37,8 @@
 	Departed []Departure `cbor:"9,keyasint,omitempty"`
 	// EpochAge is how long instances have had contents of this epoch.
 	EpochAge time.Duration `cbor:"10,keyasint,omitempty"`
+	// HeardAge is how long instances have heard nothing from the source.
+	HeardAge time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // Departure is the removal of a server, in wire form.
@@ -105,7 +107,7 @@
 func (c *Catalogue) snapshot(now time.Time) *Snapshot {
 	s := &Snapshot{
 		Epoch: c.position.Epoch, Revision: c.position.Revision, Declarations: &c.table.Declarations, DeclarationsEpoch: c.tableEpoch,
-		Departed: c.kept.departures(now), EpochAge: now.Sub(c.epochBegan),
+		Departed: c.kept.departures(now), EpochAge: now.Sub(c.epochBegan), HeardAge: now.Sub(c.heardAt),
 	}
 	for name, until := range c.kept.doubted {
 		if s.Doubted == nil {
@@ -133,7 +135,7 @@
 func (s *Snapshot) contents(now time.Time) *Contents {
 	n := &Contents{
 		Declarations: s.Declarations, DrainedDataCentres: s.DrainedDataCentres, Position: s.position(),
-		DeclarationsEpoch: s.DeclarationsEpoch, Doubted: s.Doubted, KeptLeaving: s.KeptLeaving, Departed: s.Departed, EpochAge: s.EpochAge,
+		DeclarationsEpoch: s.DeclarationsEpoch, Doubted: s.Doubted, KeptLeaving: s.KeptLeaving, Departed: s.Departed, EpochAge: s.EpochAge, HeardAge: s.HeardAge,
 	}
 	for i := range s.Servers {
 		n.Servers = append(n.Servers, s.Servers[i].server(now))
--- a/internal/config/figcatalogue/restore.go
+++ b/internal/config/figcatalogue/restore.go
@@ -188,23 +188,23 @@
 	return first
 }
 
-// expireKept removes what a restored source still lacks, and trusts what it still lists, after the time for that. c.mu must
-// be held.
-func (c *Catalogue) expireKept(now time.Time) {
+// expireKept removes what a restored source still lacks, and trusts what it still lists, once the source was heard after the
+// time for that. c.mu must be held.
+func (c *Catalogue) expireKept() {
 	for name, until := range c.kept.servers {
-		if !now.Before(until) {
+		if !c.heardAt.Before(until) {
 			delete(c.kept.servers, name)
-			c.markServerRemoved(name, now)
+			c.markServerRemoved(name, until)
 		}
 	}
 	for name, until := range c.kept.dataCentres {
-		if !now.Before(until) {
+		if !c.heardAt.Before(until) {
 			delete(c.kept.dataCentres, name)
 			c.setDrained(name, false)
 		}
 	}
 	for name, until := range c.kept.doubted {
-		if !now.Before(until) {
+		if !c.heardAt.Before(until) {
 			delete(c.kept.doubted, name)
 			if s, ok := c.servers[name]; ok {
 				c.kept.trust(&s)
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -648,3 +648,25 @@
 		require.Empty(t, c.View().DrainedDataCentres)
 	}
 }
+
+// What is kept against a restored source stays kept while no instance hears from the source: nobody can write again then.
+func TestKeptEntriesOutlastSilence(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := server("s", 1)
+	r, f := newCatalogueAt(&now), newCatalogueAt(&now)
+	r.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, DrainedDataCentres: []string{"west"}, Position: in(1, 10)})
+	r.Apply([]Change{{ServerRemoved: "s"}}, in(1, 11))
+	f.applyAnswer(r.changesAfter(in(0, 0)))
+	for _, c := range []*Catalogue{r, f} {
+		c.Replace(&Contents{Servers: []Server{s}, Position: in(2, 10)})
+	}
+	// The reader waits for its watch and believes that it reads the source.
+	now = now.Add(departedDoubt + time.Second)
+	f.applyAnswer(r.changesAfter(f.Position()))
+	require.False(t, usable(f))
+	require.NotEmpty(t, f.View().DrainedDataCentres)
+	r.Apply(nil, r.Position())
+	f.applyAnswer(r.changesAfter(f.Position()))
+	require.True(t, usable(f), "listed for as long as it is doubted")
+	require.Empty(t, f.View().DrainedDataCentres)
+}
--- a/internal/config/figcatalogue/types.go
+++ b/internal/config/figcatalogue/types.go
@@ -56,6 +56,8 @@
 	Departed []Departure
 	// EpochAge is how long other instances have had contents of this epoch.
 	EpochAge time.Duration
+	// HeardAge is how long other instances have heard nothing from the source.
+	HeardAge time.Duration
 }
 
 // Change is one change of a source. One of its fields is set, except that DecodeError may be set together with
--- a/internal/config/figcatalogue/wire_test.go
+++ b/internal/config/figcatalogue/wire_test.go
@@ -46,6 +46,7 @@
 		Doubted:            map[string]time.Duration{"engine-1": 2 * time.Second},
 		Departed:           []Departure{{Name: "engine-2", LatestMillis: 1700000000123, AnnouncedMillis: 1600000000123, Epoch: 3, Age: 9 * time.Second}},
 		EpochAge:           8 * time.Second,
+		HeardAge:           7 * time.Second,
 	}
 }
 
@@ -89,6 +90,7 @@
 			uint64(1): "engine-2", uint64(2): uint64(1700000000123), uint64(3): uint64(1600000000123), uint64(4): uint64(3), uint64(5): uint64(9e9),
 		}},
 		uint64(10): uint64(8e9),
+		uint64(11): uint64(7e9),
 	}
 
 	encoded, err := cbor.Marshal(snapshotMessage())
