--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -52,7 +52,11 @@
 	tableEpoch uint64
 	// position is the source's position of the active contents, which may come from another instance.
 	position figview.Position
-	kept     restoration
+	// epochBegan is the earliest time known at which an instance had contents of the position's epoch.
+	epochBegan time.Time
+	// heardAt is when an instance has last heard from the source what this one knows.
+	heardAt time.Time
+	kept    restoration
 	// endWait ends the call that waits for changes; nil if none does.
 	endWait context.CancelFunc
 	// log holds the latest changes for followers, and changed is closed at the next one.
@@ -112,31 +116,44 @@
 		c.publish(now)
 		return
 	}
+	c.hear(now.Add(-n.HeardAge))
 	restored := c.position.Epoch != 0 && c.position.Epoch < n.Epoch
 	if restored {
 		klog.InfoS("source restored from an older copy", "epoch", n.Epoch, "revision", n.Revision,
 			"epochBefore", c.position.Epoch, "revisionBefore", c.position.Revision)
+		c.kept.keepAllLeaving(c.servers)
 	}
 	c.setDeclarations(n.Declarations, cmp.Or(n.DeclarationsEpoch, n.Epoch))
+	if began := now.Add(-n.EpochAge); c.position.Epoch != n.Epoch || began.Before(c.epochBegan) {
+		c.epochBegan = began
+	}
+	c.kept.learn(n.Departed, now)
 	listed := make(map[string]bool, len(n.Servers))
 	for i := range n.Servers {
-		listed[n.Servers[i].Name] = true
-		c.kept.listed(&n.Servers[i], restored, now)
+		outdated := c.isOutdated(&n.Servers[i])
+		listed[n.Servers[i].Name] = !outdated || !restored
+		if outdated {
+			continue
+		}
+		c.kept.listed(&n.Servers[i], n.Epoch, now)
 		if left, doubted := n.Doubted[n.Servers[i].Name]; doubted {
-			c.kept.doubted[n.Servers[i].Name] = now.Add(left)
+			c.kept.listedDoubted(&n.Servers[i], n.Epoch, now.Add(left), now)
 		}
 		if slices.Contains(n.KeptLeaving, n.Servers[i].Name) {
 			c.kept.leaving[n.Servers[i].Lifetime()] = true
 		}
-		c.kept.keepLeaving(c.servers, &n.Servers[i], restored)
+		c.kept.keepLeaving(c.servers, &n.Servers[i])
 		c.setServer(n.Servers[i])
 	}
 	for name, s := range c.servers {
 		switch _, kept := c.kept.servers[name]; {
 		case listed[name]:
-		case restored && s.RemovedAt.IsZero() && !c.kept.isDoubted(name):
-			c.kept.servers[name] = now.Add(restoredGrace)
-			klog.InfoS("restored source lacks a server; keeping it", "server", name, "for", restoredGrace)
+		case c.kept.hasDeparted(&s):
+			delete(c.kept.servers, name)
+			c.markServerRemoved(name, c.kept.departed[name].at)
+		case restored && s.RemovedAt.IsZero():
+			c.kept.servers[name] = c.epochBegan.Add(restoredGrace)
+			klog.InfoS("restored source lacks a server; keeping it", "server", name, "until", c.epochBegan.Add(restoredGrace))
 		case !kept:
 			c.markServerRemoved(name, now)
 		}
@@ -145,8 +162,8 @@
 		switch _, kept := c.kept.dataCentres[name]; {
 		case slices.Contains(n.DrainedDataCentres, name):
 		case restored:
-			c.kept.dataCentres[name] = now.Add(restoredGrace)
-			klog.InfoS("restored source lacks a drained data centre; keeping it", "dataCentre", name, "for", restoredGrace)
+			c.kept.dataCentres[name] = c.epochBegan.Add(restoredGrace)
+			klog.InfoS("restored source lacks a drained data centre; keeping it", "dataCentre", name, "until", c.epochBegan.Add(restoredGrace))
 		case !kept:
 			c.setDrained(name, false)
 		}
@@ -166,6 +183,11 @@
 // the active one, which came from another instance meanwhile, are ignored, as are those of a new epoch: they lack what the
 // source lost.
 func (c *Catalogue) Apply(changes []Change, position figview.Position) {
+	c.apply(changes, position, 0)
+}
+
+// apply is like Apply, with the time for which other instances have heard nothing from the source.
+func (c *Catalogue) apply(changes []Change, position figview.Position, heardAge time.Duration) {
 	now := c.opts.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -173,6 +195,7 @@
 		c.publish(now)
 		return
 	}
+	c.hear(now.Add(-heardAge))
 	for _, change := range changes {
 		if change.DecodeError != nil {
 			logDecodeErrors([]error{change.DecodeError})
@@ -181,8 +204,10 @@
 		case change.Declarations != nil:
 			c.setDeclarations(change.Declarations, position.Epoch)
 		case change.Server != nil:
-			c.kept.written(change.Server)
-			c.setServer(*change.Server)
+			if !c.isOutdated(change.Server) {
+				c.kept.written(change.Server)
+				c.setServer(*change.Server)
+			}
 		case change.ServerRemoved != "":
 			delete(c.kept.servers, change.ServerRemoved)
 			c.markServerRemoved(change.ServerRemoved, now)
@@ -194,11 +219,21 @@
 	}
 	if c.position.Before(position) {
 		c.record(c.position, position, changes)
+		if c.position.Epoch != position.Epoch {
+			c.epochBegan = now
+		}
 		c.position = position
 	}
 	c.publish(now)
 }
 
+// hear records that an instance heard from the source at a time.
+func (c *Catalogue) hear(at time.Time) {
+	if c.heardAt.Before(at) {
+		c.heardAt = at
+	}
+}
+
 // setDeclarations activates d if its version is higher than the active one, or the same with other contents in a later
 // epoch. Otherwise it keeps the active ones and logs a lower version.
 func (c *Catalogue) setDeclarations(d *figroute.Declarations, epoch uint64) {
@@ -226,15 +261,20 @@
 		"routes", len(d.Routes), "pools", len(d.Pools), "accounts", len(d.Accounts))
 }
 
-// setServer adds or replaces a server, unless s is an entry of an earlier process than the one known. A process that was
-// leaving and removed stays leaving.
+// isOutdated says whether s is an entry of an earlier process than the one known.
+func (c *Catalogue) isOutdated(s *Server) bool {
+	known, ok := c.servers[s.Name]
+	if !ok || !s.StartedAt.Before(known.StartedAt) {
+		return false
+	}
+	klog.InfoS("server entry rejected", "server", s.Name,
+		"startedAt", s.StartedAt, "known", known.StartedAt, "reason", "older process")
+	return true
+}
+
+// setServer adds or replaces a server. A process that was leaving and removed stays leaving.
 func (c *Catalogue) setServer(s Server) {
 	old, known := c.servers[s.Name]
-	if known && s.StartedAt.Before(old.StartedAt) {
-		klog.InfoS("server entry rejected", "server", s.Name,
-			"startedAt", s.StartedAt, "known", old.StartedAt, "reason", "older process")
-		return
-	}
 	if s.State == figview.Live && c.kept.hasLeft(&s) {
 		s.State = figview.Leaving
 	}
@@ -257,7 +297,7 @@
 	}
 	s.RemovedAt = now
 	c.servers[name] = s
-	c.kept.recordDeparture(&s, now)
+	c.kept.recordDeparture(&s, c.position.Epoch, now)
 	if c.kept.isDoubted(name) {
 		delete(c.kept.doubted, name)
 		delete(c.servers, name)
@@ -280,7 +320,7 @@
 
 // publish stores a new view. It drops the servers that were removed longer than RemovedServerGrace ago.
 func (c *Catalogue) publish(now time.Time) {
-	c.expireKept(now)
+	c.expireKept()
 	v := &View{
 		Table: c.table, Servers: map[string][]Server{}, DrainedDataCentres: make(map[string]bool, len(c.drained)),
 		UpdatedAt: now, Position: c.position,
--- a/internal/config/figcatalogue/restore.go
+++ b/internal/config/figcatalogue/restore.go
@@ -25,18 +25,20 @@
 	servers, dataCentres map[string]time.Time
 	// doubted holds until when listed servers get no work, by name.
 	doubted map[string]time.Time
-	// leaving holds the lifetimes of servers that were leaving before the source was restored and are listed as live
-	// since. They stay leaving until they are written again.
+	// leaving holds the lifetimes of servers that were leaving before the source was restored. They stay leaving until
+	// they are written again.
 	leaving map[string]bool
-	// departed holds the removed servers, by lifetime.
+	// departed holds the removed servers, by name.
 	departed map[string]departure
 }
 
 // departure is the removal of a server.
 type departure struct {
 	at time.Time
-	// announced says that the server was leaving before it was removed.
-	announced bool
+	// epoch is that of the removal, or the latest one in which the source listed the server again.
+	epoch uint64
+	// latest is the start of the latest process that was removed, announced that of the latest one that was leaving before.
+	latest, announced time.Time
 }
 
 func newRestoration() restoration {
@@ -47,20 +49,70 @@
 }
 
 // recordDeparture records that s was removed at now.
-func (r *restoration) recordDeparture(s *Server, now time.Time) {
+func (r *restoration) recordDeparture(s *Server, epoch uint64, now time.Time) {
 	delete(r.leaving, s.Lifetime())
-	r.departed[s.Lifetime()] = departure{now, s.State == figview.Leaving}
-	for lifetime, d := range r.departed {
-		if now.Sub(d.at) > departedMemory {
-			delete(r.departed, lifetime)
+	d := r.departed[s.Name]
+	d.at, d.epoch = now, epoch
+	if d.latest.Before(s.StartedAt) {
+		d.latest = s.StartedAt
+	}
+	if s.State == figview.Leaving && d.announced.Before(s.StartedAt) {
+		d.announced = s.StartedAt
+	}
+	r.departed[s.Name] = d
+	for name, d := range r.departed {
+		if now.Sub(d.at) > departedMemory && !r.isDoubted(name) {
+			delete(r.departed, name)
+		}
+	}
+}
+
+// departures returns the wire form of the departures.
+func (r *restoration) departures(now time.Time) []Departure {
+	all := make([]Departure, 0, len(r.departed))
+	for name, d := range r.departed {
+		all = append(all, Departure{
+			Name: name, LatestMillis: d.latest.UnixMilli(), AnnouncedMillis: d.announced.UnixMilli(), Epoch: d.epoch, Age: now.Sub(d.at),
+		})
+	}
+	return all
+}
+
+// learn adds departures that another instance knows.
+func (r *restoration) learn(all []Departure, now time.Time) {
+	for _, n := range all {
+		d, known := r.departed[n.Name]
+		if at := now.Add(-n.Age); !known || d.at.Before(at) {
+			d.at = at
 		}
+		d.epoch = max(d.epoch, n.Epoch)
+		if latest := time.UnixMilli(n.LatestMillis); d.latest.Before(latest) {
+			d.latest = latest
+		}
+		if announced := time.UnixMilli(n.AnnouncedMillis); d.announced.Before(announced) {
+			d.announced = announced
+		}
+		r.departed[n.Name] = d
 	}
 }
 
+// hasDeparted says whether the process of s, or one that started later, was removed.
+func (r *restoration) hasDeparted(s *Server) bool {
+	d, departed := r.departed[s.Name]
+	return departed && !s.StartedAt.After(d.latest)
+}
+
 // hasLeft says whether the process of s is known to have been leaving before it was removed. A restarted server without a
 // start time can't be told from the process before.
 func (r *restoration) hasLeft(s *Server) bool {
-	return !s.StartedAt.IsZero() && r.departed[s.Lifetime()].announced
+	return !s.StartedAt.IsZero() && r.departed[s.Name].announced.Equal(s.StartedAt)
+}
+
+// trust forgets that the process of s was removed, unless it had been leaving before.
+func (r *restoration) trust(s *Server) {
+	if r.hasDeparted(s) && !r.hasLeft(s) {
+		delete(r.departed, s.Name)
+	}
 }
 
 // remainsLeaving says whether s, which is listed as live, is the process that was leaving as old.
@@ -68,39 +120,53 @@
 	return !s.StartedAt.IsZero() && old.State == figview.Leaving && old.Lifetime() == s.Lifetime()
 }
 
-// keepLeaving makes s, which is listed as live, leaving if its process was so among the known servers. restored says that
-// the source was just restored from an older copy.
-func (r *restoration) keepLeaving(known map[string]Server, s *Server, restored bool) {
+// keepAllLeaving records the known servers that are leaving as the source is restored.
+func (r *restoration) keepAllLeaving(known map[string]Server) {
+	for _, s := range known {
+		if s.State == figview.Leaving {
+			r.leaving[s.Lifetime()] = true
+		}
+	}
+}
+
+// keepLeaving makes s, which is listed as live, leaving if its process was so among the known servers before the source was
+// restored.
+func (r *restoration) keepLeaving(known map[string]Server, s *Server) {
 	old, ok := known[s.Name]
-	if s.State != figview.Live || !ok || !remainsLeaving(&old, s) || !restored && !r.leaving[s.Lifetime()] {
-		return
+	if s.State == figview.Live && ok && remainsLeaving(&old, s) && r.leaving[s.Lifetime()] {
+		s.State = figview.Leaving
 	}
-	r.leaving[s.Lifetime()] = true
-	s.State = figview.Leaving
 }
 
-// listed records that a source lists s. restored says that it was just restored from an older copy.
-func (r *restoration) listed(s *Server, restored bool, now time.Time) {
+// listed records that a source lists s in an epoch.
+func (r *restoration) listed(s *Server, epoch uint64, now time.Time) {
 	delete(r.servers, s.Name)
-	_, departed := r.departed[s.Lifetime()]
+	d := r.departed[s.Name]
 	switch {
-	case departed && restored:
+	case !r.hasDeparted(s):
+		delete(r.doubted, s.Name)
+	case d.epoch != 0 && d.epoch < epoch, s.StartedAt.Before(d.latest) && !r.isDoubted(s.Name):
+		d.epoch = epoch
+		r.departed[s.Name] = d
 		r.doubted[s.Name] = now.Add(departedDoubt)
 		klog.InfoS("server entry doubted", "server", s.Name, "startedAt", s.StartedAt, "reason", "removed before the restoration")
-	case !r.doubted[s.Name].IsZero():
-	case departed && !r.hasLeft(s):
-		delete(r.departed, s.Lifetime())
+	case !r.isDoubted(s.Name):
+		r.trust(s)
 	}
 }
 
+// listedDoubted records that another instance gives no work to s, which a restored source lists, until a time.
+func (r *restoration) listedDoubted(s *Server, epoch uint64, until, now time.Time) {
+	r.recordDeparture(s, epoch, now)
+	r.doubted[s.Name] = until
+}
+
 // written records that s was written after the source's contents were read.
 func (r *restoration) written(s *Server) {
 	delete(r.leaving, s.Lifetime())
 	delete(r.servers, s.Name)
 	delete(r.doubted, s.Name)
-	if !r.hasLeft(s) {
-		delete(r.departed, s.Lifetime())
-	}
+	r.trust(s)
 }
 
 // isDoubted says whether a server gets no work though it is listed.
@@ -122,26 +188,26 @@
 	return first
 }
 
-// expireKept removes what a restored source still lacks, and trusts what it still lists, after the time for that. c.mu must
-// be held.
-func (c *Catalogue) expireKept(now time.Time) {
+// expireKept removes what a restored source still lacks, and trusts what it still lists, once the source was heard after the
+// time for that. c.mu must be held.
+func (c *Catalogue) expireKept() {
 	for name, until := range c.kept.servers {
-		if !now.Before(until) {
+		if !c.heardAt.Before(until) {
 			delete(c.kept.servers, name)
-			c.markServerRemoved(name, now)
+			c.markServerRemoved(name, until)
 		}
 	}
 	for name, until := range c.kept.dataCentres {
-		if !now.Before(until) {
+		if !c.heardAt.Before(until) {
 			delete(c.kept.dataCentres, name)
 			c.setDrained(name, false)
 		}
 	}
 	for name, until := range c.kept.doubted {
-		if !now.Before(until) {
+		if !c.heardAt.Before(until) {
 			delete(c.kept.doubted, name)
-			if s, ok := c.servers[name]; ok && !c.kept.hasLeft(&s) {
-				delete(c.kept.departed, s.Lifetime())
+			if s, ok := c.servers[name]; ok {
+				c.kept.trust(&s)
 			}
 		}
 	}
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -452,3 +452,221 @@
 		})
 	}
 }
+
+// usable says whether the server called s gets work.
+func usable(c *Catalogue) bool {
+	v := c.View()
+	for i := range v.Servers["p"] {
+		if s := &v.Servers["p"][i]; s.Name == "s" && v.Usable(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// The process that follows a removed one stays in use when a restored source lists the one before.
+func TestRestartedServerIsNotDoubtedForProcessBefore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first, second := server("s", 1), server("s", 2)
+	c := newCatalogueAt(&now)
+	c.Replace(&Contents{Declarations: version(1), Servers: []Server{first}, Position: in(1, 10)})
+	c.Apply([]Change{{ServerRemoved: "s"}, {Server: &second}}, in(1, 12))
+	for range 2 { // read twice, as after a failed watch
+		c.Replace(&Contents{Servers: []Server{first}, Position: in(2, 10)})
+		require.True(t, usable(c))
+	}
+	now = now.Add(restoredGrace)
+	c.Apply([]Change{{Server: &first}}, in(2, 11))
+	require.False(t, usable(c), "not written again")
+	c.Apply([]Change{{Server: &second}}, in(2, 12))
+	require.True(t, usable(c))
+}
+
+// A process that the source lists after one that is doubted is in use at once, also if it is found by a read.
+func TestRestartedServerIsNotDoubted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first, second := server("s", 1), server("s", 2)
+	c := newCatalogueAt(&now)
+	c.Replace(&Contents{Declarations: version(1), Servers: []Server{first}, Position: in(1, 10)})
+	c.Apply([]Change{{ServerRemoved: "s"}}, in(1, 11))
+	c.Replace(&Contents{Servers: []Server{first}, Position: in(2, 10)})
+	require.False(t, usable(c))
+	c.Replace(&Contents{Servers: []Server{second}, Position: in(2, 11)})
+	require.True(t, usable(c))
+}
+
+// An instance that starts with a doubted server of another instance doubts it again after the next restoration.
+func TestDoubtOfPeerIsRenewed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := server("s", 1)
+	r, f := newCatalogueAt(&now), newCatalogueAt(&now)
+	r.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(1, 10)})
+	r.Apply([]Change{{ServerRemoved: "s"}}, in(1, 11))
+	r.Replace(&Contents{Servers: []Server{s}, Position: in(2, 10)})
+	now = now.Add(departedDoubt / 2)
+	f.applyAnswer(r.changesAfter(in(0, 0)))
+	now = now.Add(departedDoubt / 4)
+	f.Replace(&Contents{Servers: []Server{s}, Position: in(3, 10)})
+	now = now.Add(departedDoubt * 3 / 4)
+	f.Apply(nil, f.Position())
+	require.False(t, usable(f))
+	f.Apply([]Change{{Server: &s}}, in(3, 11))
+	require.True(t, usable(f), "after the server was written again")
+}
+
+// An instance that starts keeps a server from work for good that had left at the instance that it asks.
+func TestServerThatLeftIsPassedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := server("s", 1)
+	leaving := s
+	leaving.State = figview.Leaving
+	r, f := newCatalogueAt(&now), newCatalogueAt(&now)
+	r.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(1, 10)})
+	r.Apply([]Change{{Server: &leaving}, {ServerRemoved: "s"}}, in(1, 12))
+	now = now.Add(2 * RemovedServerGrace)
+	r.Apply(nil, r.Position())
+	r.Replace(&Contents{Servers: []Server{s}, Position: in(2, 10)})
+	f.applyAnswer(r.changesAfter(in(0, 0)))
+	f.Replace(&Contents{Servers: []Server{s}, Position: in(2, 10)})
+	now = now.Add(departedDoubt)
+	for _, c := range []*Catalogue{r, f} {
+		c.Apply(nil, c.Position())
+		require.False(t, usable(c))
+	}
+}
+
+// The copy of a restored source lists a process that was followed by one that has left, so that both are gone.
+func TestProcessBeforeRemovedOneGetsNoWork(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first, second := server("s", 1), server("s", 2)
+	c := newCatalogueAt(&now)
+	c.Replace(&Contents{Declarations: version(1), Servers: []Server{first}, Position: in(1, 10)})
+	c.Apply([]Change{{Server: &second}}, in(1, 11))
+	c.Apply([]Change{{ServerRemoved: "s"}}, in(1, 12))
+	now = now.Add(2 * RemovedServerGrace)
+	c.Apply(nil, c.Position())
+	for epoch := range uint64(2) {
+		c.Replace(&Contents{Servers: []Server{first}, Position: in(2+epoch, 10)})
+		require.False(t, usable(c))
+		now = now.Add(departedDoubt / 2)
+	}
+	third := server("s", 3)
+	c.Apply([]Change{{Server: &third}}, in(3, 11))
+	require.True(t, usable(c))
+}
+
+// The first contents of an epoch come from another instance, which passes on none of the entries of a server that it knows
+// better. The instance's own read of the copy must not undo that the server has left.
+func TestGoneServerThatPeerOmitsStaysGone(t *testing.T) {
+	s := server("s", 1)
+	leaving := s
+	leaving.State = figview.Leaving
+	for name, known := range map[string][]Change{
+		"leaving": {{Server: &leaving}},
+		"removed": {{ServerRemoved: "s"}},
+		"left":    {{Server: &leaving}, {ServerRemoved: "s"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			c := newCatalogueAt(&now)
+			c.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(1, 10)})
+			c.Apply(known, in(1, 12))
+			now = now.Add(2 * RemovedServerGrace)
+			c.Apply(nil, c.Position())
+			for epoch := range uint64(2) {
+				c.applyAnswer(&FollowAnswer{All: &Snapshot{Epoch: 2 + epoch, Revision: 10, Declarations: version(1)}})
+				for range 2 {
+					c.Replace(&Contents{Servers: []Server{s}, Position: in(2+epoch, 10)})
+					require.False(t, usable(c))
+				}
+			}
+			if name != "left" {
+				c.Apply([]Change{{Server: &s}}, in(3, 11))
+				require.True(t, usable(c), "written again")
+			}
+		})
+	}
+}
+
+// A server that the restored source has removed since is not one that it has lost, for an instance that learns of both from
+// another one.
+func TestServerRemovedSinceRestorationIsNotKept(t *testing.T) {
+	for name, before := range map[string][]Server{"known": {server("s", 1)}, "restarted": {server("s", 1), server("s", 2)}} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			s := before[len(before)-1]
+			r, late := newCatalogueAt(&now), newCatalogueAt(&now)
+			for _, c := range []*Catalogue{r, late} {
+				c.Replace(&Contents{Declarations: version(1), Servers: before[:1], Position: in(1, 10)})
+				c.Apply([]Change{{Server: &s}}, in(1, 11))
+			}
+			r.Replace(&Contents{Servers: before[:1], Position: in(2, 10)})
+			r.Apply([]Change{{Server: &s}, {ServerRemoved: "s"}}, in(2, 12))
+			late.applyAnswer(r.changesAfter(late.Position()))
+			require.False(t, usable(late))
+			now = now.Add(2 * RemovedServerGrace)
+			late.Apply(nil, late.Position())
+			late.Replace(&Contents{Servers: []Server{s}, Position: in(3, 10)})
+			require.False(t, usable(late), "listed by the next copy")
+		})
+	}
+}
+
+// An instance that starts after a server has left must not use it when the next restored source lists it.
+func TestDepartureIsPassedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := server("s", 1)
+	r, f := newCatalogueAt(&now), newCatalogueAt(&now)
+	r.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(1, 10)})
+	r.Apply([]Change{{ServerRemoved: "s"}}, in(1, 11))
+	now = now.Add(2 * RemovedServerGrace)
+	f.applyAnswer(r.changesAfter(in(0, 0)))
+	f.Replace(&Contents{Servers: []Server{s}, Position: in(2, 10)})
+	require.False(t, usable(f))
+	f.Apply([]Change{{Server: &s}}, in(2, 11))
+	require.True(t, usable(f), "written again")
+}
+
+// What a restored source lacks is kept for a time after the restoration, not after an instance has heard of it.
+func TestGraceCountsFromRestoration(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r, late := newCatalogueAt(&now), newCatalogueAt(&now)
+	for _, c := range []*Catalogue{r, late} {
+		c.Replace(&Contents{
+			Declarations: version(1), Servers: []Server{server("s", 1)}, DrainedDataCentres: []string{"west"}, Position: in(1, 10),
+		})
+	}
+	r.Replace(&Contents{Position: in(2, 9)})
+	now = now.Add(restoredGrace - 10*time.Millisecond)
+	late.applyAnswer(r.changesAfter(late.Position()))
+	require.True(t, usable(r))
+	require.True(t, usable(late))
+	now = now.Add(10 * time.Millisecond)
+	for _, c := range []*Catalogue{r, late} {
+		c.Apply(nil, c.Position())
+		require.False(t, usable(c))
+		require.Empty(t, c.View().DrainedDataCentres)
+	}
+}
+
+// What is kept against a restored source stays kept while no instance hears from the source: nobody can write again then.
+func TestKeptEntriesOutlastSilence(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := server("s", 1)
+	r, f := newCatalogueAt(&now), newCatalogueAt(&now)
+	r.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, DrainedDataCentres: []string{"west"}, Position: in(1, 10)})
+	r.Apply([]Change{{ServerRemoved: "s"}}, in(1, 11))
+	f.applyAnswer(r.changesAfter(in(0, 0)))
+	for _, c := range []*Catalogue{r, f} {
+		c.Replace(&Contents{Servers: []Server{s}, Position: in(2, 10)})
+	}
+	// The reader waits for its watch and believes that it reads the source.
+	now = now.Add(departedDoubt + time.Second)
+	f.applyAnswer(r.changesAfter(f.Position()))
+	require.False(t, usable(f))
+	require.NotEmpty(t, f.View().DrainedDataCentres)
+	r.Apply(nil, r.Position())
+	f.applyAnswer(r.changesAfter(f.Position()))
+	require.True(t, usable(f), "listed for as long as it is doubted")
+	require.Empty(t, f.View().DrainedDataCentres)
+}
--- a/internal/config/figcatalogue/types.go
+++ b/internal/config/figcatalogue/types.go
@@ -52,6 +52,12 @@
 	Doubted map[string]time.Duration
 	// KeptLeaving names the leaving servers that the source itself lists as live.
 	KeptLeaving []string
+	// Departed holds the servers that another instance knows to have been removed.
+	Departed []Departure
+	// EpochAge is how long other instances have had contents of this epoch.
+	EpochAge time.Duration
+	// HeardAge is how long other instances have heard nothing from the source.
+	HeardAge time.Duration
 }
 
 // Change is one change of a source. One of its fields is set, except that DecodeError may be set together with
