Pass on the drained data centres that a restored source lacks

Work went to a data centre that operators had drained, from an instance that started after a restoration, until they drained it again.

Cause: contents for other instances left out the data centres that an instance keeps drained against the restored source, so that a starting one didn't know of them.

Evidence: TestDrainedDataCentreIsPassedOn failed before (instance that starts: Should be false).

Change: they are named in a field of their own, which is new and optional, and kept until the same time, which counts from the restoration.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -171,6 +171,12 @@
 	for _, name := range n.DrainedDataCentres {
 		c.setDrained(name, true)
 	}
+	for _, name := range n.KeptDataCentres {
+		if !slices.Contains(n.DrainedDataCentres, name) {
+			c.setDrained(name, true)
+			c.kept.dataCentres[name] = c.epochBegan.Add(restoredGrace)
+		}
+	}
 	logDecodeErrors(n.DecodeErrors)
 	c.position = n.Position
 	if restored && c.endWait != nil {
--- a/internal/config/figcatalogue/relay.go
+++ b/internal/config/figcatalogue/relay.go
@@ -39,6 +39,8 @@
 	EpochAge time.Duration `cbor:"10,keyasint,omitempty"`
 	// HeardAge is how long instances have heard nothing from the source.
 	HeardAge time.Duration `cbor:"11,keyasint,omitempty"`
+	// KeptDataCentres names the drained data centres that the source, which was restored from an older copy, lacks.
+	KeptDataCentres []string `cbor:"12,keyasint,omitempty"`
 }
 
 // Departure is the removal of a server, in wire form.
@@ -103,7 +105,7 @@
 	return held.Before(c.position)
 }
 
-// snapshot returns the active contents without what a restored source lacks. c.mu must be held.
+// snapshot returns the active contents without the servers that a restored source lacks. c.mu must be held.
 func (c *Catalogue) snapshot(now time.Time) *Snapshot {
 	s := &Snapshot{
 		Epoch: c.position.Epoch, Revision: c.position.Revision, Declarations: &c.table.Declarations, DeclarationsEpoch: c.tableEpoch,
@@ -124,7 +126,9 @@
 		}
 	}
 	for name := range c.drained {
-		if _, kept := c.kept.dataCentres[name]; !kept {
+		if _, kept := c.kept.dataCentres[name]; kept {
+			s.KeptDataCentres = append(s.KeptDataCentres, name)
+		} else {
 			s.DrainedDataCentres = append(s.DrainedDataCentres, name)
 		}
 	}
@@ -136,6 +140,7 @@
 	n := &Contents{
 		Declarations: s.Declarations, DrainedDataCentres: s.DrainedDataCentres, Position: s.position(),
 		DeclarationsEpoch: s.DeclarationsEpoch, Doubted: s.Doubted, KeptLeaving: s.KeptLeaving, Departed: s.Departed, EpochAge: s.EpochAge, HeardAge: s.HeardAge,
+		KeptDataCentres: s.KeptDataCentres,
 	}
 	for i := range s.Servers {
 		n.Servers = append(n.Servers, s.Servers[i].server(now))
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -670,3 +670,21 @@
 	require.True(t, usable(f), "listed for as long as it is doubted")
 	require.Empty(t, f.View().DrainedDataCentres)
 }
+
+// An instance that starts must not use a data centre that the instance it asks keeps drained.
+func TestDrainedDataCentreIsPassedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := server("s", 1)
+	other, c := newCatalogueAt(&now), newCatalogueAt(&now)
+	other.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(1, 10)})
+	other.Apply([]Change{{DrainedDataCentre: "east"}}, in(1, 11))
+	other.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(2, 10)})
+	require.False(t, usable(other), "instance that is asked")
+	c.applyAnswer(other.changesAfter(c.Position()))
+	require.False(t, usable(c), "instance that starts")
+	c.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(2, 10)})
+	require.False(t, usable(c), "after its own read")
+	now = now.Add(restoredGrace)
+	c.Apply(nil, in(2, 10))
+	require.True(t, usable(c), "not drained again")
+}
--- a/internal/config/figcatalogue/types.go
+++ b/internal/config/figcatalogue/types.go
@@ -50,8 +50,9 @@
 	DeclarationsEpoch uint64
 	// Doubted holds for how long servers get no work though they are listed, by name.
 	Doubted map[string]time.Duration
-	// KeptLeaving names the leaving servers that the source itself lists as live.
-	KeptLeaving []string
+	// KeptLeaving names the leaving servers that the source itself lists as live, KeptDataCentres the drained data
+	// centres that it lacks.
+	KeptLeaving, KeptDataCentres []string
 	// Departed holds the servers that another instance knows to have been removed.
 	Departed []Departure
 	// EpochAge is how long other instances have had contents of this epoch.
--- a/internal/config/figcatalogue/wire_test.go
+++ b/internal/config/figcatalogue/wire_test.go
@@ -47,6 +47,8 @@
 		Departed:           []Departure{{Name: "engine-2", LatestMillis: 1700000000123, AnnouncedMillis: 1600000000123, Epoch: 3, Age: 9 * time.Second}},
 		EpochAge:           8 * time.Second,
 		HeardAge:           7 * time.Second,
+		KeptLeaving:        []string{"engine-1"},
+		KeptDataCentres:    []string{"south"},
 	}
 }
 
@@ -86,11 +88,13 @@
 		uint64(5): uint64(5),
 		uint64(6): uint64(4),
 		uint64(7): map[any]any{"engine-1": uint64(2e9)},
+		uint64(8): []any{"engine-1"},
 		uint64(9): []any{map[any]any{
 			uint64(1): "engine-2", uint64(2): uint64(1700000000123), uint64(3): uint64(1600000000123), uint64(4): uint64(3), uint64(5): uint64(9e9),
 		}},
 		uint64(10): uint64(8e9),
 		uint64(11): uint64(7e9),
+		uint64(12): []any{"south"},
 	}
 
 	encoded, err := cbor.Marshal(snapshotMessage())
