Keep the cold start of a server that a restored source's copy doesn't know of

A server that had turned cold got as many requests as a warm one until its next check-in, as the restored source listed its entry from before.

Cause: contents that are read replaced the known end of the cold start of the same process, as if they were later.

Evidence: TestColdStartOutlastsRestoration failed before (knows the entry: Should be true).

Change: contents never shorten the cold start of a process that is known; an entry that the source reports as written does.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -143,6 +143,7 @@
 			c.kept.leaving[n.Servers[i].Lifetime()] = true
 		}
 		c.kept.keepLeaving(c.servers, &n.Servers[i])
+		c.keepColdStart(&n.Servers[i])
 		c.setServer(n.Servers[i])
 	}
 	for name, s := range c.servers {
@@ -278,6 +279,15 @@
 	return true
 }
 
+// keepColdStart extends the cold start of s, which was read from the source, to the known one of its process. The entry may be
+// from before the cold start.
+func (c *Catalogue) keepColdStart(s *Server) {
+	known, ok := c.servers[s.Name]
+	if ok && known.Lifetime() == s.Lifetime() && s.ColdStartEnd.Before(known.ColdStartEnd) {
+		s.ColdStartEnd = known.ColdStartEnd
+	}
+}
+
 // setServer adds or replaces a server. A process that was leaving and removed stays leaving.
 func (c *Catalogue) setServer(s Server) {
 	old, known := c.servers[s.Name]
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -688,3 +688,22 @@
 	c.Apply(nil, in(2, 10))
 	require.True(t, usable(c), "not drained again")
 }
+
+// A restored source must not end a cold start that the entry of its copy doesn't know of, nor must a later read of it.
+func TestColdStartOutlastsRestoration(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := server("s", 1)
+	cold := s
+	cold.ColdStartEnd = now.Add(20 * time.Second)
+	first, c := newCatalogueAt(&now), newCatalogueAt(&now)
+	first.Replace(&Contents{Declarations: version(1), Servers: []Server{s}, Position: in(1, 10)})
+	first.Apply([]Change{{Server: &cold}}, in(1, 11))
+	first.Replace(&Contents{Servers: []Server{s}, Position: in(2, 10)})
+	c.applyAnswer(first.changesAfter(c.Position()))
+	for name, known := range map[string]*Catalogue{"knows the entry": first, "starts": c} {
+		known.Replace(&Contents{Servers: []Server{s}, Position: in(2, 10)})
+		require.True(t, known.View().Servers["p"][0].InColdStart(now), name)
+		known.Apply([]Change{{Server: &s}}, in(2, 11))
+		require.False(t, known.View().Servers["p"][0].InColdStart(now), name+", after the server was written again")
+	}
+}
