Go on asking other instances after an answer without contents

Several instances that start at once could take an older copy's configuration and servers, though others had later ones: the first answer ended the query, also one of an instance that has nothing yet. Found by review.

Change: the query ends with the first answer that has contents, after three instances at most as before.

--- a/internal/app/figrouter/fleet.go
+++ b/internal/app/figrouter/fleet.go
@@ -216,20 +216,30 @@
 }
 
 // queryPeers asks up to maxPeerQueries other instances, one after the other, for the
-// configuration that they use. It returns the first answer and the name of the instance
-// that gave it, or the last error.
-func (r *Router) queryPeers(ctx context.Context, q *figcatalogue.SnapshotRequest) (s *figcatalogue.Snapshot, from string, err error) {
-	err = errors.New("no other instance is known to ask for the configuration")
+// configuration that they use. It returns the first answer that has one and the name of the
+// instance that gave it, or else an empty answer, or the last error.
+func (r *Router) queryPeers(ctx context.Context, q *figcatalogue.SnapshotRequest) (*figcatalogue.Snapshot, string, error) {
+	err := errors.New("no other instance is known to ask for the configuration")
+	var empty *figcatalogue.Snapshot
+	from := ""
 	for i, m := range r.discovery.Peers() {
 		if i == maxPeerQueries {
 			break
 		}
 		limited, cancel := context.WithTimeout(ctx, peerQueryTimeout)
-		s, err = figpeer.Call[figcatalogue.SnapshotRequest, figcatalogue.Snapshot](limited, r.client, m, callView, q)
+		s, callErr := figpeer.Call[figcatalogue.SnapshotRequest, figcatalogue.Snapshot](limited, r.client, m, callView, q)
 		cancel()
-		if err == nil {
+		switch {
+		case callErr != nil:
+			err = callErr
+		case s.Declarations != nil:
 			return s, m.Name, nil
+		default:
+			empty, from = s, m.Name
 		}
 	}
+	if empty != nil {
+		return empty, from, nil
+	}
 	return nil, "", err
 }
