Ask another instance before the first read of an epoch is applied

An instance that was frozen or cut off while a server left, a data centre was drained or the configuration changed, and that read the restored source itself, used what all others kept from work, or an older configuration, and stayed so: all had the same position. Found by review.

Cause: only an instance without a configuration asked another one before it applied what it had read.

Evidence: TestCutInstanceReadsRestoredSource, four of four cases failed before (instance that was cut off: Should be false; version 12 expected).

Change: an instance asks before it applies the first contents that it reads in an epoch, for 500 ms at most. What the other one knows better comes with its contents and outlasts the own read.

--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -707,3 +707,73 @@
 		require.False(t, known.View().Servers["p"][0].InColdStart(now), name+", after the server was written again")
 	}
 }
+
+// contentsOf returns contents with these servers.
+func contentsOf(position figview.Position, servers ...Server) *Contents {
+	return &Contents{Declarations: version(1), Servers: servers, Position: position}
+}
+
+// An instance that was cut off while something changed, and that reads the restored source itself, must not use what
+// others keep from work, nor an older configuration.
+func TestCutInstanceReadsRestoredSource(t *testing.T) {
+	s := server("s", 1)
+	leaving := s
+	leaving.State = figview.Leaving
+	for name, change := range map[string]Change{
+		"leaving":             {Server: &leaving},
+		"removed":             {ServerRemoved: "s"},
+		"drained data centre": {DrainedDataCentre: "east"},
+		"declarations":        {Declarations: version(12)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				now := time.Now()
+				other := newCatalogueAt(&now)
+				other.Replace(contentsOf(in(1, 10), s))
+				other.Apply([]Change{change}, in(1, 11))
+				other.Replace(contentsOf(in(2, 10), s))
+				c := New(Options{
+					IsReader: always, Clock: figtimer.System(),
+					Source: Source{
+						Read: func(context.Context) (*Contents, error) { return contentsOf(in(2, 10), s), nil },
+						Watch: func(ctx context.Context, after figview.Position, wait time.Duration) ([]Change, figview.Position, error) {
+							if after.Epoch < 2 {
+								return nil, in(2, 0), ErrHistoryLost
+							}
+							select {
+							case <-ctx.Done():
+								return nil, at(0), ctx.Err()
+							case <-time.After(wait):
+								return nil, in(2, 10), nil
+							}
+						},
+					},
+					QueryPeer: func(ctx context.Context, q *SnapshotRequest) (*Snapshot, string, error) {
+						a, err := other.Answer(ctx, q)
+						return a, "other", err
+					},
+					FetchFrom: func(ctx context.Context, _ figview.Member, q *FollowRequest) (*FollowAnswer, error) {
+						return other.HandleFollow(ctx, q)
+					},
+				})
+				c.Replace(contentsOf(in(1, 10), s))
+				c.reading.position, c.reading.complete = in(1, 10), true
+				go func() { _ = c.Run(ctx, figtimer.New(figtimer.System())) }()
+				go func() { _ = c.RunCatchUp(ctx, figtimer.New(figtimer.System())) }()
+				<-time.After(100 * time.Millisecond)
+				c.NotePosition(figview.Member{Name: "other"}, other.Position())
+				<-time.After(500 * time.Millisecond)
+				if change.Declarations != nil {
+					require.EqualValues(t, 12, other.View().Table.Version)
+					require.EqualValues(t, 12, c.View().Table.Version)
+				} else {
+					require.False(t, usable(other), "instance in touch")
+					require.False(t, usable(c), "instance that was cut off")
+				}
+				cancel()
+				<-time.After(10 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/config/figcatalogue/run.go
+++ b/internal/config/figcatalogue/run.go
@@ -22,7 +22,7 @@
 	// source's return; the wait may use a fifth of that.
 	retryBase  = 50 * time.Millisecond
 	retryLimit = 400 * time.Millisecond
-	// firstQueryTimeout bounds the query of another instance by one that has no declarations yet.
+	// firstQueryTimeout bounds the query of another instance by one that has nothing yet of the source's epoch.
 	firstQueryTimeout = 500 * time.Millisecond
 )
 
@@ -89,7 +89,9 @@
 		if n.Epoch < active.Epoch {
 			return false, errOutdated
 		}
-		c.mergeFromPeer(ctx)
+		if active.Epoch < n.Epoch || c.View().Table == nil {
+			c.mergeFromPeer(ctx)
+		}
 		c.Replace(n)
 		c.reading.position = n.Position
 		c.reading.complete = true
@@ -155,12 +157,9 @@
 	}
 }
 
-// mergeFromPeer fetches the contents of another instance if this one has no declarations yet: a source that was just restored
-// may have older ones than other instances.
+// mergeFromPeer fetches the contents of another instance before this one applies the first ones that it has read in an epoch: a source
+// that was just restored may have older declarations than other instances, and entries that they know better.
 func (c *Catalogue) mergeFromPeer(ctx context.Context) {
-	if c.View().Table != nil {
-		return
-	}
 	limited, cancel := context.WithTimeout(ctx, firstQueryTimeout)
 	defer cancel()
 	c.fetchFromPeer(limited)
