Keep a silent server's send until its replacement has accepted the request

The server was given up as soon as another one had a place, a connection and a retry; then that one and all later ones refused the request, broke off or answered with an error.

Cause: a working send was released before its replacement was certain. A place is no promise of the server.

Change: the search sends the request to the replacement itself, on a copy of the request's state, after it has taken a retry from the budget. The first send goes on until the replacement has accepted the request (the first event of a stream, the answer to a plain call, no 5xx), or both have had it for 300 ms. A replacement that fails the request before that is avoided, and the search goes on every 250 ms within budget, maxSends and the route's number of servers. If the silent server goes on first, the other send is cancelled and counted. If the silent server's send fails by itself, the one in flight is the next one. sendHistory holds what a request knows from its sends, so that the two exchanges can be joined. Servers in ranOn are counted once each.

Why it works: the phase of the watch, which one lock guards, decides between the two sends. An event that is read as the first send is given up is dropped, and the replacement was asked for the events after the last one that was relayed, so that none is missing or doubled; a complete answer is always used. Only idempotent requests and resumable streams have a watch, as before. A send in flight counts as one that may have run, so that 503 and 429 stay true.

--- a/internal/request/figproxy/plain.go
+++ b/internal/request/figproxy/plain.go
@@ -22,11 +22,10 @@
 func (x *exchange) servePlain() *Reply {
 	x.Retries.RecordRequest(x.Clock.Now(), x.pool)
 	for {
-		s, err := x.reservePlain()
-		if err != nil {
+		answer, s, err := x.sendToAny()
+		if s == nil {
 			return x.refuse(x.noServerCause(err))
 		}
-		answer, err := x.sendWhole(s)
 		if err == nil && !x.retryServerError(s, answer) {
 			return x.relayAnswer(answer)
 		}
@@ -36,15 +35,27 @@
 	}
 }
 
+// sendToAny sends the request to a server and returns the whole answer. The returned server is nil if none could be
+// reserved.
+func (x *exchange) sendToAny() (*figsend.Answer, *figcatalogue.Server, error) {
+	if x.replacement != nil {
+		r := x.takeReplacement()
+		return r.answer, r.server, r.err
+	}
+	s, err := x.reservePlain()
+	if err != nil {
+		return nil, nil, err
+	}
+	answer, err := x.sendWhole(s)
+	return answer, s, err
+}
+
 // plainWaitFraction is the longest wait for a free server of a plain service, as a fraction of the
 // latency target: an answer after it can still be in time.
 const plainWaitFraction = 0.3
 
 // reservePlain asks for a place at a server, which becomes x.placement.
 func (x *exchange) reservePlain() (*figcatalogue.Server, error) {
-	if s := x.takeReplacement(); s != nil {
-		return s, nil
-	}
 	now := x.Clock.Now()
 	deadline := now.Add(time.Duration(plainWaitFraction * float64(x.route.LatencyTarget)))
 	if deadline.After(x.answerDeadline) {
@@ -76,22 +87,26 @@
 	attempt.placement, x.placement = x.placement, nil
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
-	stop := x.watchSilence(s, x.tryTimeout(), false, func() { cancel(errTryTimeout) })
+	watch := x.watchSilence(s, x.tryTimeout(s), "", false, func() { cancel(errTryTimeout) })
 	answer, err := x.Sender.Do(ctx, x.sendCall(s, SendMetadata{}))
-	stop()
 	err = x.markTryTimeout(ctx, err)
 	metadata := x.answerMetadata(answer, err)
 	if err == nil && !metadata.FromApplication {
 		err = &figsend.Failure{Kind: figsend.KindOther, Err: figerror.Wrap(errNotFromApplication, "answer", s.Name)}
 	}
+	if err == nil && answer.Status < http.StatusInternalServerError {
+		watch.answered(x)
+	} else {
+		watch.failed(x)
+	}
 	x.finishSend(attempt, metadata, err)
 	return answer, err
 }
 
 // tryTimeout returns the time after which another server is looked for, or 0 if only the request's own deadline
 // applies: for routes that are not idempotent, and for the last server allowed.
-func (x *exchange) tryTimeout() time.Duration {
-	if x.route.Kind != figroute.Idempotent || len(x.ranOn)+1 >= x.route.MaxServers {
+func (x *exchange) tryTimeout(s *figcatalogue.Server) time.Duration {
+	if x.route.Kind != figroute.Idempotent || x.isLastServer(s) {
 		return 0
 	}
 	return tryTimeoutTargets * x.route.LatencyTarget
--- a/internal/request/figproxy/proxy.go
+++ b/internal/request/figproxy/proxy.go
@@ -140,6 +140,28 @@
 	// answerDeadline is when the final answer is due. callerDeadline is when the caller
 	// stops waiting; servers are sent the time left until then.
 	answerDeadline, callerDeadline time.Time
+	sendHistory
+
+	// placement is the placement of a model request that no send has taken over yet; nil if
+	// there is none.
+	placement *figcoordinator.Placement
+	// replacement is the watch on the last send if that has failed or was given up while another server got the
+	// request. That send is the next one, and its retry has been taken from the budget. It is nil if there is none.
+	replacement *silenceWatch
+	// replaces is the watch for which this copy of an exchange sends the request to another server; nil if it is
+	// no copy.
+	replaces *silenceWatch
+	// leftSilent is the lifetime of the silent server that was given up for the send after it; empty if there is
+	// none.
+	leftSilent   string
+	firstEventAt time.Time
+	lastEventAt  time.Time
+	events       int64
+	cleanups     []func()
+}
+
+// sendHistory is what is known from the sends made for a request.
+type sendHistory struct {
 	// avoid holds the lifetimes of servers that failed this request; they are not picked for
 	// it again.
 	avoid []string
@@ -156,19 +178,6 @@
 	namedLimit      string
 	prefillSends    int
 	prefilledTokens int64
-	// placement is the placement of a model request that no send has taken over yet; nil if
-	// there is none.
-	placement *figcoordinator.Placement
-	// replacement is a place at another server, for which the last send was given up because its server was silent.
-	// Its retry has been taken from the budget. It is nil if there is none.
-	replacement *figcoordinator.Placement
-	// leftSilent is the lifetime of the silent server for whose replacement the send after it was made; empty if
-	// there is none.
-	leftSilent   string
-	firstEventAt time.Time
-	lastEventAt  time.Time
-	events       int64
-	cleanups     []func()
 }
 
 // Serve serves one request and returns its answer, never nil. Cancel ctx with the cause
--- a/internal/request/figproxy/relay.go
+++ b/internal/request/figproxy/relay.go
@@ -52,12 +52,20 @@
 func (r *streamRelay) next() error {
 	x := r.exchange
 	for {
-		stop := x.watchSilence(r.server, r.stallTimeout(), true, r.GiveUp)
+		watch := x.watchSilence(r.server, r.stallTimeout(), string(r.lastEventID), true, r.GiveUp)
 		event, err := r.Next(x.ctx, x.answerDeadline.Sub(x.Clock.Now()))
-		stop()
-		switch {
-		case err == nil && !follows(r.lastEventID, event.ID):
+		if err == nil && !follows(r.lastEventID, event.ID) {
 			err = &figsend.Failure{Kind: figsend.KindOther, Err: figerror.Wrap(errEventOrder, "stream", r.server.Name)}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			watch.answered(x)
+		case err != nil:
+			watch.failed(x)
+		case !watch.goesOn(x):
+			err = r.givenUpFailure()
+		}
+		switch {
 		case err == nil:
 			r.unread = event.Raw
 			r.endsWithoutID = len(event.ID) == 0
@@ -98,7 +106,7 @@
 // the stream can't be resumed.
 func (r *streamRelay) stallTimeout() time.Duration {
 	x := r.exchange
-	if r.resumable() && len(x.ranOn)+1 < x.route.MaxServers {
+	if r.resumable() && !x.isLastServer(r.server) {
 		return resumableStallTimeout
 	}
 	return 0
--- a/internal/request/figproxy/reply.go
+++ b/internal/request/figproxy/reply.go
@@ -52,7 +52,7 @@
 func (x *exchange) finish(status int) *figlifecycle.Result {
 	<-x.lifecycle.Done()
 	result, _ := x.lifecycle.Result()
-	x.releaseReplacement()
+	x.cancelReplacement()
 	for _, cleanup := range x.cleanups {
 		cleanup()
 	}
--- a/internal/request/figproxy/reserve.go
+++ b/internal/request/figproxy/reserve.go
@@ -62,9 +62,6 @@
 // reserveDecode asks for a placement with enough free memory for the request, which becomes
 // x.placement. resume says that the request resumes a stream.
 func (x *exchange) reserveDecode(resume bool) (*figcatalogue.Server, error) {
-	if s := x.takeReplacement(); s != nil {
-		return s, nil
-	}
 	now := x.Clock.Now()
 	timing := placementTimingOf(x.Arrived, x.CallerTimeout, x.route.TimeLimit, x.route.LatencyTarget, x.PromptTokens)
 	retry := resume || x.sends > 0
--- a/internal/request/figproxy/send.go
+++ b/internal/request/figproxy/send.go
@@ -27,6 +27,7 @@
 	errRequestEnded       = errors.New("the request has ended")
 	errNotFromApplication = errors.New("the answer was not written by the server's application")
 	errTryTimeout         = errors.New("no answer within the timeout of one attempt")
+	errNotNeeded          = errors.New("the answer of another server is used")
 )
 
 func lower(s string) string { return strings.ToLower(s) }
@@ -135,6 +136,7 @@
 	}
 	if runsRequest {
 		x.sends++
+		x.replaces.startOverlap(x)
 	}
 	a.reservation = x.Picker.Begin(a.startedAt, x.view, s, tokens)
 	held := x.Picker.TotalLoad(a.startedAt, s)
@@ -187,8 +189,9 @@
 	if figsend.OutcomeOf(err) != figsend.NotRun && a.send != nil {
 		x.recordRan(a.server)
 	}
+	notNeeded := errors.Is(context.Cause(x.ctx), errNotNeeded)
 	klog.InfoS("send failed", "requestId", x.ID, "server", a.server.Name, "ran", figsend.OutcomeOf(err).String(),
-		"kind", kind.String(), "took", now.Sub(a.startedAt), "events", x.events, "callerLeft", requestEnded,
+		"kind", kind.String(), "took", now.Sub(a.startedAt), "events", x.events, "callerLeft", requestEnded && !notNeeded,
 		"sharedParts", x.loggedParts(), "err", err)
 }
 
@@ -214,12 +217,21 @@
 const staleConnectionWindow = 10 * time.Millisecond
 
 // recordRan records that the request may have run on s.
-func (x *exchange) recordRan(s *figcatalogue.Server) {
-	if lifetime := s.Lifetime(); !slices.Contains(x.ranOn, lifetime) {
-		x.ranOn = append(x.ranOn, lifetime)
+func (h *sendHistory) recordRan(s *figcatalogue.Server) {
+	if lifetime := s.Lifetime(); !slices.Contains(h.ranOn, lifetime) {
+		h.ranOn = append(h.ranOn, lifetime)
 	}
 }
 
+// isLastServer says that the route allows no other server after a send to s that may run.
+func (x *exchange) isLastServer(s *figcatalogue.Server) bool {
+	servers := len(x.ranOn)
+	if !slices.Contains(x.ranOn, s.Lifetime()) {
+		servers++
+	}
+	return servers >= x.route.MaxServers
+}
+
 // takeRetry says whether the request may be sent again after s failed it with err, and takes
 // the retry from the pool's budget if so. s isn't picked for the request again, unless err
 // comes from a stale connection. A retry takes nothing from the budget if no server received
@@ -239,6 +251,9 @@
 	switch {
 	case x.ctx.Err() != nil:
 		return "ended"
+	case x.replacement != nil:
+		x.avoid = append(x.avoid, s.Lifetime())
+		return "" // sent already
 	case x.sends >= maxSends:
 		return "sends"
 	case isQuarantined(err):
@@ -251,10 +266,6 @@
 	if !x.staleConnection(err) {
 		x.avoid = append(x.avoid, s.Lifetime())
 	}
-	if x.replacement != nil {
-		x.leftSilent = s.Lifetime()
-		return "" // taken from the budget already
-	}
 	if x.returnToSilent(notRun) {
 		return ""
 	}
--- a/internal/request/figproxy/silence.go
+++ b/internal/request/figproxy/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -9,130 +10,375 @@
 	"k8s.io/klog/v2"
 
 	"figtrail.dev/figtrail/internal/config/figcatalogue"
-	"figtrail.dev/figtrail/internal/place/figcoordinator"
+	"figtrail.dev/figtrail/internal/request/figsend"
 )
 
-// replacementInterval is the time between two searches for a server that replaces a silent one.
-const replacementInterval = 250 * time.Millisecond
+const (
+	// replacementInterval is the time between two searches for a server that replaces a silent one.
+	replacementInterval = 250 * time.Millisecond
+	// maxOverlap is the longest time for which a silent server and its replacement both have the request. Servers
+	// refuse requests within a few milliseconds.
+	maxOverlap = 300 * time.Millisecond
+)
+
+// watchPhase says which send of a watch the answer comes from.
+type watchPhase uint8
+
+const (
+	// watchPending means that it isn't decided: the watched send goes on, and no replacement has accepted the request.
+	watchPending watchPhase = iota
+	// watchEnded means that it is the watched send, or the next one if that has failed. The replacement isn't used.
+	watchEnded
+	// watchReplaced means that it is the replacement.
+	watchReplaced
+)
 
-// silenceWatch watches one send to a server that may fall silent. A silent server isn't a failed one, so that the
-// send is given up only once another server has a place for the request.
+// silenceWatch watches one send to a server that may fall silent. A silent server isn't a failed one: once it has been
+// silent for a while, the request is sent to another server as well, and the watched send goes on until that one has
+// accepted the request or both have had it for maxOverlap.
 type silenceWatch struct {
-	exchange *exchange
-	server   *figcatalogue.Server
-	// resume says that the caller already has a part of the answer.
+	server *figcatalogue.Server
+	// after is the id of the last event that the caller has. resume says that it has a part of the answer.
+	after  string
 	resume bool
-	// giveUp ends the send.
-	giveUp func()
+	// giveUp ends the watched send.
+	giveUp    func()
+	stopTimer func() bool
+
+	mu    sync.Mutex
+	phase watchPhase
+	// gaveUp says that the watched send was given up.
+	gaveUp bool
+	// sending says that a replacement has the request, or has ended it with the result that decides.
+	sending bool
+	// known is what is known from the sends that the search has made; nil if it has made none.
+	known *sendHistory
+	// cancel ends the search and its send, and done is closed when both have ended. They are nil before the search.
+	cancel      context.CancelCauseFunc
+	done        chan struct{}
+	stopOverlap func() bool
+	// result is the result of the last send to a replacement if it decides. It may be read when done is closed.
+	result replacementResult
+}
 
-	mu          sync.Mutex
-	stopped     bool
-	cancel      context.CancelFunc
-	replacement *figcoordinator.Placement
+// replacementResult is the result of a send to a replacement.
+type replacementResult struct {
+	// exchange is the copy of the exchange that made the send.
+	exchange *exchange
+	server   *figcatalogue.Server
+	// answer is the answer to a plain request, opened that to a stream.
+	answer *figsend.Answer
+	opened *openedStream
+	err    error
 }
 
-// watchSilence looks for another server if s says nothing within timeout, and calls giveUp when it has one. A timeout of
-// 0 means never. Call stop once the send has ended or s has said something: x.replacement is then the place at the
-// other server if giveUp was called.
-func (x *exchange) watchSilence(s *figcatalogue.Server, timeout time.Duration, resume bool, giveUp func()) (stop func()) {
+// watchSilence looks for another server if s says nothing within timeout, which may take the request over after the
+// event with the id after. giveUp ends the send to s. It returns nil, on which all methods may be called, if there is
+// no timeout (0) or the request has been sent too often. Exactly one of answered, goesOn and failed must be called when
+// the server has said something or the send has ended.
+func (x *exchange) watchSilence(
+	s *figcatalogue.Server, timeout time.Duration, after string, resume bool, giveUp func(),
+) *silenceWatch {
 	if timeout <= 0 || x.sends >= maxSends {
-		return func() {}
-	}
-	w := &silenceWatch{exchange: x, server: s, resume: resume, giveUp: giveUp}
-	stopTimer := x.Timer.After(timeout, w.replace)
-	return func() {
-		stopTimer()
-		if placement := w.stop(); placement != nil {
-			x.releaseReplacement()
-			x.replacement = placement
+		return nil
+	}
+	if x.replaces != nil { // no third server while the first one may have the request
+		timeout = max(timeout, 2*maxOverlap)
+	}
+	w := &silenceWatch{server: s, after: after, resume: resume, giveUp: giveUp}
+	w.stopTimer = x.Timer.After(timeout, func() { w.search(x) })
+	return w
+}
+
+// answered ends the watch because the send has the complete answer. It is used even if the send was given up.
+func (w *silenceWatch) answered(x *exchange) {
+	if w != nil {
+		w.stopTimer()
+		w.end(x)
+	}
+}
+
+// goesOn ends the watch because the server has said something. It returns false if the send was given up before:
+// x.replacement is then the watch.
+func (w *silenceWatch) goesOn(x *exchange) bool {
+	if w == nil {
+		return true
+	}
+	w.stopTimer()
+	return w.endUnlessReplaced(x, false)
+}
+
+// failed ends the watch because the send has failed or was given up. If a replacement has the request, x.replacement is
+// then the watch.
+func (w *silenceWatch) failed(x *exchange) {
+	if w != nil {
+		w.stopTimer()
+		w.endUnlessReplaced(x, true)
+	}
+}
+
+// endUnlessReplaced ends the watch and returns true, unless the watched send was given up, or has failed while a
+// replacement has the request.
+func (w *silenceWatch) endUnlessReplaced(x *exchange, failed bool) bool {
+	w.mu.Lock()
+	if w.phase == watchPending {
+		w.phase = watchEnded
+		if failed && w.sending {
+			w.phase = watchReplaced
 		}
 	}
+	ended, gaveUp := w.phase == watchEnded, w.gaveUp
+	w.mu.Unlock()
+	if ended {
+		w.end(x)
+		return true
+	}
+	if gaveUp {
+		x.leftSilent = w.server.Lifetime()
+	}
+	x.replacement = w
+	return false
 }
 
-// replace searches until it has a replacement or the watch is stopped.
-func (w *silenceWatch) replace() {
-	x := w.begin()
+// end ends the search and its send, and tells x what is known from them.
+func (w *silenceWatch) end(x *exchange) {
+	w.mu.Lock()
+	w.phase = watchEnded
+	if w.cancel != nil {
+		w.cancel(errNotNeeded)
+	}
+	if w.sending {
+		klog.InfoS("the replacement isn't needed", "requestId", x.ID, "server", w.server.Name)
+	}
+	if w.known != nil {
+		x.adopt(w.known)
+		x.stopAvoiding(w.server.Lifetime())
+	}
+	unused := w.result
+	w.mu.Unlock()
+	if unused.exchange != nil {
+		<-w.done
+		unused.discard()
+	}
+}
+
+// adopt takes over what another exchange of the request, which began as a copy of this one, knows from its sends.
+func (x *exchange) adopt(h *sendHistory) {
+	serverError := x.serverError
+	x.sendHistory = *h
+	if x.serverError == nil {
+		x.serverError = serverError
+	}
+}
+
+// search sends the request to other servers until one has accepted it or the watch has ended.
+func (w *silenceWatch) search(of *exchange) {
+	x := w.begin(of)
 	if x == nil {
 		return
 	}
+	defer close(w.done)
 	klog.InfoS("server is silent; looking for another one", "requestId", x.ID, "server", w.server.Name, "resume", w.resume)
-	for x.ctx.Err() == nil && !w.replaceOnce(x) {
-		if x.Timer.Sleep(x.ctx, replacementInterval) != nil {
-			return
-		}
+	for w.replaceOnce(x) && x.Timer.Sleep(x.ctx, replacementInterval) == nil {
 	}
 }
 
-// begin returns a copy of the exchange, which the search changes while the request goes on; nil if the watch has been
-// stopped.
-func (w *silenceWatch) begin() *exchange {
+// begin returns a copy of the exchange, which the search changes while the request goes on; nil if the watch has
+// ended.
+func (w *silenceWatch) begin(of *exchange) *exchange {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped {
+	if w.phase != watchPending {
 		return nil
 	}
-	x := *w.exchange
-	x.ctx, w.cancel = context.WithCancel(x.ctx)
-	x.placement, x.replacement = nil, nil
-	x.avoid = append(slices.Clone(x.avoid), w.server.Lifetime())
+	x := *of
+	x.ctx, w.cancel = context.WithCancelCause(of.ctx)
+	w.done = make(chan struct{})
+	x.placement, x.replacement, x.replaces, x.leftSilent = nil, nil, w, ""
+	x.sendHistory = of.copyHistory()
+	x.recordRan(w.server)
+	x.avoid = append(x.avoid, w.server.Lifetime())
+	x.cleanups = []func(){func() { w.cancel(nil) }}
 	return &x
 }
 
-// replaceOnce looks for a replacement once. It returns true if the search is over.
+// copyHistory returns a copy that shares no memory that changes.
+func (h *sendHistory) copyHistory() sendHistory {
+	c := *h
+	c.avoid, c.ranOn = slices.Clone(h.avoid), slices.Clone(h.ranOn)
+	return c
+}
+
+// replaceOnce sends the request to another server if one has a place for it and the budget a retry. It returns false if
+// the search is over.
 func (w *silenceWatch) replaceOnce(x *exchange) bool {
 	if !x.Retries.Available(x.Clock.Now(), x.pool) {
-		return false
+		return true
 	}
 	defer x.releasePlacement()
 	s, err := x.reserve(w.resume)
 	if err != nil || x.checkReachable(s) != nil {
-		return false
+		return true
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.stopped {
+	if x.view = x.View(); !x.stillUsable(s) || !w.beginSend(x, s) {
 		return true
 	}
-	if !x.Retries.Take(x.Clock.Now(), x.pool) {
+	r := replacementResult{exchange: x, server: s}
+	if x.route.Kind.Streams() {
+		r.opened, r.err = x.openStreamAt(s, w.after, w.resume)
+	} else {
+		r.answer, r.err = x.sendWhole(s)
+	}
+	return w.record(r)
+}
+
+// reserve asks for a place at a server, which becomes x.placement.
+func (x *exchange) reserve(resume bool) (*figcatalogue.Server, error) {
+	if x.route.Kind.Streams() {
+		return x.reserveDecode(resume)
+	}
+	return x.reservePlain()
+}
+
+// beginSend takes the retry for a send to s. It returns false if there is none or the watch has ended.
+func (w *silenceWatch) beginSend(x *exchange, s *figcatalogue.Server) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.phase != watchPending || !x.Retries.Take(x.Clock.Now(), x.pool) {
 		return false
 	}
-	w.replacement, x.placement = x.placement, nil
-	w.giveUp()
+	w.sending = true
+	known := x.copyHistory()
+	known.sends++
+	known.recordRan(s)
+	w.known = &known
 	return true
 }
 
-// stop ends the search. It returns the replacement for which the send was given up, or nil.
-func (w *silenceWatch) stop() *figcoordinator.Placement {
+// startOverlap gives the watched send up after maxOverlap, because x now sends the request to a replacement.
+func (w *silenceWatch) startOverlap(x *exchange) {
+	if w == nil {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.stopped = true
-	if w.cancel != nil {
-		w.cancel()
+	w.endOverlap()
+	w.stopOverlap = x.Timer.After(maxOverlap, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.sending && w.phase == watchPending {
+			w.replace()
+		}
+	})
+}
+
+// endOverlap stops the timer of startOverlap. w.mu must be held.
+func (w *silenceWatch) endOverlap() {
+	if w.stopOverlap != nil {
+		w.stopOverlap()
 	}
-	return w.replacement
 }
 
-// reserve asks for a place at a server, which becomes x.placement.
-func (x *exchange) reserve(resume bool) (*figcatalogue.Server, error) {
-	if x.route.Kind.Streams() {
-		return x.reserveDecode(resume)
+// replace gives the watched send up. w.mu must be held.
+func (w *silenceWatch) replace() {
+	w.phase, w.gaveUp = watchReplaced, true
+	w.giveUp()
+}
+
+// record takes the result of a send to a replacement. It returns true if the search goes on.
+func (w *silenceWatch) record(r replacementResult) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endOverlap()
+	switch {
+	case w.phase == watchEnded:
+		r.discard()
+		return false
+	case w.phase == watchReplaced:
+		w.result = r
+		return false
+	case r.isAccepted(w.resume):
+		w.result = r
+		w.replace()
+		return false
 	}
-	return x.reservePlain()
+	searchOn := r.exchange.recordFailedReplacement(&r, w.resume)
+	w.sending = false
+	known := r.exchange.copyHistory()
+	w.known = &known
+	return searchOn
 }
 
-// takeReplacement makes the replacement the request's placement and returns its server; nil if there is none, or if
-// the server has become unusable since.
-func (x *exchange) takeReplacement() *figcatalogue.Server {
-	if x.replacement == nil {
-		return nil
+// isAccepted says whether the replacement has accepted the request: a stream has its first event then, any other request
+// its answer.
+func (r *replacementResult) isAccepted(resume bool) bool {
+	switch {
+	case r.err != nil:
+		return false
+	case r.opened != nil:
+		return r.opened.isUsable(resume)
+	default:
+		return r.answer.Status < http.StatusInternalServerError
+	}
+}
+
+// recordFailedReplacement records that a replacement failed the request while the watched send goes on. It returns true
+// if the request may be sent to another one.
+func (x *exchange) recordFailedReplacement(r *replacementResult, resume bool) bool {
+	x.cancelReplacement()
+	if r.err == nil {
+		x.recordRan(r.server)
+	}
+	if r.err == nil && !resume {
+		x.serverError = r.answer
+		if r.opened != nil {
+			x.serverError = r.opened.Answer
+		}
+	}
+	if !x.staleConnection(r.err) {
+		x.avoid = append(x.avoid, r.server.Lifetime())
 	}
-	x.view = x.View()
-	x.placement, x.replacement = x.replacement, nil
-	if s := x.placement.Decode; x.stillUsable(s) {
-		return s
+	klog.InfoS("replacement failed; waiting for the silent server", "requestId", x.ID, "server", r.server.Name,
+		"kind", figsend.KindOf(r.err).String(), "sends", x.sends, "ran", len(x.ranOn))
+	return !isQuarantined(r.err) && x.sends < maxSends && len(x.ranOn) < x.route.MaxServers
+}
+
+// takeReplacement waits for the result of x.replacement and takes over what its exchange knows.
+func (x *exchange) takeReplacement() replacementResult {
+	w := x.replacement
+	<-w.done
+	from := w.result.exchange
+	x.replacement, x.view = from.replacement, from.view
+	x.adopt(&from.sendHistory)
+	if from.leftSilent != "" {
+		x.leftSilent = from.leftSilent
+	}
+	x.cleanups = append(x.cleanups, from.cleanups...)
+	return w.result
+}
+
+// cancelReplacement ends x.replacement, if there is one, because it isn't needed.
+func (x *exchange) cancelReplacement() {
+	if w := x.replacement; w != nil {
+		x.replacement = nil
+		w.end(x)
+	}
+}
+
+// discard ends a send whose result isn't used.
+func (r *replacementResult) discard() {
+	x := r.exchange
+	if x == nil {
+		return
+	}
+	if r.opened != nil && r.opened.Answer == nil && r.err == nil {
+		r.opened.Close()
+		x.finishSend(r.opened.attempt, r.opened.metadata, &figsend.Failure{Kind: figsend.KindCancelled, Err: errNotNeeded})
+	}
+	x.cancelReplacement()
+	for _, cleanup := range x.cleanups {
+		cleanup()
 	}
-	x.releasePlacement()
-	return nil
 }
 
 // returnToSilent makes the silent server of the send before the last one available again if the server that replaced
@@ -144,14 +390,12 @@
 	if silent == "" || !notRun {
 		return false
 	}
-	x.avoid = slices.DeleteFunc(x.avoid, func(lifetime string) bool { return lifetime == silent })
+	x.stopAvoiding(silent)
 	x.Retries.Spend(x.Clock.Now(), x.pool)
 	return true
 }
 
-// releaseReplacement ends a replacement to which nothing was sent.
-func (x *exchange) releaseReplacement() {
-	if s := x.takeReplacement(); s != nil {
-		x.releasePlacement()
-	}
+// stopAvoiding makes a server available to the request again.
+func (x *exchange) stopAvoiding(lifetime string) {
+	x.avoid = slices.DeleteFunc(x.avoid, func(l string) bool { return l == lifetime })
 }
--- a/internal/request/figproxy/stream.go
+++ b/internal/request/figproxy/stream.go
@@ -45,6 +45,17 @@
 	id    []byte
 }
 
+// isUsable says whether the caller can get what s sent: not a whole answer if it already has a part of the stream,
+// resume, and no 5xx status as long as another server may do better.
+func (s *openedStream) isUsable(resume bool) bool {
+	return s.Answer == nil || !resume && s.Answer.Status < http.StatusInternalServerError
+}
+
+// givenUpFailure returns the error of a stream whose event came as the stream was given up.
+func (s *openedStream) givenUpFailure() error {
+	return &figsend.Failure{Kind: figsend.KindStalled, Err: figerror.Wrap(errTryTimeout, "stream", s.server.Name)}
+}
+
 // serveStream serves a request whose answer is a stream. It retries as the route's kind and
 // the retry budget allow until the first event has been read; after that streamRelay resumes
 // the stream if a server fails.
@@ -87,23 +98,33 @@
 // caller already has a part of the stream. It returns once the first event has been read. The
 // returned server is the decode server, nil if none could be reserved.
 func (x *exchange) openStream(after string, resume bool) (*openedStream, *figcatalogue.Server, error) {
+	if x.replacement != nil {
+		r := x.takeReplacement()
+		return r.opened, r.server, r.err
+	}
 	s, err := x.reserveDecode(resume)
 	if err != nil {
 		return nil, nil, err
 	}
+	opened, err := x.openStreamAt(s, after, resume)
+	return opened, s, err
+}
+
+// openStreamAt is like openStream at s, at which x.placement is.
+func (x *exchange) openStreamAt(s *figcatalogue.Server, after string, resume bool) (*openedStream, error) {
 	defer x.releasePlacement()
 	metadata := SendMetadata{LastEventID: after}
 	var prefillServer *figcatalogue.Server
 	if !resume {
 		if err := x.checkReachable(s); err != nil {
-			return nil, s, err
+			return nil, err
 		}
 		metadata.PrefillResult, prefillServer = x.prefill()
 	}
 	if metadata.PrefillResult != nil {
 		// The server may have become unusable while the prefill ran.
 		if x.view = x.View(); !x.stillUsable(s) {
-			return nil, s, &figsend.Failure{
+			return nil, &figsend.Failure{
 				Outcome: figsend.NotRun,
 				Kind:    figsend.KindBusy,
 				Err:     figerror.New("place", s.Name, "the server became unusable during the prefill"),
@@ -118,7 +139,7 @@
 	if err != nil && x.placement != nil && x.sends > sendsBefore {
 		x.placement.End(x.lastResult, false, 0)
 	}
-	return opened, s, err
+	return opened, err
 }
 
 // lacksPrefillResult reports whether a send that failed with err may succeed at the same server without a KV cache.
@@ -160,10 +181,10 @@
 	// ctx lasts as long as the stream.
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	x.cleanups = append(x.cleanups, func() { cancel(nil) })
-	stop := x.watchSilence(s, x.firstEventTimeout(), resume, func() { cancel(errTryTimeout) })
+	watch := x.watchSilence(s, x.firstEventTimeout(s), metadata.LastEventID, resume, func() { cancel(errTryTimeout) })
 	stream, err := x.Sender.Stream(ctx, x.sendCall(s, metadata))
 	if err != nil {
-		stop()
+		watch.failed(x)
 		err = x.markTryTimeout(ctx, err)
 		x.finishSend(a, x.answerMetadata(nil, err), err)
 		return nil, err
@@ -175,8 +196,12 @@
 	}
 	x.reportNotices(opened)
 	if stream.Answer != nil {
-		stop()
 		err = x.checkFromApplication(opened)
+		if err == nil && opened.isUsable(resume) {
+			watch.answered(x)
+		} else {
+			watch.failed(x)
+		}
 		a.takePlacement(x, err)
 		x.finishSend(a, opened.metadata, err)
 		return opened, err
@@ -186,7 +211,11 @@
 	} else {
 		err = x.markTryTimeout(ctx, x.readFirstEvent(ctx, opened, metadata.LastEventID))
 	}
-	stop()
+	if err != nil {
+		watch.failed(x)
+	} else if !watch.goesOn(x) {
+		err = opened.givenUpFailure()
+	}
 	if err != nil {
 		stream.Close()
 		x.finishSend(a, opened.metadata, err)
@@ -224,8 +253,8 @@
 
 // firstEventTimeout returns the time after which another server is looked for, or 0 if only the request's own
 // deadline applies: for streams that can't be resumed, and for the last server allowed.
-func (x *exchange) firstEventTimeout() time.Duration {
-	if x.route.Kind != figroute.ResumableStream || len(x.ranOn)+1 >= x.route.MaxServers {
+func (x *exchange) firstEventTimeout(s *figcatalogue.Server) time.Duration {
+	if x.route.Kind != figroute.ResumableStream || x.isLastServer(s) {
 		return 0
 	}
 	return firstEventTimeoutTargets * x.route.LatencyTarget
