End the search for a replacement of a silent server at a quarantine

What callers saw: nothing by itself. If a part of the prompt of a waiting request was quarantined, the search still asked for a place and a connection at another server, took a retry from the pool's budget and only then found out that it may not send.

Cause: quarantines were looked up only when a request arrives and right before each send.

Evidence, before: TestQuarantineEndsSearch failed, as the search asked the placer, of which the test has none (nil pointer dereference in exchange.reserve).

Change: each round of a search asks first, and the search ends if a part is quarantined, also if a trial is due: a request that a server may be running is none. The silent server is still waited for.

After: the test passes, as does the package.

--- a/internal/request/figproxy/silence.go
+++ b/internal/request/figproxy/silence.go
@@ -212,6 +212,9 @@
 // replaceOnce sends the request to another server if one has a place for it and the budget a retry. It returns false if
 // the search is over.
 func (w *silenceWatch) replaceOnce(x *exchange) bool {
+	if finding, _ := x.Quarantine.Find(x.SharedParts); finding != nil {
+		return false
+	}
 	if !x.Retries.Available(x.Clock.Now(), x.pool) {
 		return true
 	}
