Keep what a server said when the list names another start of it

A server that restarted under its name and asked an instance for a pause before the list told of the restart got the next requests at once; one that said that it leaves got requests again if a restored store listed an earlier start of it.

Cause: pauses and leaving were kept by lifetime, the name and start on the list. The start on the list isn't that of the process that answers while the list is behind, after a restart or from an older copy.

Change: both are kept by name. A pause holds for processes that started later for up to 10 s, by when the list has told of them. That a server leaves holds for the start on the list and earlier ones; a later process is used. TestLeavingServerIsRemembered looks at the notices instead of the states.

It works because a name belongs to one process at a time, and the later one knows nothing of a pause that it didn't ask for, so that it loses at most those 10 s.

--- a/internal/place/figbalancer/leaving_test.go
+++ b/internal/place/figbalancer/leaving_test.go
@@ -47,7 +47,8 @@
 	p.Begin(now.Add(leavingTTL-time.Second), v, &other, 0).Release()
 	require.True(t, p.Withdrawn(now, &s), "an old copy of the list may still contain it")
 	p.Begin(now.Add(leavingTTL+time.Second), v, &other, 0).Release()
-	require.NotContains(t, p.states, s.Lifetime())
+	require.Empty(t, p.notices)
+	require.False(t, p.Withdrawn(now.Add(leavingTTL+time.Second), &s))
 }
 
 // Of many servers that leave only those that the list still offers are named, up to the limit.
@@ -61,3 +62,20 @@
 	v.DrainedDataCentres["east"] = true
 	require.Empty(t, p.WithdrawnServers(start, v, "desk", 32))
 }
+
+// A restored list may name an earlier start of a server that leaves; requests for it reach the process that leaves.
+func TestEarlierEntryOfLeavingServer(t *testing.T) {
+	p, v := newPicker(1), plainView(1, nil)
+	s := &v.Servers["desk"][0]
+	p.RecordLeaving(start, s)
+	s.StartedAt = start.Add(-time.Minute)
+	require.True(t, p.Withdrawn(start, s))
+	require.Equal(t, []string{s.Lifetime()}, p.WithdrawnServers(start, v, "desk", 1))
+	_, err := p.Pick(start, plainQuery(v))
+	require.Error(t, err)
+	p.RecordLeaving(start, s)
+	s.StartedAt = start
+	require.True(t, p.Withdrawn(start, s))
+	s.StartedAt = start.Add(time.Minute)
+	require.False(t, p.Withdrawn(start, s))
+}
--- a/internal/place/figbalancer/limit.go
+++ b/internal/place/figbalancer/limit.go
@@ -130,10 +130,10 @@
 func (p *Picker) recordNotices(now time.Time, s *figcatalogue.Server, e *serverState, r Result) {
 	p.recordLimit(now, s, e, r)
 	if r.Leaving {
-		p.recordLeaving(now, s, e)
+		p.recordLeaving(now, s)
 	}
 	if r.Pause > 0 {
-		p.recordPause(now, s, e, r.Pause)
+		p.recordPause(now, s, r.Pause)
 	}
 }
 
--- a/internal/place/figbalancer/pause.go
+++ b/internal/place/figbalancer/pause.go
@@ -16,32 +16,43 @@
 	pausedWeight = unreachableWeight / 2
 	// maxSharedPause bounds the time in which the pause of one instance ranks the server for all.
 	maxSharedPause = 10 * time.Second
+	// maxCarriedPause bounds the time in which a pause holds for a later process of the server, of whose start the list
+	// may tell late.
+	maxCarriedPause = 10 * time.Second
 )
 
 // RecordPause records that s has asked for no requests in the time from now on.
 func (p *Picker) RecordPause(now time.Time, s *figcatalogue.Server, pause time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.recordPause(now, s, p.state(s, now), pause)
+	p.recordPause(now, s, pause)
 }
 
-// recordPause is like RecordPause for the state of s. A shorter pause doesn't replace a longer one. p.mu must be held.
-func (p *Picker) recordPause(now time.Time, s *figcatalogue.Server, e *serverState, pause time.Duration) {
+// recordPause is like RecordPause. A shorter pause doesn't replace a longer one. p.mu must be held.
+func (p *Picker) recordPause(now time.Time, s *figcatalogue.Server, pause time.Duration) {
 	if p.opts.Coordinates {
 		pause = min(pause, maxSharedPause)
 	}
-	until := now.Add(pause)
-	if !until.After(e.pausedUntil) {
-		return
-	}
-	if !e.paused(now) {
+	n := p.noticeOf(s)
+	if !now.Before(n.pauseEnd(s)) {
 		klog.InfoS("server asks for a pause", "server", s.Name, "pool", s.Pool, "pause", pause, "ofOne", p.opts.Coordinates)
 	}
-	e.pausedUntil, e.pool = until, s.Pool
+	end := later(n.pauseEnd(s), now.Add(pause))
+	if s.StartedAt.After(n.pausedStart) {
+		n.pausedStart, n.pausedUntil = s.StartedAt, end
+	} else {
+		n.pausedUntil = end
+	}
+	n.carriedUntil = later(n.carriedUntil, now.Add(min(pause, maxCarriedPause)))
 }
 
-// paused reports whether the server has asked for a pause that isn't over.
-func (e *serverState) paused(now time.Time) bool { return now.Before(e.pausedUntil) }
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
 
 // PauseLeft returns the time until the first pause ends of a usable server of a pool and these roles that isn't excluded,
 // or 0 if none is paused. only says that no such server takes requests before.
@@ -54,12 +65,13 @@
 		if !v.Usable(s) || !slices.Contains(roles, s.Role) || slices.Contains(excluded, s.Lifetime()) {
 			continue
 		}
-		e, ok := p.states[s.Lifetime()]
+		pause := p.pauseOf(now, s)
 		switch {
-		case !ok || !e.withdrawn(now):
+		case p.leaves(s):
+		case pause <= 0:
 			only = false
-		case !e.leaving && (left == 0 || e.pausedUntil.Sub(now) < left):
-			left = e.pausedUntil.Sub(now)
+		case left == 0 || pause < left:
+			left = pause
 		}
 	}
 	return left, only
--- a/internal/place/figbalancer/pause_test.go
+++ b/internal/place/figbalancer/pause_test.go
@@ -68,3 +68,32 @@
 	_, err = p.Pick(start, plainQuery(v))
 	require.NoError(t, err)
 }
+
+// A server that restarts under its name during a pause may have asked for the pause itself, before the list named it.
+func TestRestartedServerKeepsItsPause(t *testing.T) {
+	for _, pause := range []time.Duration{3 * time.Second, time.Hour} {
+		p, v := newPicker(1), plainView(1, nil)
+		s := &v.Servers["desk"][0]
+		p.RecordPause(start, s, pause)
+		s.StartedAt = start.Add(time.Second)
+		kept := min(pause, maxCarriedPause)
+		for _, after := range []time.Duration{time.Second, kept - time.Millisecond} {
+			now := start.Add(after)
+			require.True(t, p.Withdrawn(now, s))
+			require.Equal(t, []string{s.Lifetime()}, p.WithdrawnServers(now, v, "desk", 1))
+			require.Equal(t, 1, p.WithdrawnCount(now))
+			_, err := p.Pick(now, plainQuery(v))
+			var none *NoServerError
+			require.ErrorAs(t, err, &none)
+			require.Equal(t, kept-after, none.RetryAfter)
+			left, only := p.PauseLeft(now, v, "desk", nil, figview.Plain)
+			require.Equal(t, kept-after, left)
+			require.True(t, only)
+		}
+		now := start.Add(kept)
+		require.False(t, p.Withdrawn(now, s))
+		p.RecordPause(now, s, time.Minute)
+		require.True(t, p.Withdrawn(now.Add(time.Minute-time.Millisecond), s))
+		require.False(t, p.Withdrawn(now.Add(time.Minute), s))
+	}
+}
--- a/internal/place/figbalancer/pick.go
+++ b/internal/place/figbalancer/pick.go
@@ -33,13 +33,15 @@
 
 	mu     sync.Mutex
 	states map[string]*serverState
+	// notices holds what servers have said about taking requests, by name.
+	notices map[string]*notice
 	// listingsNotedAt is when noteListings last looked at the list of servers.
 	listingsNotedAt time.Time
 }
 
 // New returns a picker without recorded load or failures.
 func New(o Options) *Picker {
-	return &Picker{opts: o, states: map[string]*serverState{}}
+	return &Picker{opts: o, states: map[string]*serverState{}, notices: map[string]*notice{}}
 }
 
 // serverState holds the local load, reported load, failures and backoff of one server
@@ -77,13 +79,6 @@
 	consecutiveRefusals int
 	// limit is the rate limit that the server names.
 	limit rateLimit
-	// leaving says that the server has said that it leaves. pool is its pool then, and listedAt when the
-	// server was last seen on the list.
-	leaving  bool
-	pool     string
-	listedAt time.Time
-	// pausedUntil is when the pause ends that the server has asked for.
-	pausedUntil time.Time
 	// usedAt is when the last send or reservation began.
 	usedAt time.Time
 }
@@ -129,11 +124,11 @@
 			continue
 		}
 		e := p.state(s, now)
-		if e.leaving {
+		if p.leaves(s) {
 			failure.Reason = "servers of pool " + pool.Name + " leave"
 			continue
 		}
-		if wait := e.pausedUntil.Sub(now); wait > 0 && !p.opts.Coordinates {
+		if wait := p.pauseOf(now, s); wait > 0 && !p.opts.Coordinates {
 			failure.Reason = "servers of pool " + pool.Name + " have asked for a pause"
 			failure.shorten(wait)
 			continue
@@ -207,7 +202,7 @@
 	if now.Before(e.unreachableUntil) {
 		score += unreachableWeight
 	}
-	if e.paused(now) {
+	if p.pauseOf(now, s) > 0 {
 		score += pausedWeight
 	}
 	if s.InColdStart(now) {
@@ -334,14 +329,18 @@
 	return p.totalLoadLocked(p.state(s, now), now)
 }
 
-// removeExpired deletes the state of servers that were unused for idleStateTTL, unless there is a notice of theirs to
-// remember. p.mu must be held.
+// removeExpired deletes the state of servers that were unused for idleStateTTL, unless there is a limit of theirs to
+// remember, and the notices that have no effect any more. p.mu must be held.
 func (p *Picker) removeExpired(now time.Time) {
 	for name, e := range p.states {
 		limited := e.limit.perSecond > 0 && now.Sub(e.limit.namedAt) < limitTTL
-		withdrawn := e.leaving && now.Sub(e.listedAt) < leavingTTL || e.paused(now)
-		if e.Requests == 0 && !limited && !withdrawn && now.Sub(e.usedAt) > idleStateTTL {
+		if e.Requests == 0 && !limited && now.Sub(e.usedAt) > idleStateTTL {
 			delete(p.states, name)
 		}
 	}
+	for name, n := range p.notices {
+		if !n.active(now) {
+			delete(p.notices, name)
+		}
+	}
 }
