Show that serve leaves Retry-After to the caller

figtrail serve reads neither the field of leaving servers nor Retry-After of a 503. Its sender has no MaySend and no OnAnswer, and figpipeline relays a plain server's status and header as they are.

--- a/internal/app/figserve/serve_test.go
+++ b/internal/app/figserve/serve_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -289,3 +291,32 @@
 	}
 	f.eventually(resumed)
 }
+
+// What a plain server's Retry-After says is left to the caller: the answer is passed on, and the server gets more requests.
+func TestRetryAfterOfServerIsPassedOn(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t, 1)
+	var calls atomic.Int64
+	busy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.Header().Set("Retry-After", "60")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer busy.Close()
+	f.Platform.SetServer(figemulator.ServerRow{
+		Name: "busy", Address: busy.Listener.Addr().String(), DataCentre: "east", Pool: "ledger", Role: "plain", State: "live",
+		StartedAt: time.Now().Format(time.RFC3339Nano),
+	})
+	for begun := time.Now(); calls.Load() <= 5; time.Sleep(pollInterval) {
+		require.Less(t, time.Since(begun), waitTimeout)
+		q, err := http.NewRequest(http.MethodPost, "http://"+f.Callers()[0]+"/ledger/refund", strings.NewReader("r"))
+		require.NoError(t, err)
+		q.Header.Set("X-Api-Key", f.key.Text)
+		a, err := http.DefaultClient.Do(q)
+		require.NoError(t, err)
+		require.NoError(t, a.Body.Close())
+		if a.StatusCode == http.StatusServiceUnavailable {
+			require.Equal(t, "60", a.Header.Get("Retry-After"))
+		}
+	}
+}
