Let no time limit of the stand-in decide TestPrefillThenDecode

What was seen: the test failed once beside the linter at a load average of 450.

Cause: the test was wrong. The stand-in drops a prefill result that no engine has pulled within 800 ms. If the machine runs the test later than that between the prefill and the decode, the decode is refused, as it should be.

Change: the stand-in keeps results for an hour, as in TestControlCalls. All checks stay, and the second decode with the result is now refused only for having been fetched before, not for having expired.

--- a/internal/engine/figengine/openai_test.go
+++ b/internal/engine/figengine/openai_test.go
@@ -68,7 +68,7 @@
 }
 
 func TestPrefillThenDecode(t *testing.T) {
-	p, prefiller := startEngine(t, figemulator.EngineOptions{Role: "prefill"})
+	p, prefiller := startEngine(t, figemulator.EngineOptions{Role: "prefill", ResultTTL: time.Hour})
 	d, decoder := startEngine(t, figemulator.EngineOptions{Role: "decode"})
 	e, _ := newAdapter(t)
 	prompt := newRequest("r1")
