--- a/internal/config/figcatalogue/restore.go
+++ b/internal/config/figcatalogue/restore.go
@@ -69,7 +69,7 @@
 
 // departures returns the wire form of the departures.
 func (r *restoration) departures(now time.Time) []Departure {
-	var all []Departure
+	all := make([]Departure, 0, len(r.departed))
 	for name, d := range r.departed {
 		all = append(all, Departure{
 			Name: name, LatestMillis: d.latest.UnixMilli(), AnnouncedMillis: d.announced.UnixMilli(), Epoch: d.epoch, Age: now.Sub(d.at),
