--- a/internal/config/figcatalogue/sequence_test.go
+++ b/internal/config/figcatalogue/sequence_test.go
@@ -349,6 +349,8 @@
 	}
 	for n := range sequenceSize {
 		q.all = append(q.all, &playedInstance{name: fmt.Sprintf("i%d", n)})
+	}
+	for n := range sequenceSize {
 		q.start(ctx, n)
 	}
 	return q
@@ -642,6 +644,8 @@
 
 // requireAgreement checks that all instances show what the store holds.
 func (q *sequence) requireAgreement() {
+	q.store.mu.Lock()
+	defer q.store.mu.Unlock()
 	for _, i := range q.all {
 		v := i.View()
 		require.Equal(q.t, q.version, v.Table.Version, i.name)
@@ -686,6 +690,8 @@
 					q.check()
 				}
 				q.requireAgreement()
+				q.store.mu.Lock()
+				defer q.store.mu.Unlock()
 				for name, calls := range q.store.calls {
 					require.LessOrEqual(t, calls, maxCallRate*int((sequenceTime+calmTime)/time.Second), name)
 				}
