Keep the epochs of a server's removal and of a doubt of it apart

Callers' requests reached a server that had left, from an instance that had been cut off over several restorations: it learned of the departure from an instance that knows a later process of the server, and then read the copy that lists the one that had left.

Cause: a departure held one epoch, that of the removal or of the latest doubt, and others took it over. An instance that hadn't doubted the server in that epoch took the entry for one that was listed since the removal.

Evidence: TestLearntDepartureIsDoubted failed before (an instance that starts: Should be false).

Change: the epoch of the removal is passed on, that of the latest doubt is each instance's own.

--- a/internal/config/figcatalogue/relay.go
+++ b/internal/config/figcatalogue/relay.go
@@ -50,7 +50,7 @@
 	// leaving before, in Unix milliseconds.
 	LatestMillis    int64 `cbor:"2,keyasint"`
 	AnnouncedMillis int64 `cbor:"3,keyasint"`
-	// Epoch is that of the removal, or the latest one in which the source listed the server again.
+	// Epoch is that of the removal.
 	Epoch uint64 `cbor:"4,keyasint"`
 	// Age is the time since the removal.
 	Age time.Duration `cbor:"5,keyasint"`
--- a/internal/config/figcatalogue/restore.go
+++ b/internal/config/figcatalogue/restore.go
@@ -35,8 +35,9 @@
 // departure is the removal of a server.
 type departure struct {
 	at time.Time
-	// epoch is that of the removal, or the latest one in which the source listed the server again.
-	epoch uint64
+	// epoch is that of the removal, doubtedEpoch the latest one for which the server was doubted here because the source listed
+	// it again.
+	epoch, doubtedEpoch uint64
 	// latest is the start of the latest process that was removed, announced that of the latest one that was leaving before.
 	latest, announced time.Time
 }
@@ -145,8 +146,8 @@
 	switch {
 	case !r.hasDeparted(s):
 		delete(r.doubted, s.Name)
-	case d.epoch != 0 && d.epoch < epoch, s.StartedAt.Before(d.latest) && !r.isDoubted(s.Name):
-		d.epoch = epoch
+	case d.epoch != 0 && max(d.epoch, d.doubtedEpoch) < epoch, s.StartedAt.Before(d.latest) && !r.isDoubted(s.Name):
+		d.doubtedEpoch = epoch
 		r.departed[s.Name] = d
 		r.doubted[s.Name] = now.Add(departedDoubt)
 		klog.InfoS("server entry doubted", "server", s.Name, "startedAt", s.StartedAt, "reason", "removed before the restoration")
@@ -157,7 +158,12 @@
 
 // listedDoubted records that another instance gives no work to s, which a restored source lists, until a time.
 func (r *restoration) listedDoubted(s *Server, epoch uint64, until, now time.Time) {
-	r.recordDeparture(s, epoch, now)
+	if !r.hasDeparted(s) {
+		r.recordDeparture(s, epoch, now)
+	}
+	d := r.departed[s.Name]
+	d.doubtedEpoch = epoch
+	r.departed[s.Name] = d
 	r.doubted[s.Name] = until
 }
 
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -777,3 +777,27 @@
 		})
 	}
 }
+
+// An instance whose contents leave out a server's process, because it knows a later one, must not make others trust it.
+func TestLearntDepartureIsDoubted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first, second := server("s", 1), server("s", 2)
+	doubts, keeps, late := newCatalogueAt(&now), newCatalogueAt(&now), newCatalogueAt(&now)
+	for _, c := range []*Catalogue{doubts, keeps} {
+		c.Replace(&Contents{Declarations: version(1), Servers: []Server{first}, Position: in(1, 10)})
+		c.Apply([]Change{{ServerRemoved: "s"}}, in(1, 11))
+	}
+	keeps.Apply([]Change{{Server: &second}}, in(1, 12))
+	now = now.Add(2 * RemovedServerGrace)
+	copied := func() *Contents { return &Contents{Servers: []Server{first}, Position: in(2, 10)} }
+	doubts.Replace(copied())
+	require.False(t, usable(doubts))
+	keeps.applyAnswer(doubts.changesAfter(keeps.Position()))
+	require.True(t, usable(keeps), "the later process")
+	late.applyAnswer(keeps.changesAfter(in(0, 0)))
+	late.Replace(copied())
+	require.False(t, usable(late), "an instance that starts")
+	now = now.Add(departedDoubt)
+	late.Apply(nil, in(2, 10))
+	require.True(t, usable(late), "a server that stays listed is in use again")
+}
