Split the replacement of all contents by what is replaced

Replace had grown over the fixes of restored sources. Servers and drained data centres have functions of their own now; what it does is the same.

--- a/internal/app/figrouter/run.go
+++ b/internal/app/figrouter/run.go
@@ -181,7 +181,8 @@
 	// ViewAgeMillis is the time since the source last confirmed the configuration, in
 	// milliseconds.
 	ViewAgeMillis int64 `json:"viewAgeMillis"`
-	// SourceEpoch counts the restorations of the source from an older copy, as the source reports it.
+	// SourceEpoch is one more than the number that the source reports, which rises at each restoration from an older copy;
+	// 0 if it reports none.
 	SourceEpoch uint64 `json:"sourceEpoch"`
 	// Servers holds the number of servers by pool.
 	Servers map[string]int `json:"servers"`
--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -106,6 +106,7 @@
 // Replace applies all contents of the source. Servers that are missing from them are marked as removed. Contents
 // that are older than the active ones, which may have come from another instance meanwhile, are ignored. Contents of a
 // new epoch are those of a source that was restored from an older copy: what they lack stays in use for restoredGrace.
+// Replace may change n.
 func (c *Catalogue) Replace(n *Contents) {
 	now := c.opts.Clock.Now()
 	c.mu.Lock()
@@ -123,28 +124,41 @@
 			"epochBefore", c.position.Epoch, "revisionBefore", c.position.Revision)
 		c.kept.keepAllLeaving(c.servers)
 	}
-	c.setDeclarations(n.Declarations, cmp.Or(n.DeclarationsEpoch, n.Epoch))
 	if began := now.Add(-n.EpochAge); c.position.Epoch != n.Epoch || began.Before(c.epochBegan) {
 		c.epochBegan = began
 	}
+	c.setDeclarations(n.Declarations, cmp.Or(n.DeclarationsEpoch, n.Epoch))
+	c.replaceServers(n, restored, now)
+	c.replaceDrained(n, restored)
+	logDecodeErrors(n.DecodeErrors)
+	c.position = n.Position
+	if restored && c.endWait != nil {
+		c.endWait()
+	}
+	c.publish(now)
+}
+
+// replaceServers applies the servers of n. restored says that they are the first contents of a restored source.
+func (c *Catalogue) replaceServers(n *Contents, restored bool, now time.Time) {
 	c.kept.learn(n.Departed, now)
 	listed := make(map[string]bool, len(n.Servers))
 	for i := range n.Servers {
-		outdated := c.isOutdated(&n.Servers[i])
-		listed[n.Servers[i].Name] = !outdated || !restored
+		s := &n.Servers[i]
+		outdated := c.isOutdated(s)
+		listed[s.Name] = !outdated || !restored
 		if outdated {
 			continue
 		}
-		c.kept.listed(&n.Servers[i], n.Epoch, now)
-		if left, doubted := n.Doubted[n.Servers[i].Name]; doubted {
-			c.kept.listedDoubted(&n.Servers[i], n.Epoch, now.Add(left), now)
+		c.kept.listed(s, n.Epoch, now)
+		if left, doubted := n.Doubted[s.Name]; doubted {
+			c.kept.listedDoubted(s, n.Epoch, now.Add(left), now)
 		}
-		if slices.Contains(n.KeptLeaving, n.Servers[i].Name) {
-			c.kept.leaving[n.Servers[i].Lifetime()] = true
+		if slices.Contains(n.KeptLeaving, s.Name) {
+			c.kept.leaving[s.Lifetime()] = true
 		}
-		c.kept.keepLeaving(c.servers, &n.Servers[i])
-		c.keepColdStart(&n.Servers[i])
-		c.setServer(n.Servers[i])
+		c.kept.keepLeaving(c.servers, s)
+		c.keepColdStart(s)
+		c.setServer(*s)
 	}
 	for name, s := range c.servers {
 		switch _, kept := c.kept.servers[name]; {
@@ -159,12 +173,17 @@
 			c.markServerRemoved(name, now)
 		}
 	}
+}
+
+// replaceDrained applies the drained data centres of n. restored says that they are the first contents of a restored source.
+func (c *Catalogue) replaceDrained(n *Contents, restored bool) {
+	until := c.epochBegan.Add(restoredGrace)
 	for name := range c.drained {
 		switch _, kept := c.kept.dataCentres[name]; {
 		case slices.Contains(n.DrainedDataCentres, name):
 		case restored:
-			c.kept.dataCentres[name] = c.epochBegan.Add(restoredGrace)
-			klog.InfoS("restored source lacks a drained data centre; keeping it", "dataCentre", name, "until", c.epochBegan.Add(restoredGrace))
+			c.kept.dataCentres[name] = until
+			klog.InfoS("restored source lacks a drained data centre; keeping it", "dataCentre", name, "until", until)
 		case !kept:
 			c.setDrained(name, false)
 		}
@@ -175,15 +194,9 @@
 	for _, name := range n.KeptDataCentres {
 		if !slices.Contains(n.DrainedDataCentres, name) {
 			c.setDrained(name, true)
-			c.kept.dataCentres[name] = c.epochBegan.Add(restoredGrace)
+			c.kept.dataCentres[name] = until
 		}
 	}
-	logDecodeErrors(n.DecodeErrors)
-	c.position = n.Position
-	if restored && c.endWait != nil {
-		c.endWait()
-	}
-	c.publish(now)
 }
 
 // Apply applies changes in order. position is the source's position after them. Changes up to a position before
--- a/internal/config/figcatalogue/doc.go
+++ b/internal/config/figcatalogue/doc.go
@@ -17,7 +17,8 @@
 // Positions in the source have an epoch, which rises when the source is restored from an older copy, so that it has
 // lost changes and assigns their revisions again. Contents of a later epoch replace those of an earlier one whatever
 // their revisions, except for what this instance knows better: versions of declarations only grow, servers that
-// were leaving or removed don't return, and missing entries stay in use until they have been written again.
+// were leaving stay so until they are written again, removed ones get no work for departedDoubt, and missing
+// entries stay in use for restoredGrace. Contents for other instances hold all of that.
 //
 // A View is immutable. A request should load the current one again right before each
 // send to a server. Declarations with a lower version than the active one, as in a
--- a/internal/config/figcatalogue/restore.go
+++ b/internal/config/figcatalogue/restore.go
@@ -25,8 +25,8 @@
 	servers, dataCentres map[string]time.Time
 	// doubted holds until when listed servers get no work, by name.
 	doubted map[string]time.Time
-	// leaving holds the lifetimes of servers that were leaving before the source was restored. They stay leaving until
-	// they are written again.
+	// leaving holds the lifetimes of servers that this instance or another one knew to be leaving before the source was
+	// restored. They stay leaving until they are written again.
 	leaving map[string]bool
 	// departed holds the removed servers, by name.
 	departed map[string]departure
