Bound the pause between failed reads of the service by the propagation time

Cause: each resource is read with a backoff of its own, which grows up to 10 s. Values that failed shortly before the service returned were read again up to 10.25 s later, however early the lists were. Changes are due everywhere within 8 s.

--- a/internal/config/figstore/fault_test.go
+++ b/internal/config/figstore/fault_test.go
@@ -12,6 +12,9 @@
 // such as a revoked key.
 const maxPropagation = 3 * time.Second
 
+// maxPropagationAfterOutage is how soon all instances must have a change that is made as the service returns.
+const maxPropagationAfterOutage = 8 * time.Second
+
 // An instance that reaches one peer only, and not the service, still receives changes within maxPropagation.
 func TestOnePeerReachable(t *testing.T) {
 	for victim := range 9 {
@@ -153,6 +156,24 @@
 	})
 }
 
+// After an outage of any length, a change reaches all instances in time though only one of them can read the service again.
+func TestChangeAfterOutageReachesAll(t *testing.T) {
+	for only := range 9 {
+		for outage := time.Second; outage <= 30*time.Second; outage += time.Second {
+			fleetOf(t, 9, func(f *fleet) {
+				f.s.down.Store(true)
+				<-time.After(outage)
+				for i, d := range f.nodes {
+					f.n.setCut(d.Name, "service", i != only)
+				}
+				f.s.down.Store(false)
+				took := f.change(5, 10*maxPropagationAfterOutage)
+				require.LessOrEqual(t, took, maxPropagationAfterOutage, "instance %d after an outage of %v", only, outage)
+			})
+		}
+	}
+}
+
 // The rate of reads stays bounded while the service is down and when it returns.
 func TestNoFloodOnReturn(t *testing.T) {
 	fleetOf(t, 45, func(f *fleet) {
--- a/internal/config/figstore/read.go
+++ b/internal/config/figstore/read.go
@@ -20,7 +20,7 @@
 	// minRetryWait is the upper bound of the random part of the wait after one failed read. The bound doubles with
 	// each further failure, up to maxRetryWait. Half of minRetryWait is added to the random part.
 	minRetryWait = 500 * time.Millisecond
-	maxRetryWait = 10 * time.Second
+	maxRetryWait = 4 * time.Second
 	// rereadInterval is the minimum time between two reads of all values from revision 0.
 	rereadInterval = 10 * time.Second
 )
