Let only an interrupt cut a drain short, and catch signals from the start

What callers saw: at an instance that got SIGTERM twice, all requests in progress ended at the second one: streams broke off after their 200, and calls got 502. A SIGHUP or SIGTERM that came while figtrail route opened its listeners and read the seeds ended the process by the signal's default action, and so did any SIGHUP at figtrail serve.

Cause: the second SIGTERM or SIGINT, whichever, cancelled everything, though supervisors repeat SIGTERM, and a process group and a wrapper both pass it on. Signals were caught only after New had returned, and released before the process ended.

Change: signals are caught before the first log line and stay caught until the process ends. The first SIGTERM or SIGINT drains; further SIGTERMs are logged and change nothing, so that the grace counts from the first; a SIGINT while the instance drains stops it at once. serve logs SIGHUP and goes on.

Evidence: before, TestSignalsWhileDrainingCutNothing failed with SIGTERM (a stream ended with unexpected EOF) and with SIGHUP and SIGTERM in turn (502), TestSignalsAtStartDrain with the process ended by the signal, TestServeOutlivesSignals with "signal: hangup". All pass now; SIGHUP each millisecond during a drain passed before as well.

--- a/internal/app/figcommand/route.go
+++ b/internal/app/figcommand/route.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
@@ -27,7 +25,8 @@
 	return &cli.Command{
 		Name:  "route",
 		Usage: "run one instance on a platform that declares routes by host and path",
-		Description: "SIGTERM or SIGINT drains; a second signal stops at once. SIGHUP reads the seeds file again.\n" +
+		Description: "SIGTERM or SIGINT drains; a SIGINT while the instance drains stops it at once, and a further\n" +
+			"SIGTERM changes nothing. SIGHUP reads the seeds file again.\n" +
 			"Log lines go to standard output. If the log's buffer is full, lines are dropped and counted.",
 		Flags: append(routeFlags(&s), &cli.BoolFlag{Name: "check", Usage: "check the settings and exit", Destination: &check}),
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -38,19 +37,20 @@
 				fmt.Fprintln(c.Root().Writer, "the settings are valid")
 				return nil
 			}
+			signals := catchSignals()
 			log := figlog.New(os.Stdout, s.LogLines)
 			defer log.Close()
 			if err := logTo(log, s.Verbosity); err != nil {
 				return withCode(err, exitUsage)
 			}
 			debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryLimitPercent / 100)
-			return withCode(route(ctx, s, log), exitServiceFailed)
+			return withCode(route(ctx, s, log, signals), exitServiceFailed)
 		},
 	}
 }
 
-// route runs an instance until it has drained, a second signal arrives or a service fails.
-func route(ctx context.Context, s figrouter.Settings, log *figlog.Log) error {
+// route runs an instance until it has drained, is interrupted while it drains or a service fails.
+func route(ctx context.Context, s figrouter.Settings, log *figlog.Log, signals *processSignals) error {
 	defer klog.Flush()
 	klog.InfoS("starting", "version", version(), "settings", s)
 	r, err := figrouter.New(s, platform.Adapter())
@@ -60,29 +60,15 @@
 	r.DroppedLines = log.Dropped.Load
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer reloadOnHangup(r)()
-	defer drainOnSignal(ctx, cancel, func(ctx context.Context) { r.Drain(ctx) })()
+	signals.handle(ctx, r.Drain, cancel, func() {
+		klog.InfoS("reload")
+		r.ReloadSeeds()
+	})
 	err = r.Run(ctx)
 	klog.InfoS("stopped", "err", err)
 	return err
 }
 
-// reloadOnHangup calls r.ReloadSeeds at each SIGHUP until stop is called.
-func reloadOnHangup(r *figrouter.Router) (stop func()) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go func() {
-		for range hangups {
-			klog.InfoS("reload")
-			r.ReloadSeeds()
-		}
-	}()
-	return func() {
-		signal.Stop(hangups)
-		close(hangups)
-	}
-}
-
 func routeFlags(s *figrouter.Settings) []cli.Flag {
 	return []cli.Flag{
 		stringFlag("name", "name of this instance", &s.Name),
--- a/internal/app/figcommand/serve.go
+++ b/internal/app/figcommand/serve.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strings"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -22,26 +20,28 @@
 		Name:  "serve",
 		Usage: "run one instance",
 		Description: "SIGTERM or SIGINT drains: the instance reports that it isn't ready, still accepts requests for\n" +
-			"--drain-notice, lets running requests end and hands its state over. A second signal stops it at once.\n" +
+			"--drain-notice, lets running requests end and hands its state over. A SIGINT while it drains stops it\n" +
+			"at once, and a further SIGTERM changes nothing. SIGHUP is ignored: there is nothing to read again.\n" +
 			"Log lines go to standard output. If the log's buffer is full, lines are dropped and counted.",
 		Flags: serveFlags(&s),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if err := joinFaults(s.Check()); err != nil {
 				return withCode(err, exitUsage)
 			}
+			signals := catchSignals()
 			log := figlog.New(os.Stdout, s.LogLines)
 			defer log.Close()
 			if err := logTo(log, s.Verbosity); err != nil {
 				return withCode(err, exitUsage)
 			}
 			debug.SetMemoryLimit(s.MemoryLimit)
-			return withCode(serve(ctx, s, log), exitServiceFailed)
+			return withCode(serve(ctx, s, log, signals), exitServiceFailed)
 		},
 	}
 }
 
-// serve runs an instance until it has drained, a second signal arrives or a service fails.
-func serve(ctx context.Context, s figserve.Settings, log *figlog.Log) error {
+// serve runs an instance until it has drained, is interrupted while it drains or a service fails.
+func serve(ctx context.Context, s figserve.Settings, log *figlog.Log, signals *processSignals) error {
 	defer klog.Flush()
 	klog.InfoS("starting", "version", version(), "settings", s)
 	i, err := figserve.New(s)
@@ -51,37 +51,12 @@
 	i.DroppedLines = log.Dropped.Load
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer drainOnSignal(ctx, cancel, i.Drain)()
+	signals.handle(ctx, i.Drain, cancel, func() { klog.InfoS("nothing to reload; ignoring SIGHUP") })
 	err = i.Run(ctx)
 	klog.InfoS("stopped", "err", err)
 	return err
 }
 
-// drainOnSignal calls drain and then cancel at the first SIGTERM or SIGINT, and cancel at
-// once at the second. The returned stop ends the delivery of signals.
-func drainOnSignal(ctx context.Context, cancel context.CancelFunc, drain func(context.Context)) (stop func()) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		select {
-		case <-signals:
-			go func() {
-				drain(ctx)
-				cancel()
-			}()
-		case <-ctx.Done():
-			return
-		}
-		select {
-		case <-signals:
-			klog.InfoS("received a second signal; stopping at once")
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	return func() { signal.Stop(signals) }
-}
-
 // env returns the environment variable of a flag, such as FIGTRAIL_DATA_CENTRE for data-centre.
 func env(name string) cli.ValueSourceChain {
 	return cli.EnvVars("FIGTRAIL_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_")))
