Keep an instance running when the reader of its log has ended

What callers saw: nothing yet; found while looking for other signals whose default action ends a process. When the process that reads standard output ends first, the next log line raised SIGPIPE, which ended the instance with all its requests.

Cause: Go ends a process that writes to a broken pipe at descriptor 1 or 2 unless SIGPIPE is caught or ignored.

Change: serve and route ignore SIGPIPE. The write fails, and the log drops the line.

Evidence: TestClosedLogDoesNotEndProcess failed before with "signal: broken pipe".

--- a/internal/app/figcommand/signals.go
+++ b/internal/app/figcommand/signals.go
@@ -15,7 +15,8 @@
 }
 
 // catchSignals begins to receive signals, which wait until handle is called. They stay caught
-// until the process ends, because the default action of each would end it at once.
+// until the process ends, because the default action of each would end it at once. SIGPIPE is
+// ignored for that reason too: the process that reads the log may end first.
 func catchSignals() *processSignals {
 	s := &processSignals{
 		terminate: make(chan os.Signal, 1),
@@ -25,6 +26,7 @@
 	signal.Notify(s.terminate, syscall.SIGTERM)
 	signal.Notify(s.interrupt, syscall.SIGINT)
 	signal.Notify(s.hangup, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
