Bound the overlap of two servers of a request at a starved process, too

Two servers worked on a request for up to 457 ms. Servers stop work for a request when its connection closes, and the rule allows 400 ms in which a silent server and its replacement both have it.

Cause: the overlap was ended after 300 ms by one timer of a process that may get no processor then; 100 ms were left for a late timer. With a processor quota a process may stand still for most of a tenth of a second, and for longer on a busy machine.

Change: the overlap ends after 150 ms, so that a process may run 250 ms late. Refusals arrive within a few milliseconds and still leave the silent server in use; what a replacement refuses later is sent to the silent server once more, as before. A third server no longer depends on the timer either: before the request is sent to it, the send that its predecessor replaces is given up (TestFirstServerIsGivenUpBeforeThirdSend).

--- a/internal/request/figproxy/silence.go
+++ b/internal/request/figproxy/silence.go
@@ -14,9 +14,10 @@
 const (
 	// replacementInterval is the time between two searches for a server that replaces a silent one.
 	replacementInterval = 250 * time.Millisecond
-	// maxOverlap is the longest time for which a silent server and its replacement both have the request. Servers
-	// refuse requests within a few milliseconds.
-	maxOverlap = 300 * time.Millisecond
+	// maxOverlap is the time after which a silent server is given up because its replacement has the request as well.
+	// Two servers may work on a request for 400 ms; the rest is for a process that runs late. Servers refuse requests
+	// within a few milliseconds.
+	maxOverlap = 150 * time.Millisecond
 )
 
 // watchPhase says which send of a watch the answer comes from.
@@ -36,6 +37,8 @@
 // accepted the request or both have had it for maxOverlap.
 type silenceWatch struct {
 	server *figcatalogue.Server
+	// outer is the watch whose replacement the watched send is; nil if it isn't one.
+	outer *silenceWatch
 	// after is the id of the last event that the caller has. resume says that it has a part of the answer.
 	after  string
 	resume bool
@@ -72,7 +75,7 @@
 	if x.replaces != nil { // no third server while the first one may have the request
 		timeout = max(timeout, 2*maxOverlap)
 	}
-	w := &silenceWatch{server: s, after: after, resume: resume, giveUp: giveUp}
+	w := &silenceWatch{server: s, outer: x.replaces, after: after, resume: resume, giveUp: giveUp}
 	w.stopTimer = x.Timer.After(timeout, func() { w.search(x) })
 	return w
 }
@@ -245,21 +248,29 @@
 	return true
 }
 
-// startOverlap gives the watched send up after maxOverlap, because x now sends the request to a replacement.
+// startOverlap gives the watched send up after maxOverlap, because x now sends the request to a replacement. If the
+// watched send is itself that of a replacement, the send that it replaces is given up at once.
 func (w *silenceWatch) startOverlap(x *exchange) {
 	if w == nil {
 		return
 	}
+	w.outer.endNow()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.endOverlap()
-	w.stopOverlap = x.Timer.After(maxOverlap, func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if w.sending && w.phase == watchPending {
-			w.replace()
-		}
-	})
+	w.stopOverlap = x.Timer.After(maxOverlap, w.endNow)
+}
+
+// endNow gives the watched send up if a replacement has the request and nothing is decided.
+func (w *silenceWatch) endNow() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.sending && w.phase == watchPending {
+		w.replace()
+	}
 }
 
 // endOverlap stops the timer of startOverlap. w.mu must be held.
--- a/internal/request/figproxy/silence_test.go
+++ b/internal/request/figproxy/silence_test.go
@@ -34,3 +34,14 @@
 	require.False(t, (&silenceWatch{}).replaceOnce(x))
 	require.True(t, retries.Available(now, pool))
 }
+
+// A silent server must be given up before the request is sent to a third one, even if the timer that ends its overlap is late.
+func TestFirstServerIsGivenUpBeforeThirdSend(t *testing.T) {
+	gaveUp := false
+	outer := &silenceWatch{giveUp: func() { gaveUp = true }, sending: true}
+	nested := &silenceWatch{outer: outer, giveUp: func() {}, sending: true}
+	nested.startOverlap(&exchange{Proxy: &Proxy{Timer: figtimer.New(figtimer.System())}})
+	require.True(t, gaveUp)
+	require.Equal(t, watchReplaced, outer.phase)
+	require.Equal(t, watchPending, nested.phase)
+}
