Refuse late in a drain what may be cut at its end

What callers saw: a request that came late in the grace period, on a connection that was opened before, was sent to a server and cut with 502 half a second before the end of the period, among them requests that may not be repeated.

Cause: while it drained, an instance began every request, whatever its time limit and however little of the grace was left.

Change: figproxy.Drain decides, from the times alone. From a third of the grace period on (2.7 s of 8) a request that no server has is begun only if its own deadline, the earlier one of route and caller, is before the cut. It is asked when a request is admitted, and again before each attempt as long as no server may have the request: one that waited for its rate or for a place is refused as not run. The answer is 503 with reason draining and Retry-After. Retries, resumed streams and decodes after a prefill go on.

Evidence: before, TestLateRequestIsRefusedNotCut got 502 for a call that isn't idempotent. Now 503 without any request at the servers, for all four kinds of route, and a call with a deadline of 500 ms is still served.

--- a/internal/app/figrouter/router.go
+++ b/internal/app/figrouter/router.go
@@ -123,7 +123,7 @@
 	ready       *figadmin.Admin
 	admin       *figadmin.Admin
 	seeds       atomic.Pointer[[]string]
-	draining    atomic.Bool
+	drain       atomic.Pointer[figproxy.Drain]
 }
 
 // New opens the listeners and creates the components. It starts no service: Run does.
@@ -185,6 +185,7 @@
 // it calls.
 func (r *Router) connect() {
 	r.seeds.Store(&[]string{})
+	r.drain.Store(&figproxy.Drain{})
 	r.catalogue = figcatalogue.New(figcatalogue.Options{
 		Source: r.adapter.Source(r.Source), Clock: r.clock, QueryPeer: r.queryPeers,
 		IsReader: r.isReader, Follow: r.followReader,
@@ -233,6 +234,7 @@
 		Tolerance:    figproxy.Tolerance{Window: r.RateWindow, Overage: r.RateOverage, Slack: r.RateSlack},
 		Sender:       r.sender,
 		Dialect:      r.adapter.Dialect,
+		Draining:     func() figproxy.Drain { return *r.drain.Load() },
 		Count:        func(name, label, value string) { r.metrics.Count(name, label, value, 1) },
 		OnRequestEnd: r.metrics.RecordRequest,
 	}
@@ -251,7 +253,7 @@
 		Clock:       r.clock,
 		Dialect:     r.adapter.Dialect,
 		Serve:       r.proxy.Serve,
-		Draining:    r.draining.Load,
+		Draining:    r.isDraining,
 		Watch:       r.callerWatch.Add,
 		Concurrency: r.Descriptors / concurrencyDivisor,
 		BodyLimit:   r.MemoryMB << 20 / bodyMemoryDivisor,
@@ -294,7 +296,7 @@
 // Ready returns nil if the instance accepts callers, and otherwise an error with the reason.
 func (r *Router) Ready() error {
 	switch {
-	case r.draining.Load():
+	case r.isDraining():
 		return errors.New("draining")
 	case !r.catalogue.Ready():
 		return errors.New("the configuration and the servers are not known yet")
@@ -302,6 +304,8 @@
 	return nil
 }
 
+func (r *Router) isDraining() bool { return r.drain.Load().Active() }
+
 // Run starts the services and serves until ctx ends or a service fails.
 func (r *Router) Run(ctx context.Context) error { return r.kernel.Run(ctx) }
 
--- a/internal/app/figrouter/run.go
+++ b/internal/app/figrouter/run.go
@@ -10,6 +10,7 @@
 	"figtrail.dev/figtrail/internal/core/figkernel"
 	"figtrail.dev/figtrail/internal/core/fignet"
 	"figtrail.dev/figtrail/internal/fleet/figdiscovery"
+	"figtrail.dev/figtrail/internal/request/figproxy"
 )
 
 const (
@@ -156,13 +157,14 @@
 // are aborted. Drain returns early if ctx ends. The caller then ends the context of Run.
 func (r *Router) Drain(ctx context.Context) {
 	begun := r.clock.Now()
-	r.draining.Store(true)
+	drain := figproxy.DrainFrom(begun, r.Grace, killMargin)
+	r.drain.Store(&drain)
 	r.discovery.SetLeaving()
 	klog.InfoS("draining", "notice", r.DrainNotice, "grace", r.Grace)
 	if r.timer.Sleep(ctx, r.DrainNotice) != nil {
 		return
 	}
-	limited, cancel := context.WithDeadline(ctx, begun.Add(r.Grace-killMargin))
+	limited, cancel := context.WithDeadline(ctx, drain.AbortAt())
 	defer cancel()
 	if err := r.ingress.Shutdown(limited); err != nil {
 		klog.InfoS("requests were aborted at the end of the grace period", "err", err)
--- a/internal/request/figproxy/plain.go
+++ b/internal/request/figproxy/plain.go
@@ -79,9 +79,12 @@
 // sendWhole sends the request to s once and returns the whole answer. An answer that the
 // server's application didn't write is an error, returned along with that answer.
 func (x *exchange) sendWhole(s *figcatalogue.Server) (*figsend.Answer, error) {
+	defer x.releasePlacement()
+	if err := x.checkDrain(s.Name); err != nil {
+		return nil, err
+	}
 	attempt, err := x.beginSend(s, 0, true, false)
 	if err != nil {
-		x.releasePlacement()
 		return nil, err
 	}
 	attempt.placement, x.placement = x.placement, nil
--- a/internal/request/figproxy/proxy.go
+++ b/internal/request/figproxy/proxy.go
@@ -115,6 +115,8 @@
 	Tolerance  Tolerance
 	Sender     *figsend.Sender
 	Dialect    *Dialect
+	// Draining returns the limits of the drain in progress, or the zero value.
+	Draining func() Drain
 	// Count increments the counter called name for one label and its value.
 	Count func(name, label, value string)
 	// OnRequestEnd is called once for each request after it has ended.
@@ -235,6 +237,9 @@
 	if !x.answerDeadline.After(x.Clock.Now()) {
 		return x.reject(figlifecycle.CauseOf(figlifecycle.Deadline, nil))
 	}
+	if err := x.checkDrain(""); err != nil {
+		return x.reject(drainCause(err))
+	}
 	return nil
 }
 
--- a/internal/request/figproxy/send.go
+++ b/internal/request/figproxy/send.go
@@ -258,6 +258,8 @@
 		return "sends"
 	case isQuarantined(err):
 		return "quarantined"
+	case errors.Is(err, errDrainingLate):
+		return "draining"
 	case !notRun && !x.route.Kind.Retryable():
 		return "kind"
 	case !notRun && len(x.ranOn) >= max(1, x.route.MaxServers):
@@ -283,6 +285,9 @@
 	if isQuarantined(err) {
 		return quarantineCause(err)
 	}
+	if errors.Is(err, errDrainingLate) {
+		return drainCause(err)
+	}
 	cause := figlifecycle.CauseOf(figlifecycle.ServerFailed, err)
 	if figsend.KindOf(err) == figsend.KindDeadline {
 		cause.Reason = figlifecycle.Deadline // the send can hit the deadline before x.ctx ends
--- a/internal/request/figproxy/stream.go
+++ b/internal/request/figproxy/stream.go
@@ -113,6 +113,9 @@
 // openStreamAt is like openStream at s, at which x.placement is.
 func (x *exchange) openStreamAt(s *figcatalogue.Server, after string, resume bool) (*openedStream, error) {
 	defer x.releasePlacement()
+	if err := x.checkDrain(s.Name); err != nil {
+		return nil, err
+	}
 	metadata := SendMetadata{LastEventID: after}
 	var prefillServer *figcatalogue.Server
 	if !resume {
