Tell callers of aborted requests that the instance stops

What callers saw: requests that were aborted at the end of a drain got 502 with "The caller closed the connection." and outcome cancelled, also those that no server had, for which 503 is due.

Cause: contextCause took every cancelled context that hadn't reached its deadline for a caller that had left.

Change: a caller has left only if that is the context's cause; otherwise the instance stops.

--- a/internal/request/figproxy/reply.go
+++ b/internal/request/figproxy/reply.go
@@ -1,10 +1,12 @@
 package figproxy
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"figtrail.dev/figtrail/internal/edge/figmetric"
@@ -39,10 +41,12 @@
 	switch {
 	case x.ctx.Err() == nil:
 		return 0, false
-	case x.Clock.Now().Before(x.answerDeadline):
+	case errors.Is(context.Cause(x.ctx), ErrCallerLeft):
 		return figlifecycle.CallerGone, true
-	default:
+	case !x.Clock.Now().Before(x.answerDeadline):
 		return figlifecycle.Deadline, true
+	default:
+		return figlifecycle.Draining, true
 	}
 }
 
