Answer whatever has come before callers' connections are closed at shutdown

What callers saw, at an instance that stops: - requests that were aborted at the end of the grace period ended without an answer, because the process ended before it was written; - requests on connections that had not been accepted when the listener was closed were reset, and so were requests that came on an idle connection just before it was closed; - a request of which only a part had come was closed without an answer.

Cause: the HTTP server's Shutdown closes the listener and idle connections whatever waits on them, and returns at the end of its context while handlers still run; nothing waited for these. Called before Serve, it had no effect, so that Serve never returned.

Change: figingress keeps the connections itself. Shutdown accepts what has arrived before it closes the listener, reads idle connections once more before it closes them, cancels what still runs at the end of its context, refuses partial requests with 503, and then waits for the answers for at most 350 ms of the 500 ms that are left of the grace period. A connection with unread bytes lingers for 200 ms at most, so that its answer isn't lost. A connection without a request is closed without an answer.

--- a/internal/app/figrouter/router.go
+++ b/internal/app/figrouter/router.go
@@ -83,7 +83,7 @@
 	// of a pool; choosing a server takes microseconds.
 	maxConcurrentPlacements = 2
 	// killMargin is how long before the end of the grace period the remaining
-	// requests are aborted.
+	// requests are aborted. Their answers are written in figingress.AnswerTimeout.
 	killMargin = 500 * time.Millisecond
 )
 
--- a/internal/app/figrouter/run.go
+++ b/internal/app/figrouter/run.go
@@ -59,18 +59,17 @@
 
 // serveCallers serves callers until ctx ends, and then aborts the remaining requests.
 func (r *Router) serveCallers(ctx context.Context) error {
-	stopped := context.AfterFunc(ctx, func() {
-		canceled, cancel := context.WithCancel(context.Background())
-		cancel()
-		if err := r.ingress.Shutdown(canceled); err != nil {
+	aborted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(aborted)
+		if err := r.ingress.Shutdown(ctx); err != nil {
 			klog.InfoS("requests were aborted at shutdown", "err", err)
 		}
 	})
-	defer stopped()
-	if err := r.ingress.Serve(fignet.WithWriteTimeout(r.callers, fignet.WriteTimeout)); err != nil {
+	if err := r.ingress.Serve(fignet.WithWriteTimeout(r.callers, fignet.WriteTimeout)); err != nil && stop() {
 		return err
 	}
-	<-ctx.Done()
+	<-aborted
 	return nil
 }
 
--- a/internal/core/fignet/listen.go
+++ b/internal/core/fignet/listen.go
@@ -1,6 +1,7 @@
 package fignet
 
 import (
+	"errors"
 	"net"
 	"time"
 )
@@ -38,6 +39,15 @@
 	return &limitedConn{Conn: c, limit: l.limit}, nil
 }
 
+// SetDeadline sets the deadline of Accept. It fails if the underlying listener has none.
+func (l *limitedListener) SetDeadline(t time.Time) error {
+	d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return d.SetDeadline(t)
+}
+
 type limitedConn struct {
 	net.Conn
 
--- /dev/null
+++ b/internal/edge/figingress/connection.go
@@ -0,0 +1,316 @@
+package figingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"figtrail.dev/figtrail/internal/request/figsend"
+)
+
+const (
+	// firstRequestTimeout is how long a new connection may stay without a request after the server has stopped
+	// accepting.
+	firstRequestTimeout = 5 * time.Second
+	// lastReadTimeout is how long a connection is read before it is closed, and the listener accepts before it is: what
+	// has arrived by then isn't lost.
+	lastReadTimeout = 20 * time.Millisecond
+	// lingerTimeout is how long a connection of which not everything was read stays open after its last answer. If it was
+	// closed at once, the caller could lose the answer.
+	lingerTimeout = 200 * time.Millisecond
+	// lingerBytes is the size of the buffer for what is read and dropped meanwhile.
+	lingerBytes = 4 << 10
+)
+
+// phase is the state of a server's shutdown.
+type phase uint8
+
+const (
+	// accepting means that the server isn't shut down.
+	accepting phase = iota
+	// stopping means that it accepts no connections and closes idle ones, and that running requests go on.
+	stopping
+	// aborting means that running requests are aborted, and those that have come only in part refused.
+	aborting
+)
+
+// connections holds the open connections of a server.
+type connections struct {
+	mu       sync.Mutex
+	phase    phase
+	listener *listener
+	open     map[*connection]struct{}
+	// changed is closed and replaced when the last connection has been closed, or the listener.
+	changed chan struct{}
+}
+
+// listener accepts a server's connections until the shutdown.
+type listener struct {
+	net.Listener
+
+	connections *connections
+	// last says that the connections that have arrived are being accepted before the listener is closed.
+	last bool
+}
+
+// connection is a caller's connection whose reads end at the shutdown.
+type connection struct {
+	net.Conn
+
+	connections *connections
+
+	mu sync.Mutex
+	// firstRequest is when a connection without a request is closed during the shutdown; zero if it had one.
+	firstRequest time.Time
+	// waiting says that no byte of the next request has been read.
+	waiting bool
+	// incomplete says that a request wasn't read to its end.
+	incomplete bool
+	// deadline is the read deadline that the HTTP server has set, limit that of the shutdown; zero for none.
+	deadline, limit time.Time
+}
+
+func newConnections() *connections {
+	return &connections{open: map[*connection]struct{}{}, changed: make(chan struct{})}
+}
+
+// listen returns l as the listener whose connections are held. It fails if the shutdown has begun.
+func (s *connections) listen(l net.Listener) (*listener, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase != accepting {
+		return nil, false
+	}
+	s.listener = &listener{Listener: l, connections: s}
+	return s.listener, true
+}
+
+// Accept returns the next connection. When the shutdown has begun, it returns the connections that have arrived, closes
+// the listener and returns io.EOF.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil {
+			return l.connections.add(c), nil
+		}
+		if l.connections.now() == accepting {
+			return nil, err
+		}
+		if !l.last && setDeadline(l.Listener, time.Now().Add(lastReadTimeout)) {
+			l.last = true
+			continue
+		}
+		l.connections.closeListener()
+		return nil, io.EOF
+	}
+}
+
+// setDeadline sets the deadline of Accept. It returns false if the listener has none.
+func setDeadline(l net.Listener, at time.Time) bool {
+	d, ok := l.(interface{ SetDeadline(t time.Time) error })
+	return ok && d.SetDeadline(at) == nil
+}
+
+func (s *connections) closeListener() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener != nil {
+		_ = s.listener.Close()
+		s.listener = nil
+		s.notify()
+	}
+}
+
+// notify wakes the waiting calls of wait. s.mu must be held.
+func (s *connections) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *connections) now() phase {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.phase
+}
+
+func (s *connections) add(n net.Conn) *connection {
+	c := &connection{Conn: n, connections: s, firstRequest: time.Now().Add(firstRequestTimeout), waiting: true}
+	s.mu.Lock()
+	s.open[c] = struct{}{}
+	s.mu.Unlock()
+	c.limitReads()
+	return c
+}
+
+func (s *connections) remove(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+	if len(s.open) == 0 {
+		s.notify()
+	}
+}
+
+// advance moves the shutdown to a later phase.
+func (s *connections) advance(to phase) {
+	s.mu.Lock()
+	if s.phase >= to {
+		s.mu.Unlock()
+		return
+	}
+	s.phase = to
+	l := s.listener
+	open := make([]*connection, 0, len(s.open))
+	for c := range s.open {
+		open = append(open, c)
+	}
+	s.mu.Unlock()
+	if l != nil && !setDeadline(l.Listener, time.Now()) {
+		_ = l.Close()
+	}
+	for _, c := range open {
+		c.limitReads()
+	}
+}
+
+// wait waits until all connections and the listener have been closed, or until ctx ends. It returns the number of
+// connections that are still open.
+func (s *connections) wait(ctx context.Context) (int, error) {
+	for {
+		s.mu.Lock()
+		left, done, changed := len(s.open), len(s.open) == 0 && s.listener == nil, s.changed
+		s.mu.Unlock()
+		if done {
+			return 0, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return left, ctx.Err()
+		}
+	}
+}
+
+// track notes whether a connection waits for a request.
+func track(n net.Conn, state fasthttp.ConnState) {
+	c, ok := n.(*connection)
+	if !ok || (state != fasthttp.StateActive && state != fasthttp.StateIdle) {
+		return
+	}
+	c.mu.Lock()
+	c.firstRequest = time.Time{}
+	c.waiting = state == fasthttp.StateIdle
+	c.mu.Unlock()
+	c.limitReads()
+}
+
+// limitReads ends the reads of the connection as the phase of the shutdown demands.
+func (c *connection) limitReads() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.connections.now()
+	limit := time.Time{}
+	switch {
+	case p == aborting, p == stopping && c.waiting && c.firstRequest.IsZero():
+		limit = time.Now()
+	case p == stopping && c.waiting:
+		limit = c.firstRequest
+	}
+	if limit.IsZero() && c.limit.IsZero() {
+		return
+	}
+	c.limit = limit
+	_ = c.Conn.SetReadDeadline(earlier(c.deadline, limit))
+}
+
+// earlier returns the earlier one of two times, of which a zero one is none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
+
+// SetReadDeadline sets the read deadline, but not beyond that of the shutdown.
+func (c *connection) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.Conn.SetReadDeadline(earlier(t, c.limit))
+}
+
+// Read reads from the connection. If the shutdown ends the read, what has already arrived is still read. It returns
+// io.EOF if no byte of the next request comes in time, so that the connection is closed without an answer.
+func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if c.isLimited() && c.Conn.SetReadDeadline(time.Now().Add(lastReadTimeout)) == nil {
+		if n, err = c.Conn.Read(p); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting {
+		return 0, io.EOF
+	}
+	return 0, err
+}
+
+// isLimited says whether the shutdown has ended the reads of the connection.
+func (c *connection) isLimited() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.limit.IsZero() && !time.Now().Before(c.limit)
+}
+
+// lingers makes Close wait until the caller has got the answer, because its request wasn't read to the end.
+func (c *connection) lingers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.incomplete = true
+}
+
+// Close closes the connection.
+func (c *connection) Close() error {
+	c.mu.Lock()
+	incomplete := c.incomplete
+	c.mu.Unlock()
+	if incomplete || figsend.HasUnread(c.Conn) {
+		c.linger()
+	}
+	err := c.Conn.Close()
+	c.connections.remove(c)
+	return err
+}
+
+// linger closes the sending side and drops what the caller sends until it closes the connection, for at most
+// lingerTimeout.
+func (c *connection) linger() {
+	w, ok := c.NetConn().(interface{ CloseWrite() error })
+	if !ok || w.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
+	}
+	buffer := make([]byte, lingerBytes)
+	for {
+		if _, err := c.Conn.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
+// NetConn returns the underlying connection, for access to its socket.
+func (c *connection) NetConn() net.Conn {
+	if w, ok := c.Conn.(interface{ NetConn() net.Conn }); ok {
+		return w.NetConn()
+	}
+	return c.Conn
+}
--- a/internal/edge/figingress/server.go
+++ b/internal/edge/figingress/server.go
@@ -10,12 +10,13 @@
 //
 // When a caller closes its connection, the context of its request is canceled at
 // once. While the instance drains, requests are still served, and each connection
-// is closed after its next response.
+// is closed after its next response. Shutdown answers every request that has come.
 package figingress
 
 import (
 	"context"
 	"net"
+	"os"
 	"runtime/debug"
 	"slices"
 	"strconv"
@@ -44,6 +45,9 @@
 	readTimeout = 30 * time.Second
 )
 
+// AnswerTimeout is how long Shutdown waits for the answers to requests that it has aborted.
+const AnswerTimeout = 350 * time.Millisecond
+
 // Options configures a Server. All fields are required.
 type Options struct {
 	// Clock gives the arrival times of requests.
@@ -66,15 +70,16 @@
 
 // Server is the HTTP server for callers of declared routes.
 type Server struct {
-	opts   Options
-	server *fasthttp.Server
-	ctx    context.Context
-	cancel context.CancelFunc
+	opts        Options
+	server      *fasthttp.Server
+	connections *connections
+	ctx         context.Context
+	cancel      context.CancelFunc
 }
 
 // New returns a server that accepts connections once Serve is called.
 func New(o Options) *Server {
-	s := &Server{opts: o}
+	s := &Server{opts: o, connections: newConnections()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.server = &fasthttp.Server{
 		Handler:                       s.handle,
@@ -90,7 +95,7 @@
 		IdleTimeout:                   idleTimeout,
 		MaxRequestBodySize:            o.BodyLimit,
 		Concurrency:                   o.Concurrency,
-		CloseOnShutdown:               true,
+		ConnState:                     track,
 	}
 	return s
 }
@@ -101,19 +106,40 @@
 // Printf logs one message of fasthttp.
 func (logger) Printf(format string, args ...any) { klog.V(2).Infof(format, args...) }
 
-// Serve accepts connections on l and serves them until Shutdown is called.
+// Serve accepts connections on l and serves them until Shutdown is called. It closes l.
 func (s *Server) Serve(l net.Listener) error {
-	return figerror.Wrap(s.server.Serve(l), "serve callers", l.Addr().String())
+	held, ok := s.connections.listen(l)
+	if !ok {
+		return figerror.Wrap(l.Close(), "close", l.Addr().String())
+	}
+	err := s.server.Serve(held)
+	s.connections.closeListener()
+	return figerror.Wrap(err, "serve callers", l.Addr().String())
 }
 
-// Shutdown stops accepting connections and waits for running requests until ctx ends.
-// Then it cancels the contexts of requests that still run.
+// Shutdown stops accepting connections, closes idle ones and waits for running requests
+// until ctx ends. Then it cancels the contexts of requests that still run and refuses those
+// that have come only in part. It returns when the answers to these have been written, or
+// after AnswerTimeout.
 func (s *Server) Shutdown(ctx context.Context) error {
-	err := s.server.ShutdownWithContext(ctx)
+	s.connections.advance(stopping)
+	_, err := s.connections.wait(ctx)
 	s.cancel()
+	s.connections.advance(aborting)
+	if err == nil {
+		return nil
+	}
+	limited, cancel := context.WithTimeout(context.Background(), AnswerTimeout)
+	defer cancel()
+	if left, err := s.connections.wait(limited); err != nil {
+		klog.InfoS("connections are still open after the shutdown", "connections", left)
+	}
 	return figerror.Wrap(err, "shut down", "")
 }
 
+// closes reports whether connections are closed after their next answer.
+func (s *Server) closes() bool { return s.opts.Draining() || s.connections.now() != accepting }
+
 // handle serves one request.
 func (s *Server) handle(c *fasthttp.RequestCtx) {
 	q, err := s.read(c)
@@ -208,7 +234,7 @@
 	if r.RetryAfter > 0 {
 		c.Response.Header.Set(fasthttp.HeaderRetryAfter, seconds(r.RetryAfter))
 	}
-	if s.opts.Draining() {
+	if s.closes() {
 		c.SetConnectionClose()
 	}
 	if r.Stream == nil {
@@ -240,6 +266,12 @@
 	if errors.As(err, &small) || errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		reason = figlifecycle.TooLarge
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && s.connections.now() == aborting {
+		reason = figlifecycle.Draining
+	}
 	c.SetConnectionClose()
+	if n, ok := c.Conn().(*connection); ok {
+		n.lingers()
+	}
 	s.refuse(c, "", figlifecycle.CauseOf(reason, err))
 }
--- a/internal/request/figsend/peek.go
+++ b/internal/request/figsend/peek.go
@@ -18,6 +18,9 @@
 	peekClosed
 )
 
+// HasUnread reports whether bytes that the peer has sent wait to be read from c, and the peer hasn't closed it.
+func HasUnread(c net.Conn) bool { return peek(c) == peekData }
+
 // peek returns the state of c without consuming data or blocking. It returns peekNoData for a connection whose socket
 // isn't accessible.
 func peek(c net.Conn) peekState {
