Keep the heads of unreadable requests out of the log

Found with partial requests at the end of a drain: their log line quoted the head of the request, with the caller's key. So did every request that could not be read, such as one with a malformed field, and at verbosity 2 the HTTP server's own messages.

Cause: fasthttp's errors quote the head; its option SecureErrorLogMessage leaves out some of the quotes only.

Change: figingress logs its own errors (malformed, not complete, too large) and no arguments of the server's messages.

Evidence: TestUnreadableRequestIsNotLogged found the key in both kinds of lines before. figtrail serve returns the error to the caller and logs the server's messages at verbosity 2; not changed here.

--- a/internal/edge/figingress/server.go
+++ b/internal/edge/figingress/server.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"runtime/debug"
@@ -100,11 +101,14 @@
 	return s
 }
 
-// logger writes fasthttp's messages about broken connections at verbosity 2.
+// logger writes fasthttp's messages about broken connections at verbosity 2, without their
+// arguments: these may quote the head of a request with the caller's key.
 type logger struct{}
 
 // Printf logs one message of fasthttp.
-func (logger) Printf(format string, args ...any) { klog.V(2).Infof(format, args...) }
+func (logger) Printf(format string, _ ...any) {
+	klog.V(2).InfoS("HTTP server message", "message", format)
+}
 
 // Serve accepts connections on l and serves them until Shutdown is called. It closes l.
 func (s *Server) Serve(l net.Listener) error {
@@ -259,19 +263,28 @@
 	})
 }
 
-// handleError answers a request that fasthttp could not read, and closes the connection.
+var (
+	errMalformed  = errors.New("the request is malformed")
+	errIncomplete = errors.New("the request didn't come to its end")
+	errTooLarge   = errors.New("the request exceeds a size limit")
+)
+
+// handleError answers a request that fasthttp could not read, and closes the connection. The
+// error isn't logged, because it may quote the head of the request with the caller's key.
 func (s *Server) handleError(c *fasthttp.RequestCtx, err error) {
-	reason := figlifecycle.BadRequest
+	cause := figlifecycle.CauseOf(figlifecycle.BadRequest, errMalformed)
 	var small *fasthttp.ErrSmallBuffer
-	if errors.As(err, &small) || errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		reason = figlifecycle.TooLarge
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && s.connections.now() == aborting {
-		reason = figlifecycle.Draining
+	switch {
+	case errors.As(err, &small) || errors.Is(err, fasthttp.ErrBodyTooLarge):
+		cause = figlifecycle.CauseOf(figlifecycle.TooLarge, errTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded) && s.connections.now() == aborting:
+		cause = figlifecycle.CauseOf(figlifecycle.Draining, errIncomplete)
+	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		cause.Err = errIncomplete
 	}
 	c.SetConnectionClose()
 	if n, ok := c.Conn().(*connection); ok {
 		n.lingers()
 	}
-	s.refuse(c, "", figlifecycle.CauseOf(reason, err))
+	s.refuse(c, "", cause)
 }
