--- a/internal/app/figrouter/run.go
+++ b/internal/app/figrouter/run.go
@@ -10,6 +10,7 @@
 	"figtrail.dev/figtrail/internal/core/figkernel"
 	"figtrail.dev/figtrail/internal/core/fignet"
 	"figtrail.dev/figtrail/internal/fleet/figdiscovery"
+	"figtrail.dev/figtrail/internal/request/figproxy"
 )
 
 const (
@@ -58,18 +59,17 @@
 
 // serveCallers serves callers until ctx ends, and then aborts the remaining requests.
 func (r *Router) serveCallers(ctx context.Context) error {
-	stopped := context.AfterFunc(ctx, func() {
-		canceled, cancel := context.WithCancel(context.Background())
-		cancel()
-		if err := r.ingress.Shutdown(canceled); err != nil {
+	aborted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(aborted)
+		if err := r.ingress.Shutdown(ctx); err != nil {
 			klog.InfoS("requests were aborted at shutdown", "err", err)
 		}
 	})
-	defer stopped()
-	if err := r.ingress.Serve(fignet.WithWriteTimeout(r.callers, fignet.WriteTimeout)); err != nil {
+	if err := r.ingress.Serve(fignet.WithWriteTimeout(r.callers, fignet.WriteTimeout)); err != nil && stop() {
 		return err
 	}
-	<-ctx.Done()
+	<-aborted
 	return nil
 }
 
@@ -156,13 +156,14 @@
 // are aborted. Drain returns early if ctx ends. The caller then ends the context of Run.
 func (r *Router) Drain(ctx context.Context) {
 	begun := r.clock.Now()
-	r.draining.Store(true)
+	drain := figproxy.DrainFrom(begun, r.Grace, killMargin)
+	r.drain.Store(&drain)
 	r.discovery.SetLeaving()
 	klog.InfoS("draining", "notice", r.DrainNotice, "grace", r.Grace)
 	if r.timer.Sleep(ctx, r.DrainNotice) != nil {
 		return
 	}
-	limited, cancel := context.WithDeadline(ctx, begun.Add(r.Grace-killMargin))
+	limited, cancel := context.WithDeadline(ctx, drain.AbortAt())
 	defer cancel()
 	if err := r.ingress.Shutdown(limited); err != nil {
 		klog.InfoS("requests were aborted at the end of the grace period", "err", err)
