--- a/internal/edge/figingress/shutdown_test.go
+++ b/internal/edge/figingress/shutdown_test.go
@@ -292,3 +292,40 @@
 		require.Fail(t, "Serve hasn't returned")
 	}
 }
+
+// What follows a request on a connection that is closed after its answer must not be passed on, and must not cost the
+// caller that answer.
+func TestRequestBehindLastAnswerIsNotPassedOn(t *testing.T) {
+	const size = 8 << 20
+	for name, together := range map[string]bool{"at once": true, "later": false} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int64
+			serving, sent := make(chan struct{}), make(chan struct{})
+			s := startStoppable(t, listen(t), func(context.Context, *figproxy.Call) *figproxy.Reply {
+				calls.Add(1)
+				close(serving)
+				<-sent
+				return &figproxy.Reply{Status: http.StatusOK, Body: make([]byte, size)}
+			})
+			s.draining.Store(true)
+			c := s.dial()
+			if together {
+				c.write(request("/1") + request("/2"))
+				<-serving
+			} else {
+				c.write(request("/1"))
+				<-serving
+				c.write(request("/2"))
+			}
+			close(sent)
+			time.Sleep(50 * time.Millisecond)
+			a := c.read()
+			require.NoError(t, a.err)
+			require.Len(t, a.body, size)
+			require.True(t, a.closes)
+			c.requireClosed()
+			s.stop(patience)
+			require.EqualValues(t, 1, calls.Load())
+		})
+	}
+}
