Go on accepting callers after a lack of file descriptors

What callers saw: nothing yet; found while reading how the listener for callers ends. Accept fails when descriptors or memory lack, which ended the service and with it the process and all its requests.

Cause: fasthttp takes every error of Accept that isn't a timeout for the end of the listener.

Change: the listener of figingress tries again after 50 ms if a limit is the reason.

Evidence: before, TestServerOutlivesLackOfDescriptors got no answer, as Serve had returned. Not shown with a process at its limit. The listener of figtrail serve isn't changed.

--- a/internal/edge/figingress/connection.go
+++ b/internal/edge/figingress/connection.go
@@ -6,11 +6,14 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
 
+	"figtrail.dev/figtrail/internal/core/figtimer"
 	"figtrail.dev/figtrail/internal/request/figsend"
 )
 
@@ -24,6 +27,8 @@
 	// lingerTimeout is how long a connection of which not everything was read stays open after its last answer. If it was
 	// closed at once, the caller could lose the answer.
 	lingerTimeout = 200 * time.Millisecond
+	// exhaustedPause is the time until the next attempt to accept a connection when descriptors or memory lack.
+	exhaustedPause = 50 * time.Millisecond
 	// lingerBytes is the size of the buffer for what is read and dropped meanwhile.
 	lingerBytes = 4 << 10
 )
@@ -46,6 +51,10 @@
 	phase    phase
 	listener *listener
 	open     map[*connection]struct{}
+	// serving ends when the shutdown begins.
+	serving context.Context
+	stop    context.CancelFunc
+	timer   *figtimer.Timer
 	// changed is closed and replaced when the last connection has been closed, or the listener.
 	changed chan struct{}
 }
@@ -76,8 +85,10 @@
 	deadline, limit time.Time
 }
 
-func newConnections() *connections {
-	return &connections{open: map[*connection]struct{}{}, changed: make(chan struct{})}
+func newConnections(clock figtimer.Clock) *connections {
+	s := &connections{timer: figtimer.New(clock), open: map[*connection]struct{}{}, changed: make(chan struct{})}
+	s.serving, s.stop = context.WithCancel(context.Background())
+	return s
 }
 
 // listen returns l as the listener whose connections are held. It fails if the shutdown has begun.
@@ -100,7 +111,13 @@
 			return l.connections.add(c), nil
 		}
 		if l.connections.now() == accepting {
-			return nil, err
+			if !isExhausted(err) {
+				return nil, err
+			}
+			klog.InfoS("no connection can be accepted at the moment", "err", err)
+			// The shutdown ends the sleep, and the next Accept then fails.
+			_ = l.connections.timer.Sleep(l.connections.serving, exhaustedPause)
+			continue
 		}
 		if !l.last && setDeadline(l.Listener, time.Now().Add(lastReadTimeout)) {
 			l.last = true
@@ -111,6 +128,12 @@
 	}
 }
 
+// isExhausted says whether a connection couldn't be accepted because of a limit that allows it later.
+func isExhausted(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
+		errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
 // setDeadline sets the deadline of Accept. It returns false if the listener has none.
 func setDeadline(l net.Listener, at time.Time) bool {
 	d, ok := l.(interface{ SetDeadline(t time.Time) error })
@@ -165,6 +188,7 @@
 		return
 	}
 	s.phase = to
+	s.stop()
 	l := s.listener
 	open := make([]*connection, 0, len(s.open))
 	for c := range s.open {
--- a/internal/edge/figingress/server.go
+++ b/internal/edge/figingress/server.go
@@ -80,7 +80,7 @@
 
 // New returns a server that accepts connections once Serve is called.
 func New(o Options) *Server {
-	s := &Server{opts: o, connections: newConnections()}
+	s := &Server{opts: o, connections: newConnections(o.Clock)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.server = &fasthttp.Server{
 		Handler:                       s.handle,
--- a/internal/edge/figingress/shutdown_test.go
+++ b/internal/edge/figingress/shutdown_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -329,3 +331,28 @@
 		})
 	}
 }
+
+// failingListener fails to accept a few times as if the process had no file descriptor left.
+type failingListener struct {
+	net.Listener
+
+	failures atomic.Int64
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// A lack of file descriptors must not end the server, which would cut all requests.
+func TestServerOutlivesLackOfDescriptors(t *testing.T) {
+	l := &failingListener{Listener: listen(t)}
+	l.failures.Store(3)
+	s := startStoppable(t, l, echo)
+	c := s.dial()
+	c.write(request("/x"))
+	require.Equal(t, "/x body", c.read().body)
+	s.stop(patience)
+}
