Wait for the answers to aborted requests once

Found by looking how long a stop takes with callers that don't read: with 50 callers of answers of 7 MB a process with a grace of 2 s ended after 2.22 s, because the end of the process shut the listener down again and waited 350 ms for the answers a second time.

Change: the wait ends 350 ms after the first abortion.

--- a/internal/edge/figingress/connection.go
+++ b/internal/edge/figingress/connection.go
@@ -51,6 +51,8 @@
 	phase    phase
 	listener *listener
 	open     map[*connection]struct{}
+	// answersDue is until when the answers to aborted requests are waited for; zero before the abortion.
+	answersDue time.Time
 	// serving ends when the shutdown begins.
 	serving context.Context
 	stop    context.CancelFunc
@@ -188,6 +190,9 @@
 		return
 	}
 	s.phase = to
+	if to == aborting {
+		s.answersDue = s.timer.Now().Add(AnswerTimeout)
+	}
 	s.stop()
 	l := s.listener
 	open := make([]*connection, 0, len(s.open))
@@ -203,6 +208,18 @@
 	}
 }
 
+// waitForAnswers waits until the aborted requests have been answered, or until AnswerTimeout has passed since the
+// abortion. It returns the number of connections that are still open.
+func (s *connections) waitForAnswers() int {
+	s.mu.Lock()
+	due := s.answersDue
+	s.mu.Unlock()
+	ctx, cancel := context.WithDeadline(context.Background(), due)
+	defer cancel()
+	left, _ := s.wait(ctx)
+	return left
+}
+
 // wait waits until all connections and the listener have been closed, or until ctx ends. It returns the number of
 // connections that are still open.
 func (s *connections) wait(ctx context.Context) (int, error) {
--- a/internal/edge/figingress/server.go
+++ b/internal/edge/figingress/server.go
@@ -124,7 +124,7 @@
 // Shutdown stops accepting connections, closes idle ones and waits for running requests
 // until ctx ends. Then it cancels the contexts of requests that still run and refuses those
 // that have come only in part. It returns when the answers to these have been written, or
-// after AnswerTimeout.
+// AnswerTimeout after the first call that canceled them.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.connections.advance(stopping)
 	_, err := s.connections.wait(ctx)
@@ -133,9 +133,7 @@
 	if err == nil {
 		return nil
 	}
-	limited, cancel := context.WithTimeout(context.Background(), AnswerTimeout)
-	defer cancel()
-	if left, err := s.connections.wait(limited); err != nil {
+	if left := s.connections.waitForAnswers(); left > 0 {
 		klog.InfoS("connections are still open after the shutdown", "connections", left)
 	}
 	return figerror.Wrap(err, "shut down", "")
--- a/internal/edge/figingress/shutdown_test.go
+++ b/internal/edge/figingress/shutdown_test.go
@@ -150,6 +150,18 @@
 	}
 }
 
+// A second Shutdown, such as that at the end of the process, must not wait for the answers again.
+func TestAnswersAreWaitedForOnce(t *testing.T) {
+	s := newConnections(figtimer.System())
+	s.advance(stopping)
+	s.advance(aborting)
+	due := s.answersDue
+	require.False(t, due.IsZero())
+	s.advance(aborting)
+	s.advance(stopping)
+	require.Equal(t, due, s.answersDue)
+}
+
 // heldListener accepts nothing until held is closed, as a process that gets no processor time.
 type heldListener struct {
 	*net.TCPListener
@@ -282,7 +294,7 @@
 
 // Serve must return if Shutdown was called before.
 func TestServeAfterShutdown(t *testing.T) {
-	s := New(Options{})
+	s := New(Options{Clock: figtimer.System()})
 	require.NoError(t, s.Shutdown(t.Context()))
 	l := listen(t)
 	done := make(chan error, 1)
