--- a/internal/edge/figingress/shutdown_test.go
+++ b/internal/edge/figingress/shutdown_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -148,6 +150,18 @@
 	}
 }
 
+// A second Shutdown, such as that at the end of the process, must not wait for the answers again.
+func TestAnswersAreWaitedForOnce(t *testing.T) {
+	s := newConnections(figtimer.System())
+	s.advance(stopping)
+	s.advance(aborting)
+	due := s.answersDue
+	require.False(t, due.IsZero())
+	s.advance(aborting)
+	s.advance(stopping)
+	require.Equal(t, due, s.answersDue)
+}
+
 // heldListener accepts nothing until held is closed, as a process that gets no processor time.
 type heldListener struct {
 	*net.TCPListener
@@ -280,7 +294,7 @@
 
 // Serve must return if Shutdown was called before.
 func TestServeAfterShutdown(t *testing.T) {
-	s := New(Options{})
+	s := New(Options{Clock: figtimer.System()})
 	require.NoError(t, s.Shutdown(t.Context()))
 	l := listen(t)
 	done := make(chan error, 1)
@@ -329,3 +343,28 @@
 		})
 	}
 }
+
+// failingListener fails to accept a few times as if the process had no file descriptor left.
+type failingListener struct {
+	net.Listener
+
+	failures atomic.Int64
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// A lack of file descriptors must not end the server, which would cut all requests.
+func TestServerOutlivesLackOfDescriptors(t *testing.T) {
+	l := &failingListener{Listener: listen(t)}
+	l.failures.Store(3)
+	s := startStoppable(t, l, echo)
+	c := s.dial()
+	c.write(request("/x"))
+	require.Equal(t, "/x body", c.read().body)
+	s.stop(patience)
+}
