--- a/internal/edge/figingress/close_test.go
+++ b/internal/edge/figingress/close_test.go
@@ -17,7 +17,9 @@
 // A request behind one whose answer closes the connection must not reset it before a slow caller has read that answer.
 func TestPipelinedRequestResetsNoAnswer(t *testing.T) {
 	body := strings.Repeat("x", 16<<20)
-	s := startServer(t, func(*figproxy.Call) *figproxy.Reply { return &figproxy.Reply{Status: http.StatusOK, Body: []byte(body)} })
+	s := startServer(t, func(*figproxy.Call) *figproxy.Reply {
+		return &figproxy.Reply{Status: http.StatusOK, Body: []byte(body)}
+	})
 	c, err := net.Dial("tcp", s.address)
 	require.NoError(t, err)
 	defer func() { require.NoError(t, c.Close()) }()
