Pause after each watch of the source, not only after those with changes

What would be seen: keys that the router doesn't use, or a store that answers watches at once, made each reader call the store without a pause: every call is priced, and beyond a rate all are refused, so that the source counts as unavailable.

Cause: only a watch that returned changes was followed by the pause that bounds the calls, and events of other keys return none.

A change that falls into the pause is active a tenth of the bound later at most.

--- a/internal/config/figcatalogue/run.go
+++ b/internal/config/figcatalogue/run.go
@@ -15,8 +15,8 @@
 	// watchWait is the wait of one watch. Each watch counts as one call to the source, so a longer wait costs
 	// fewer calls; but if the source loses a watch without an error, that is noticed only after the wait.
 	watchWait = 6 * time.Second
-	// batchDelay is the time between a watch that returned changes and the next, so that changes in quick
-	// succession cost few calls. It is a tenth of the 2 s within which a change must be active.
+	// batchDelay is the time between two watches, so that changes in quick succession cost few calls, also those of
+	// keys that are of no use here. It is a tenth of the 2 s within which a change must be active.
 	batchDelay = 200 * time.Millisecond
 	// retryBase and retryLimit bound the wait after a failed call. Changes must be active within 2 s of the
 	// source's return; the wait may use a fifth of that.
@@ -53,8 +53,8 @@
 		if c.follow(ctx, t) {
 			continue
 		}
-		changed, err := c.step(ctx)
-		if ctx.Err() != nil || changed && t.Sleep(ctx, batchDelay) != nil {
+		watched, err := c.step(ctx)
+		if ctx.Err() != nil || watched && t.Sleep(ctx, batchDelay) != nil {
 			break
 		}
 		failure := err
@@ -74,8 +74,8 @@
 }
 
 // step sends one call to the source: a read if the contents aren't complete, else a watch. It returns true if a
-// watch returned changes.
-func (c *Catalogue) step(ctx context.Context) (changed bool, err error) {
+// watch was answered.
+func (c *Catalogue) step(ctx context.Context) (watched bool, err error) {
 	c.Calls.Add(1)
 	if !c.reading.complete {
 		n, err := c.opts.Source.Read(ctx)
@@ -140,7 +140,7 @@
 	if c.reading.position.Before(next) {
 		c.reading.position = next
 	}
-	return len(changes) > 0, nil
+	return true, nil
 }
 
 // beginWait returns the context of a call that waits for changes. It ends when RunCatchUp has applied contents of a later epoch.
