Keep shortened prompt part ids valid UTF-8 in the evidence for other instances

What would be seen: a prompt part with a long id of letters beyond ASCII on which a server crashed made every message that carries the evidence unreadable for its receiver, the evidence on other parts with it, so that servers went on crashing on parts that others know.

Cause: the id was cut after 32 bytes, inside a letter, and a CBOR text must be valid UTF-8.

Evidence: without the change TestRecordsOfOddNamesCanBeRead fails with "cbor: invalid UTF-8 string".

--- a/internal/place/figquarantine/table.go
+++ b/internal/place/figquarantine/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,6 +65,12 @@
 // hashOf returns the identity of a part, a pool or a lifetime.
 func hashOf(name string) uint64 { return xxhash.Sum64String(name) }
 
+// shortName returns the part of an id that is kept for operators. It is valid UTF-8: other instances can't decode a
+// message with other bytes.
+func shortName(name string) string {
+	return strings.ToValidUTF8(name[:min(len(name), maxNameBytes)], "")
+}
+
 // RecordCrash counts the end of a server of a pool against the parts of a prompt that it began to answer.
 func (t *Table) RecordCrash(now time.Time, pool, lifetime string, parts []string) {
 	crash, poolHash := hashOf(lifetime), hashOf(pool)
@@ -75,7 +82,7 @@
 			if !t.makeRoom(now) {
 				return
 			}
-			r = &record{Record: Record{Part: part, Name: name[:min(len(name), maxNameBytes)], Depth: depth, Pool: poolHash}}
+			r = &record{Record: Record{Part: part, Name: shortName(name), Depth: depth, Pool: poolHash}}
 			t.records[part] = r
 		}
 		if !insert(&r.Crashes, crash) {
@@ -162,7 +169,7 @@
 			return false
 		}
 		r = &record{
-			Record:    Record{Part: o.Part, Name: o.Name[:min(len(o.Name), maxNameBytes)], Depth: max(0, o.Depth), Pool: o.Pool},
+			Record:    Record{Part: o.Part, Name: shortName(o.Name), Depth: max(0, o.Depth), Pool: o.Pool},
 			crashedAt: crashedAt,
 		}
 		t.records[o.Part] = r
