Move the bucket of an account from an owner that stops to the next one

Requests of an account that asked for 0.45 of its rate were answered 429 while its owners stopped and came back: all requests for 300 to 500 ms after each return.

Cause: an instance that starts takes itself for the only member until its list of members is complete (up to 2 s), and grants 1/n of the limits. That is right for what it decides alone, but the others, which know it at once, asked it as the owner of the account and got these decisions. Its bucket was created with 1/n of the burst, too. The class: work is assigned to an instance by what others know of it, before it can do the work. Beside that each new owner began with a quarter of the burst again, and an owner whose turn came back with what had refilled meanwhile, so that owners that come and go granted more than the tolerance.

Change: an instance that starts or shuts down answers that it owns no account, and the next one in the order decides with the whole limits. An instance that holds the bucket of an account whose first owner is another one passes it on, every 100 ms until that owner takes it. A bucket that moved stays empty for a second and is forgotten then.

Not covered: an owner that dies without a notice passes nothing on.

--- a/internal/app/figrouter/fleet.go
+++ b/internal/app/figrouter/fleet.go
@@ -28,6 +28,7 @@
 	callPush         = "push"
 	callSync         = "sync"
 	callCharge       = "charge"
+	callMove         = "move"
 	callPlace        = "place"
 	callAwait        = "await"
 	callEnds         = "ends"
@@ -100,8 +101,10 @@
 func (r *Router) connectOwners() {
 	r.quota = figquota.New(figquota.Options{
 		Clock: r.clock, Timer: r.timer, Assigner: r.assigner,
-		Call:    remoteMember[figquota.Charge, figquota.Verdict](r, callCharge),
-		Settled: r.discovery.Settled, PresentFraction: r.discovery.PresentFraction, Members: r.discovery.MaxMembers,
+		Call:     remoteMember[figquota.Charge, figquota.Verdict](r, callCharge),
+		SendMove: remoteMember[figquota.Move, figquota.MoveAnswer](r, callMove),
+		MayOwn:   func(now time.Time) bool { return !r.draining.Load() && r.discovery.Settled(now) },
+		Settled:  r.discovery.Settled, PresentFraction: r.discovery.PresentFraction, Members: r.discovery.MaxMembers,
 	})
 	r.quarantine = figquarantine.New(figquarantine.Options{
 		Clock: r.clock, Timer: r.timer, Peers: r.discovery.Peers, HasEnded: r.hasEnded, MayTry: r.mayTryPart,
@@ -122,6 +125,7 @@
 		SendAdopt: remoteMember[figcoordinator.Adopt, figcoordinator.Ack](r, callAdopt),
 	})
 	figpeer.Handle(r.handlers, callCharge, r.quota.Handle)
+	figpeer.Handle(r.handlers, callMove, r.quota.HandleMove)
 	figpeer.Handle(r.handlers, callPlace, r.coordinator.Handle)
 	figpeer.Handle(r.handlers, callAwait, r.coordinator.Await)
 	figpeer.Handle(r.handlers, callEnds, r.coordinator.HandleEnds)
--- a/internal/app/figrouter/run.go
+++ b/internal/app/figrouter/run.go
@@ -32,6 +32,7 @@
 		{Name: "discovery", Value: r.discovery, Run: func(ctx context.Context) error { return r.discovery.Run(ctx, r.timer) }},
 		{Name: "pushes", Run: func(ctx context.Context) error { return r.discovery.RunPushes(ctx, r.timer) }},
 		{Name: "quota", Value: r.quota, Run: r.quota.Run},
+		{Name: "moves", Run: func(ctx context.Context) error { return r.quota.RunMoves(ctx, r.timer) }},
 		{Name: "quarantine", Value: r.quarantine, Run: r.quarantine.Run},
 		{Name: "coordinator", Value: r.coordinator, Start: r.coordinator.Start, Run: func(ctx context.Context) error { return r.coordinator.Run(ctx, r.timer) }},
 		{Name: "placer", Value: r.placer, Run: func(ctx context.Context) error { return r.placer.Run(ctx, r.timer) }},
--- a/internal/limit/figlimiter/limiter.go
+++ b/internal/limit/figlimiter/limiter.go
@@ -12,6 +12,10 @@
 	// maxDebtSeconds bounds a bucket's debt, in seconds of the rate. More debt would refuse requests for longer than a
 	// caller waits.
 	maxDebtSeconds = 2.0
+	// maxNewAge is the age up to which a new bucket takes over the state of an older one.
+	maxNewAge = 5 * time.Second
+	// movedTime is how long a bucket is kept after its state has moved to another limiter.
+	movedTime = time.Second
 	// idleTimeout is the time without a Take after which an account's bucket is deleted, and idleInterval the time
 	// between two searches for such buckets.
 	idleTimeout  = 2 * time.Minute
@@ -62,6 +66,13 @@
 	tolerated  float64
 	refilledAt time.Time
 	usedAt     time.Time
+	createdAt  time.Time
+	// spent is the amount charged since createdAt, less what was refunded.
+	spent float64
+	// isNew says that the bucket has not taken over the state of an older one, movedAt when its state moved to another
+	// limiter; zero if it never did.
+	isNew   bool
+	movedAt time.Time
 }
 
 // Take charges cost to an account. If the limits don't allow the cost, it charges nothing and returns Refused and the
@@ -86,6 +97,7 @@
 		}
 	}
 	b.spend(float64(cost))
+	b.spent += float64(cost)
 	return decision, 0
 }
 
@@ -99,6 +111,7 @@
 	}
 	b.refill(now)
 	b.spend(-float64(cost))
+	b.spent -= float64(cost)
 }
 
 // Len returns the number of accounts with a bucket.
@@ -124,12 +137,13 @@
 // bucketFor returns the account's bucket with the given limits, and creates it if there is none. Lower limits cut the
 // level at once.
 func (l *Limiter) bucketFor(now time.Time, name string, limits Limits) *bucket {
+	l.removeMoved(now, name)
 	b, ok := l.buckets[name]
 	if !ok {
 		b = &bucket{
 			limits: limits,
 			level:  initialBurstFraction * limits.Burst, tolerated: initialBurstFraction * limits.ToleratedBurst,
-			refilledAt: now,
+			refilledAt: now, createdAt: now, isNew: true,
 		}
 		l.buckets[name] = b
 	}
--- a/internal/limit/figlimiter/limiter_test.go
+++ b/internal/limit/figlimiter/limiter_test.go
@@ -1,6 +1,7 @@
 package figlimiter
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -93,3 +94,54 @@
 	decision, _ = l.Take(now, "acme", limits, 1000)
 	require.Equal(t, Tolerated, decision)
 }
+
+// A bucket that moves must keep its level, less what both limiters charged meanwhile, and change no older bucket.
+func TestMove(t *testing.T) {
+	limits := Limits{Rate: 100, Burst: 100}
+	now := time.Unix(1000, 0)
+	from, to := New(), New()
+	from.Take(now, "acme", limits, 0)
+	now = now.Add(time.Second)
+	_, _ = from.Take(now, "acme", limits, 10)
+	d, _ := to.Take(now, "acme", limits, 20)
+	require.Equal(t, WithinLimits, d)
+	states := from.States(now)
+	require.Equal(t, []State{{Account: "acme", Limits: limits, Level: 90}}, states)
+	to.MoveIn(now, &states[0])
+	from.MoveOut(now, "acme")
+	require.Empty(t, from.States(now))
+	d, wait := to.Take(now, "acme", limits, 71)
+	require.Equal(t, Refused, d)
+	require.Equal(t, 10*time.Millisecond, wait)
+	d, _ = to.Take(now, "acme", limits, 70)
+	require.Equal(t, WithinLimits, d)
+	d, _ = from.Take(now, "acme", limits, 1)
+	require.Equal(t, Refused, d)
+
+	to.MoveIn(now, &states[0])
+	d, _ = to.Take(now, "acme", limits, 1)
+	require.Equal(t, Refused, d, "moved before")
+	later := New()
+	later.Take(now, "acme", limits, 25)
+	now = now.Add(maxNewAge + time.Second)
+	later.MoveIn(now, &State{Account: "acme", Limits: limits, Level: -50})
+	d, _ = later.Take(now, "acme", limits, 100)
+	require.Equal(t, WithinLimits, d, "older than a new bucket")
+}
+
+// A state that no limiter has had must change nothing.
+func TestInvalidMove(t *testing.T) {
+	l := New()
+	limits := Limits{Rate: 100, Burst: 100}
+	for _, s := range []State{
+		{},
+		{Account: "a"},
+		{Account: "a", Limits: limits, Level: 101},
+		{Account: "a", Limits: limits, Level: math.NaN()},
+		{Account: "a", Limits: limits, Tolerated: -1},
+		{Account: "a", Limits: limits, Tolerated: 1},
+	} {
+		l.MoveIn(time.Unix(1000, 0), &s)
+		require.Zero(t, l.Len())
+	}
+}
--- /dev/null
+++ b/internal/limit/figlimiter/move.go
@@ -0,0 +1,75 @@
+package figlimiter
+
+import "time"
+
+// State is the state of an account's bucket, which another limiter can take over.
+type State struct {
+	Account   string  `cbor:"1,keyasint"`
+	Limits    Limits  `cbor:"2,keyasint"`
+	Level     float64 `cbor:"3,keyasint"`
+	Tolerated float64 `cbor:"4,keyasint"`
+}
+
+// isValid reports whether a limiter can have had a bucket with this state.
+func (s *State) isValid() bool {
+	return s.Account != "" && s.Limits.Rate > 0 && s.Level <= s.Limits.Burst && s.Tolerated >= 0 && s.Tolerated <= s.Limits.ToleratedBurst
+}
+
+// States returns the states of the buckets that were used since they last moved.
+func (l *Limiter) States(now time.Time) []State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []State
+	for name, b := range l.buckets {
+		if b.usedAt.After(b.movedAt) {
+			b.refill(now)
+			all = append(all, State{Account: name, Limits: b.limits, Level: b.level, Tolerated: b.tolerated})
+		}
+	}
+	return all
+}
+
+// MoveOut empties a bucket whose state another limiter has taken over.
+func (l *Limiter) MoveOut(now time.Time, name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b, ok := l.buckets[name]; ok {
+		b.refill(now)
+		b.level, b.tolerated, b.spent = min(b.level, 0), 0, 0
+		b.isNew, b.createdAt, b.movedAt = true, now, now
+	}
+}
+
+// removeMoved deletes a bucket that moved movedTime ago and was not used since then. Until then it stays empty, for
+// charges that were sent before the move. l.mu must be held.
+func (l *Limiter) removeMoved(now time.Time, name string) {
+	if b, ok := l.buckets[name]; ok && !b.usedAt.After(b.movedAt) && now.Sub(b.movedAt) > movedTime {
+		delete(l.buckets, name)
+	}
+}
+
+// MoveIn takes over the state of an account's bucket, less what has been charged here meanwhile. It changes nothing if
+// there has been a bucket here for longer, or if the state is not valid.
+func (l *Limiter) MoveIn(now time.Time, s *State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !s.isValid() {
+		return
+	}
+	l.removeMoved(now, s.Account)
+	b, ok := l.buckets[s.Account]
+	if !ok {
+		b = &bucket{refilledAt: now, createdAt: now, usedAt: now, isNew: true}
+		l.buckets[s.Account] = b
+	}
+	if !b.isNew || now.Sub(b.createdAt) > maxNewAge {
+		return
+	}
+	if !ok {
+		b.limits = s.Limits
+	}
+	b.refilledAt, b.isNew = now, false
+	b.level = min(max(s.Level, -maxDebtSeconds*b.limits.Rate), b.limits.Burst)
+	b.tolerated = min(s.Tolerated, b.limits.ToleratedBurst)
+	b.spend(b.spent)
+}
--- a/internal/limit/figquota/quota.go
+++ b/internal/limit/figquota/quota.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"figtrail.dev/figtrail/internal/core/figring"
@@ -24,6 +25,12 @@
 	// maxSettleTime how long a request at a starting instance waits for that.
 	settleInterval = 50 * time.Millisecond
 	maxSettleTime  = 800 * time.Millisecond
+	// maxOwners is the number of members that are tried as the owner of an account, and maxSilent the number of them that
+	// may fail to answer.
+	maxOwners = 6
+	maxSilent = 2
+	// moveInterval is the interval between checks whether accounts have got another owner.
+	moveInterval = 100 * time.Millisecond
 	// refundQueue is the maximum number of refunds that wait to be sent; further ones are lost, which
 	// refuses some requests but exceeds no limit.
 	refundQueue = 1024
@@ -38,6 +45,8 @@
 	Backup bool `cbor:"4,keyasint,omitempty"`
 	// Refund says that the request did not run, so that its cost is returned.
 	Refund bool `cbor:"5,keyasint,omitempty"`
+	// Last says that no member owns the account, so that the charge must be decided.
+	Last bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Verdict is the answer to a Charge.
@@ -45,6 +54,8 @@
 	Decision figlimiter.Decision `cbor:"1,keyasint"`
 	// Wait is the time until the account's bucket is refilled far enough, if Decision is Refused.
 	Wait time.Duration `cbor:"2,keyasint,omitempty"`
+	// NotOwner says that the instance owns no accounts, because it starts or shuts down. Nothing was decided then.
+	NotOwner bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Grant is the result of Take.
@@ -52,8 +63,9 @@
 	Verdict
 
 	charge Charge
-	// owner holds the bucket that was charged; the zero value means this instance.
+	// owner holds the bucket that was charged; the zero value means this instance. alone says that no owner decided.
 	owner figdiscovery.Member
+	alone bool
 }
 
 // Options holds the dependencies of a Quota. All fields are required.
@@ -63,6 +75,11 @@
 	Assigner *figassign.Assigner
 	// Call sends a charge to another instance.
 	Call func(ctx context.Context, to figdiscovery.Member, q *Charge) (*Verdict, error)
+	// SendMove passes buckets to another instance.
+	SendMove func(ctx context.Context, to figdiscovery.Member, q *Move) (*MoveAnswer, error)
+	// MayOwn reports whether this instance may own accounts: its list of members can be taken for complete, and it doesn't
+	// shut down.
+	MayOwn func(now time.Time) bool
 	// Settled reports whether the list of members can be taken for complete, PresentFraction which part
 	// of the recent members is present, and Members how many there are at most.
 	Settled         func(now time.Time) bool
@@ -78,13 +95,18 @@
 	// decided.
 	Asked, Unanswered, Alone atomic.Uint64
 
-	buckets *figlimiter.Limiter
-	refunds *figring.Ring[Grant]
+	// buckets holds the buckets of the accounts that this instance owns, backups those of accounts whose first owner doesn't
+	// answer, and parts its own parts of accounts whose owners don't answer.
+	buckets, backups, parts *figlimiter.Limiter
+	refunds                 *figring.Ring[Grant]
 }
 
 // New returns a Quota without buckets.
 func New(o Options) *Quota {
-	return &Quota{Options: o, buckets: figlimiter.New(), refunds: figring.New[Grant](refundQueue, figring.DropOldest)}
+	return &Quota{
+		Options: o, buckets: figlimiter.New(), backups: figlimiter.New(), parts: figlimiter.New(),
+		refunds: figring.New[Grant](refundQueue, figring.DropOldest),
+	}
 }
 
 // Take charges the cost of a request to an account. If no owner answers, this instance decides alone.
@@ -94,24 +116,54 @@
 	}
 	q.waitSettled(ctx)
 	charge := Charge{Account: account, Cost: cost, Limits: limits}
-	for i, owner := range q.Assigner.Owners(assignKey(account), 2) {
-		charge.Backup = i > 0
-		if q.Assigner.IsSelf(owner) {
-			return Grant{Verdict: *q.Decide(&charge), charge: charge}
+	silent := 0
+	var notOwner *figdiscovery.Member
+	for _, owner := range q.owners(account) {
+		charge.Backup = silent > 0
+		switch g, err := q.takeAt(ctx, owner, charge); {
+		case err != nil:
+			silent++
+		case !g.NotOwner:
+			return g
+		case notOwner == nil:
+			notOwner = &owner
 		}
-		if !q.Assigner.Responsive(owner.Name) {
-			continue
+		if silent == maxSilent {
+			break
 		}
-		if v, err := q.ask(ctx, owner, &charge); err == nil {
-			return Grant{Verdict: *v, charge: charge, owner: owner}
+	}
+	if notOwner != nil && silent == 0 {
+		charge.Last = true
+		if g, err := q.takeAt(ctx, *notOwner, charge); err == nil && !g.NotOwner {
+			return g
 		}
 	}
 	q.Alone.Add(1)
 	return q.decideAlone(account, limits, cost)
 }
 
-// assignKey returns the key by which the owner of an account is assigned.
-func assignKey(account string) string { return "account/" + account }
+// errUnresponsive is the error of a member that isn't asked because it did not answer lately.
+var errUnresponsive = errors.New("the owner of the account did not answer lately")
+
+// takeAt charges an account at an owner.
+func (q *Quota) takeAt(ctx context.Context, owner figdiscovery.Member, charge Charge) (Grant, error) {
+	if q.Assigner.IsSelf(owner) {
+		return Grant{Verdict: *q.Decide(&charge), charge: charge}, nil
+	}
+	if !q.Assigner.Responsive(owner.Name) {
+		return Grant{}, errUnresponsive
+	}
+	v, err := q.ask(ctx, owner, &charge)
+	if err != nil {
+		return Grant{}, err
+	}
+	return Grant{Verdict: *v, charge: charge, owner: owner}, nil
+}
+
+// owners returns the members that may own an account, the first one first.
+func (q *Quota) owners(account string) []figdiscovery.Member {
+	return q.Assigner.Owners("account/"+account, maxOwners)
+}
 
 // waitSettled waits until the list of members can be taken for complete, at most for maxSettleTime.
 // Without that, many starting instances would take themselves for owners.
@@ -146,33 +198,39 @@
 func (q *Quota) decideAlone(account string, limits figlimiter.Limits, cost int64) Grant {
 	now := q.Clock.Now()
 	charge := Charge{
-		Account: account + "/alone", Cost: cost,
+		Account: account, Cost: cost,
 		Limits: scale(limits, 1/float64(max(1, q.Members(now))), 0),
 	}
-	g := Grant{charge: charge}
+	g := Grant{charge: charge, alone: true}
 	if float64(cost) > charge.Limits.Burst {
 		// A bucket grants any cost when it is full, which n buckets together must not do.
 		g.Wait = q.Assigner.RetryTime()
 		return g
 	}
-	g.Decision, g.Wait = q.buckets.Take(now, charge.Account, charge.Limits, cost)
+	g.Decision, g.Wait = q.parts.Take(now, charge.Account, charge.Limits, cost)
 	return g
 }
 
 // Decide charges or refunds as the owner of the account.
 func (q *Quota) Decide(c *Charge) *Verdict {
 	now := q.Clock.Now()
-	name := bucketName(c)
-	if c.Refund {
-		q.buckets.Refund(now, name, c.Cost)
+	buckets := q.buckets
+	if c.Backup {
+		buckets = q.backups
+	}
+	switch {
+	case c.Refund:
+		buckets.Refund(now, c.Account, c.Cost)
 		return &Verdict{}
+	case !c.Last && !q.MayOwn(now):
+		return &Verdict{NotOwner: true}
 	}
 	limits := scale(c.Limits, q.PresentFraction(now), 1)
 	if c.Backup {
 		limits = scale(limits, backupFraction, 0)
 	}
 	v := &Verdict{}
-	v.Decision, v.Wait = q.buckets.Take(now, name, limits, c.Cost)
+	v.Decision, v.Wait = buckets.Take(now, c.Account, limits, c.Cost)
 	return v
 }
 
@@ -200,19 +258,14 @@
 		return
 	}
 	g.charge.Refund = true
-	if g.owner.Name == "" {
-		q.buckets.Refund(q.Clock.Now(), bucketName(&g.charge), g.charge.Cost)
-		return
-	}
-	q.refunds.Push(g)
-}
-
-// bucketName returns the name of the bucket that a charge is taken from.
-func bucketName(c *Charge) string {
-	if c.Backup {
-		return c.Account + "/backup"
+	switch {
+	case g.alone:
+		q.parts.Refund(q.Clock.Now(), g.charge.Account, g.charge.Cost)
+	case g.owner.Name == "":
+		q.Decide(&g.charge)
+	default:
+		q.refunds.Push(g)
 	}
-	return c.Account
 }
 
 // Run sends refunds to owners until ctx ends. It returns nil.
--- a/internal/limit/figquota/quota_test.go
+++ b/internal/limit/figquota/quota_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -44,8 +45,10 @@
 	// fraction is the present fraction of members at each instance; settled whether lists are complete.
 	fraction map[string]float64
 	settled  bool
-	cut      func(a, b string) bool
-	names    []string
+	// notOwners holds the instances that start or shut down.
+	notOwners map[string]bool
+	cut       func(a, b string) bool
+	names     []string
 
 	spends []spend
 	wanted int
@@ -67,35 +70,89 @@
 	}
 	for _, name := range f.names {
 		f.members[name], f.fraction[name] = members, 1
-		q := New(Options{
-			Clock: figtimer.System(), Timer: figtimer.New(figtimer.System()),
-			Assigner: figassign.New(figassign.Options{
-				Self: name, Clock: figtimer.System(),
-				Members: func() []figdiscovery.Member { f.mu.Lock(); defer f.mu.Unlock(); return f.members[name] },
-				Epoch:   func() uint64 { f.mu.Lock(); defer f.mu.Unlock(); return f.epoch },
-			}),
-			Call: func(ctx context.Context, to figdiscovery.Member, c *Charge) (*Verdict, error) {
-				f.mu.Lock()
-				q, cut := f.all[to.Name], f.cut(name, to.Name)
-				f.mu.Unlock()
-				if q == nil || cut {
-					<-ctx.Done()
-					return nil, errSilent
-				}
-				<-time.After(time.Millisecond)
-				return q.Handle(ctx, c)
-			},
-			Settled:         func(time.Time) bool { f.mu.Lock(); defer f.mu.Unlock(); return f.settled },
-			PresentFraction: func(time.Time) float64 { f.mu.Lock(); defer f.mu.Unlock(); return f.fraction[name] },
-			Members:         func(time.Time) int { return size },
-		})
-		f.all[name] = q
-		go func() { _ = q.Run(ctx) }()
+		f.start(ctx, name)
 	}
 	return f
 }
 
-// setMembers gives the instances called names a list of just each other.
+// start starts an instance, which has no buckets.
+func (f *fleet) start(ctx context.Context, name string) {
+	q := New(Options{
+		Clock: figtimer.System(), Timer: figtimer.New(figtimer.System()),
+		Assigner: figassign.New(figassign.Options{
+			Self: name, Clock: figtimer.System(),
+			Members: func() []figdiscovery.Member { f.mu.Lock(); defer f.mu.Unlock(); return f.members[name] },
+			Epoch:   func() uint64 { f.mu.Lock(); defer f.mu.Unlock(); return f.epoch },
+		}),
+		Call: func(ctx context.Context, to figdiscovery.Member, c *Charge) (*Verdict, error) {
+			if q := f.reach(ctx, name, to); q != nil {
+				return q.Handle(ctx, c)
+			}
+			return nil, errSilent
+		},
+		SendMove: func(ctx context.Context, to figdiscovery.Member, m *Move) (*MoveAnswer, error) {
+			if q := f.reach(ctx, name, to); q != nil {
+				return q.HandleMove(ctx, m)
+			}
+			return nil, errSilent
+		},
+		MayOwn:          func(time.Time) bool { f.mu.Lock(); defer f.mu.Unlock(); return f.settled && !f.notOwners[name] },
+		Settled:         func(time.Time) bool { f.mu.Lock(); defer f.mu.Unlock(); return f.settled },
+		PresentFraction: func(time.Time) float64 { f.mu.Lock(); defer f.mu.Unlock(); return f.fraction[name] },
+		Members:         func(time.Time) int { return len(f.names) },
+	})
+	f.mu.Lock()
+	f.all[name] = q
+	f.mu.Unlock()
+	go func() { _ = q.Run(ctx) }()
+	go func() { _ = q.RunMoves(ctx, q.Timer) }()
+}
+
+// reach returns an instance that another one calls, after the time that this takes; nil if it doesn't answer.
+func (f *fleet) reach(ctx context.Context, from string, to figdiscovery.Member) *Quota {
+	f.mu.Lock()
+	q, cut := f.all[to.Name], f.cut(from, to.Name)
+	f.mu.Unlock()
+	if q == nil || cut {
+		<-ctx.Done()
+		return nil
+	}
+	<-time.After(time.Millisecond)
+	return q
+}
+
+// stopOwners stops the first owners of the account and starts them again, for some time. They leave the lists of members
+// at once and come back to them before they own accounts.
+func (f *fleet) stopOwners(ctx context.Context, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		ranked := f.all[f.names[0]].owners("acme")[:2]
+		stopping := map[string]bool{ranked[0].Name: true, ranked[1].Name: true}
+		f.mu.Lock()
+		f.notOwners = stopping
+		f.mu.Unlock()
+		f.setMembers(slices.DeleteFunc(slices.Clone(f.names), func(name string) bool { return stopping[name] }))
+		<-time.After(1500 * time.Millisecond)
+		for name := range stopping {
+			f.start(ctx, name)
+		}
+		f.setMembers(f.names)
+		f.mu.Lock()
+		for name := range stopping {
+			f.fraction[name] = 1 / float64(len(f.names))
+		}
+		f.mu.Unlock()
+		<-time.After(time.Second)
+		f.mu.Lock()
+		f.notOwners = nil
+		for name := range stopping {
+			f.fraction[name] = 1
+		}
+		f.mu.Unlock()
+		<-time.After(1500 * time.Millisecond)
+	}
+}
+
+// setMembers gives the instances called names a list of just each other, and that list to those that shut down.
 func (f *fleet) setMembers(names []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -107,6 +164,9 @@
 	for _, name := range names {
 		f.members[name], f.fraction[name] = members, float64(len(names))/float64(len(f.names))
 	}
+	for name := range f.notOwners {
+		f.members[name] = members
+	}
 }
 
 func (f *fleet) take(ctx context.Context, name string, cost int64) figlimiter.Decision {
@@ -219,12 +279,46 @@
 	}
 }
 
+// An account that keeps to its rate, with bursts, must be served while its owners stop and start again, and one that asks
+// for many times its rate must get no more than operators tolerate in any window.
+func TestOwnersStopAndStart(t *testing.T) {
+	const runTime = 40 * time.Second
+	for _, size := range []int{9, 195} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(size, seed), func(t *testing.T) {
+				run(t, func(ctx context.Context, t *testing.T) {
+					f := newFleet(ctx, size)
+					r := rand.New(rand.NewPCG(seed, 3))
+					f.load(ctx, r, f.names, 0.1, 20*time.Second)
+					f.spends, f.wanted = nil, 0
+					var stops sync.WaitGroup
+					stops.Go(func() { f.stopOwners(ctx, runTime) })
+					for range 4 {
+						for _, times := range []float64{0.4, 0.85} {
+							f.load(ctx, r, f.names, times, 5*time.Second)
+						}
+					}
+					stops.Wait()
+					refused := f.wanted - len(f.spends)
+					t.Logf("%d of %d refused", refused, f.wanted)
+					require.LessOrEqual(t, refused*1000, 5*f.wanted)
+					stops.Go(func() { f.stopOwners(ctx, runTime) })
+					f.load(ctx, r, f.names, 8, runTime)
+					stops.Wait()
+					t.Logf("%.0f of %.0f", f.maxSpent(), float64(tolerated))
+					require.LessOrEqual(t, f.maxSpent(), float64(tolerated))
+				})
+			})
+		}
+	}
+}
+
 // An owner that doesn't answer delays a request by callTimeout at most, and for the other requests of
 // the instance the second owner decides at once. With no owner left, the instance grants its own part.
 func TestSilentOwners(t *testing.T) {
 	run(t, func(ctx context.Context, t *testing.T) {
 		f := newFleet(ctx, 9)
-		owners := f.all["i000"].Assigner.Owners(assignKey("acme"), 2)
+		owners := f.all["i000"].owners("acme")
 		asker := "i000"
 		for _, name := range f.names {
 			if name != owners[0].Name && name != owners[1].Name {
