--- a/internal/app/figrouter/fleet.go
+++ b/internal/app/figrouter/fleet.go
@@ -103,7 +103,7 @@
 		Clock: r.clock, Timer: r.timer, Assigner: r.assigner,
 		Call:     remoteMember[figquota.Charge, figquota.Verdict](r, callCharge),
 		SendMove: remoteMember[figquota.Move, figquota.MoveAnswer](r, callMove),
-		MayOwn:   func(now time.Time) bool { return !r.draining.Load() && r.discovery.Settled(now) },
+		MayOwn:   func(now time.Time) bool { return !r.isDraining() && r.discovery.Settled(now) },
 		Settled:  r.discovery.Settled, PresentFraction: r.discovery.PresentFraction, Members: r.discovery.MaxMembers,
 	})
 	r.quarantine = figquarantine.New(figquarantine.Options{
