Log who refused a request that exceeded its account's rate

The line "over the rate" didn't tell a refusal by the owner of the account, which sees all of its requests, from one by the second owner or by an instance alone, which grant parts of the rate while the owner doesn't answer.

TestAccountIsServedWhileOwnersStop failed in 2 of 6 runs since at load averages of 34 to 140: 13 of 417 requests refused, and 9 of 1,394. The logs of the second run show the new owner and the one after it without an answer for 100 ms (context deadline exceeded at 15 instances, and one connection that wasn't accepted), and refusals of parts; those of the first weren't kept.

--- a/internal/limit/figquota/quota.go
+++ b/internal/limit/figquota/quota.go
@@ -68,6 +68,21 @@
 	alone bool
 }
 
+// Decider names who decided the charge, for logs: the owner of the account, the second owner because the first one doesn't
+// answer, an owner that starts because all do, or this instance alone.
+func (g *Grant) Decider() string {
+	switch {
+	case g.alone:
+		return "alone"
+	case g.charge.Backup:
+		return "secondOwner"
+	case g.charge.Last:
+		return "startingOwner"
+	default:
+		return "owner"
+	}
+}
+
 // Options holds the dependencies of a Quota. All fields are required.
 type Options struct {
 	Clock    figtimer.Clock
--- a/internal/request/figproxy/proxy.go
+++ b/internal/request/figproxy/proxy.go
@@ -286,7 +286,7 @@
 	wait := grant.Wait
 	x.Count("rate_refusals", "account", account.Name)
 	klog.InfoS("over the rate", "requestId", x.ID, "account", account.Name, "cost", cost, "rate", account.Rate,
-		"version", x.view.Table.Version, "wait", wait, "waited", x.Clock.Now().Sub(start))
+		"version", x.view.Table.Version, "wait", wait, "waited", x.Clock.Now().Sub(start), "decider", grant.Decider())
 	return &figlifecycle.Cause{Reason: figlifecycle.OverBudget, RetryAfter: wait}
 }
 
