Send nothing once the context has ended while a connection was dialled

A request whose caller left, or whose replacement was no longer needed, while the connection to a server was dialled reached the server all the same: the end of the context closes the connection on a goroutine of its own, and the request was written before that. A dial may take up to its timeout, so that it reached the server long after the caller had left, and a third server could get a request that a second one had.

The context and the deadline are checked again when there is a connection, which returns to the pool unused.

--- a/internal/request/figsend/exchange.go
+++ b/internal/request/figsend/exchange.go
@@ -73,9 +73,13 @@
 	if f != nil {
 		return nil, f
 	}
-	if !s.opts.MaySend(c.Server) {
+	f = s.checkDeadline(ctx, c, deadline) // dialling takes time
+	if f == nil && !s.opts.MaySend(c.Server) {
+		f = fail(c, "send", KindBusy, NotRun, errWithdrawn)
+	}
+	if f != nil {
 		h.releaseUnwritten()
-		return nil, fail(c, "send", KindBusy, NotRun, errWithdrawn)
+		return nil, f
 	}
 	x := &exchange{acquired: h, sender: s, ctx: ctx, call: c, deadline: deadline}
 	conn := h.conn
