Answer pipelined requests that have come while the instance drains

What callers saw: of requests sent at once on a kept connection, an instance that stops answered the first with Connection: close and dropped the others, which it had read, without an answer.

Cause: the decision to close looked at the drain only, not at what had come on the connection.

Change: the connection counts the bytes that it has received and those of the requests that were served. If more has come, or lies unread, the answer leaves the connection open; the last one closes it. After a body in chunks the count isn't known, and the next answer closes as before.

--- a/internal/edge/figingress/connection.go
+++ b/internal/edge/figingress/connection.go
@@ -83,6 +83,10 @@
 	waiting bool
 	// incomplete says that a request wasn't read to its end.
 	incomplete bool
+	// received counts the bytes that have been read, taken those of the requests that were served. uncounted says that the
+	// bytes of one aren't known.
+	received, taken int
+	uncounted       bool
 	// deadline is the read deadline that the HTTP server has set, limit that of the shutdown; zero for none.
 	deadline, limit time.Time
 }
@@ -289,12 +293,12 @@
 // Read reads from the connection. If the shutdown ends the read, what has already arrived is still read. It returns
 // io.EOF if no byte of the next request comes in time, so that the connection is closed without an answer.
 func (c *connection) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.receive(p)
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return n, err
 	}
 	if c.isLimited() && c.Conn.SetReadDeadline(time.Now().Add(lastReadTimeout)) == nil {
-		if n, err = c.Conn.Read(p); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if n, err = c.receive(p); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
 	}
@@ -306,6 +310,31 @@
 	return 0, err
 }
 
+// receive reads from the connection and counts the bytes.
+func (c *connection) receive(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received += n
+	return n, err
+}
+
+// take counts the bytes of a request that is served; a negative number if they aren't known.
+func (c *connection) take(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taken += size
+	c.uncounted = c.uncounted || size < 0
+}
+
+// hasNext says whether a part of a further request has come.
+func (c *connection) hasNext() bool {
+	c.mu.Lock()
+	more := !c.uncounted && c.received > c.taken
+	c.mu.Unlock()
+	return more || figsend.HasUnread(c.Conn)
+}
+
 // isLimited says whether the shutdown has ended the reads of the connection.
 func (c *connection) isLimited() bool {
 	c.mu.Lock()
--- a/internal/edge/figingress/server.go
+++ b/internal/edge/figingress/server.go
@@ -144,6 +144,9 @@
 
 // handle serves one request.
 func (s *Server) handle(c *fasthttp.RequestCtx) {
+	if n, ok := c.Conn().(*connection); ok {
+		n.take(size(&c.Request))
+	}
 	q, err := s.read(c)
 	if err != nil {
 		s.refuse(c, q.ID, figlifecycle.CauseOf(figlifecycle.BadRequest, err))
@@ -236,7 +239,7 @@
 	if r.RetryAfter > 0 {
 		c.Response.Header.Set(fasthttp.HeaderRetryAfter, seconds(r.RetryAfter))
 	}
-	if s.closes() {
+	if s.closes() && !hasNext(c) {
 		c.SetConnectionClose()
 	}
 	if r.Stream == nil {
@@ -244,6 +247,22 @@
 	}
 }
 
+// size returns the number of bytes of a request as it came, -1 for a body in chunks.
+func size(r *fasthttp.Request) int {
+	const lineBytes = len("  HTTP/1.1\r\n")
+	if r.Header.ContentLength() == -1 {
+		return -1
+	}
+	return len(r.Header.Method()) + len(r.Header.RequestURI()) + lineBytes + len(r.Header.RawHeaders()) + len(r.Body())
+}
+
+// hasNext reports whether a further request, or a part of one, has come on the connection. That one would be lost if the
+// connection was closed after the answer to this one.
+func hasNext(c *fasthttp.RequestCtx) bool {
+	n, ok := c.Conn().(*connection)
+	return ok && n.hasNext()
+}
+
 // seconds formats d in seconds with two decimals. The result is at least 0.01, so that
 // a Retry-After is never zero.
 func seconds(d time.Duration) string {
