Tell callers of partial requests that a stopping instance refuses when to come back

They honour Retry-After, and come back at once without it.

Cause: the answer to a request that can't be read is written without the Retry-After that all other refusals of a stopping instance have.

Change: it has one of 150 ms, as those. TestPartialRequestIsRefusedAtShutdown asks for it and failed before.

--- a/internal/edge/figingress/server.go
+++ b/internal/edge/figingress/server.go
@@ -44,6 +44,9 @@
 	idleTimeout = 2 * time.Minute
 	// readTimeout limits the time to read one request.
 	readTimeout = 30 * time.Second
+	// incompleteRetryAfter is the Retry-After for requests that are refused because the instance stops before
+	// they have come to their ends.
+	incompleteRetryAfter = 150 * time.Millisecond
 )
 
 // AnswerTimeout is how long Shutdown waits for the answers to requests that it has aborted.
@@ -257,7 +260,7 @@
 	s.write(c, id, &figproxy.Reply{
 		Status: figproxy.StatusOf(r),
 		Header: []figsend.Header{{Name: fasthttp.HeaderContentType, Value: "application/json"}},
-		Body:   r.JSON(),
+		Body:   r.JSON(), RetryAfter: cause.RetryAfter,
 	})
 }
 
@@ -277,6 +280,7 @@
 		cause = figlifecycle.CauseOf(figlifecycle.TooLarge, errTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded) && s.connections.now() == aborting:
 		cause = figlifecycle.CauseOf(figlifecycle.Draining, errIncomplete)
+		cause.RetryAfter = incompleteRetryAfter
 	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
 		cause.Err = errIncomplete
 	}
--- a/internal/edge/figingress/shutdown_test.go
+++ b/internal/edge/figingress/shutdown_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"figtrail.dev/figtrail/internal/core/figtimer"
 	"figtrail.dev/figtrail/internal/request/figproxy"
@@ -101,10 +102,11 @@
 
 // answer is a response.
 type answer struct {
-	status int
-	closes bool
-	body   string
-	err    error
+	status     int
+	closes     bool
+	retryAfter string
+	body       string
+	err        error
 }
 
 func (c *caller) read() answer {
@@ -114,7 +116,7 @@
 	}
 	defer func() { _ = a.Body.Close() }()
 	body, err := io.ReadAll(a.Body)
-	return answer{a.StatusCode, a.Close, string(body), err}
+	return answer{a.StatusCode, a.Close, a.Header.Get(fasthttp.HeaderRetryAfter), string(body), err}
 }
 
 // requireClosed fails unless the server closes the connection without another byte.
@@ -260,6 +262,7 @@
 		require.NoError(t, a.err, part)
 		require.Equal(t, http.StatusServiceUnavailable, a.status, "%d: %s", part, a.body)
 		require.Contains(t, a.body, `"draining"`, part)
+		require.NotEmpty(t, a.retryAfter, part)
 		require.True(t, a.closes)
 		c.requireClosed()
 	}
