Don't linger in the goroutine that accepts connections

Found by the review: the HTTP server closes connections beyond its limit in its accept loop. Their requests are unread, so that each close lingered there for up to 200 ms: 20 refused connections took 3.6 s, and every new caller waited meanwhile. Connections without a request now linger in a goroutine of their own, at most 64 at once; more are closed at once.

--- a/internal/edge/figingress/connection.go
+++ b/internal/edge/figingress/connection.go
@@ -29,6 +29,8 @@
 	lingerTimeout = 200 * time.Millisecond
 	// exhaustedPause is the time until the next attempt to accept a connection when descriptors or memory lack.
 	exhaustedPause = 50 * time.Millisecond
+	// maxLingering is the number of connections without a request that linger at once.
+	maxLingering = 64
 	// lingerBytes is the size of the buffer for what is read and dropped meanwhile.
 	lingerBytes = 4 << 10
 )
@@ -50,6 +52,8 @@
 	mu       sync.Mutex
 	phase    phase
 	listener *listener
+	// lingering is the number of connections without a request that linger.
+	lingering int
 	open     map[*connection]struct{}
 	// answersDue is until when the answers to aborted requests are waited for; zero before the abortion.
 	answersDue time.Time
@@ -349,19 +353,50 @@
 	c.incomplete = true
 }
 
-// Close closes the connection.
+// Close closes the connection. It doesn't wait for a connection whose request wasn't read at all, as the goroutine that
+// accepts connections closes those that are too many.
 func (c *connection) Close() error {
 	c.mu.Lock()
-	incomplete := c.incomplete
+	incomplete, unserved := c.incomplete, !c.firstRequest.IsZero()
 	c.mu.Unlock()
-	if incomplete || figsend.HasUnread(c.Conn) {
+	switch {
+	case !incomplete && !figsend.HasUnread(c.Conn):
+	case !unserved:
 		c.linger()
+	case c.connections.beginLinger():
+		go func() {
+			defer c.connections.endLinger()
+			c.linger()
+			_ = c.closeNow()
+		}()
+		return nil
 	}
+	return c.closeNow()
+}
+
+func (c *connection) closeNow() error {
 	err := c.Conn.Close()
 	c.connections.remove(c)
 	return err
 }
 
+// beginLinger counts one more connection without a request that lingers. It returns false if there are too many.
+func (s *connections) beginLinger() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lingering >= maxLingering {
+		return false
+	}
+	s.lingering++
+	return true
+}
+
+func (s *connections) endLinger() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lingering--
+}
+
 // linger closes the sending side and drops what the caller sends until it closes the connection, for at most
 // lingerTimeout.
 func (c *connection) linger() {
