Take an empty line before a request for a part of it

Found by the review: callers may send an empty line before a request (RFC 9112, 2.2). Its bytes stayed uncounted, so that each answer of a draining instance left the connection open for a request that hadn't come.

TestDrainingAnswerClosesConnection/empty_line failed before.

--- a/internal/edge/figingress/connection.go
+++ b/internal/edge/figingress/connection.go
@@ -323,12 +323,16 @@
 	return n, err
 }
 
-// take counts the bytes of a request that is served; a negative number if they aren't known.
+// take counts the bytes of a request that is served; a negative number if they aren't known. An empty line before it
+// counts as well: callers may send one after a body.
 func (c *connection) take(size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.taken += size
 	c.uncounted = c.uncounted || size < 0
+	if c.received-c.taken <= len("\r\n") {
+		c.taken = c.received
+	}
 }
 
 // hasNext says whether a part of a further request has come.
