Keep a bucket that moves back within a second

Found by the review: a bucket that came back to an instance within a second after it had left still counted as moved. It wasn't passed on at the next stop, and was deleted, so that a new one with a quarter of the burst took its place whatever the debt.

TestBucketThatMovesBackSoonIsKept failed before.

--- a/internal/limit/figlimiter/move.go
+++ b/internal/limit/figlimiter/move.go
@@ -68,7 +68,7 @@
 	if !ok {
 		b.limits = s.Limits
 	}
-	b.refilledAt, b.isNew = now, false
+	b.refilledAt, b.usedAt, b.movedAt, b.isNew = now, now, time.Time{}, false
 	b.level = min(max(s.Level, -maxDebtSeconds*b.limits.Rate), b.limits.Burst)
 	b.tolerated = min(s.Tolerated, b.limits.ToleratedBurst)
 	b.spend(b.spent)
