Charge the new owner of a bucket with what was granted while it moved

Found by the review: what an owner granted between reading the state of a bucket and the new owner's answer was charged to nobody, so that a whole burst could be granted twice.

Change: a limiter keeps what was charged since the state that has moved, and passes it on as owed with the next move.

--- a/internal/limit/figlimiter/limiter.go
+++ b/internal/limit/figlimiter/limiter.go
@@ -73,6 +73,8 @@
 	// limiter; zero if it never did.
 	isNew   bool
 	movedAt time.Time
+	// owed is what was charged while the state moved. The limiter that has the state now doesn't know of it.
+	owed float64
 }
 
 // Take charges cost to an account. If the limits don't allow the cost, it charges nothing and returns Refused and the
--- a/internal/limit/figlimiter/move.go
+++ b/internal/limit/figlimiter/move.go
@@ -8,33 +8,48 @@
 	Limits    Limits  `cbor:"2,keyasint"`
 	Level     float64 `cbor:"3,keyasint"`
 	Tolerated float64 `cbor:"4,keyasint"`
+	// Owed is what was charged to an account while the state before it moved. The other fields but Limits are not set then.
+	Owed float64 `cbor:"5,keyasint,omitempty"`
+
+	// spent is what had been charged to the bucket at the time of the state.
+	spent float64
 }
 
 // isValid reports whether a limiter can have had a bucket with this state.
 func (s *State) isValid() bool {
-	return s.Account != "" && s.Limits.Rate > 0 && s.Level <= s.Limits.Burst && s.Tolerated >= 0 && s.Tolerated <= s.Limits.ToleratedBurst
+	return s.Account != "" && s.Limits.Rate > 0 && s.Level <= s.Limits.Burst && s.Tolerated >= 0 && s.Tolerated <= s.Limits.ToleratedBurst &&
+		s.Owed >= 0
 }
 
-// States returns the states of the buckets that were used since they last moved.
+// States returns the states of the buckets that were used since they last moved, and what others owe.
 func (l *Limiter) States(now time.Time) []State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var all []State
 	for name, b := range l.buckets {
-		if b.usedAt.After(b.movedAt) {
+		switch {
+		case b.owed > 0:
+			all = append(all, State{Account: name, Limits: b.limits, Owed: b.owed})
+		case b.usedAt.After(b.movedAt):
 			b.refill(now)
-			all = append(all, State{Account: name, Limits: b.limits, Level: b.level, Tolerated: b.tolerated})
+			all = append(all, State{Account: name, Limits: b.limits, Level: b.level, Tolerated: b.tolerated, spent: b.spent})
 		}
 	}
 	return all
 }
 
-// MoveOut empties a bucket whose state another limiter has taken over.
-func (l *Limiter) MoveOut(now time.Time, name string) {
+// MoveOut empties a bucket whose state, one of States, another limiter has taken over.
+func (l *Limiter) MoveOut(now time.Time, s *State) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b, ok := l.buckets[name]; ok {
+	b, ok := l.buckets[s.Account]
+	switch {
+	case !ok:
+	case s.Owed > 0:
+		b.owed = max(0, b.owed-s.Owed)
+	default:
 		b.refill(now)
+		b.owed = max(0, b.spent-s.spent)
 		b.level, b.tolerated, b.spent = min(b.level, 0), 0, 0
 		b.isNew, b.createdAt, b.movedAt = true, now, now
 	}
@@ -43,7 +58,7 @@
 // removeMoved deletes a bucket that moved movedTime ago and was not used since then. Until then it stays empty, for
 // charges that were sent before the move. l.mu must be held.
 func (l *Limiter) removeMoved(now time.Time, name string) {
-	if b, ok := l.buckets[name]; ok && !b.usedAt.After(b.movedAt) && now.Sub(b.movedAt) > movedTime {
+	if b, ok := l.buckets[name]; ok && b.owed <= 0 && !b.usedAt.After(b.movedAt) && now.Sub(b.movedAt) > movedTime {
 		delete(l.buckets, name)
 	}
 }
@@ -57,6 +72,10 @@
 		return
 	}
 	l.removeMoved(now, s.Account)
+	if s.Owed > 0 {
+		l.chargeOwed(now, s)
+		return
+	}
 	b, ok := l.buckets[s.Account]
 	if !ok {
 		b = &bucket{refilledAt: now, createdAt: now, usedAt: now, isNew: true}
@@ -71,5 +90,17 @@
 	b.refilledAt, b.usedAt, b.movedAt, b.isNew = now, now, time.Time{}, false
 	b.level = min(max(s.Level, -maxDebtSeconds*b.limits.Rate), b.limits.Burst)
 	b.tolerated = min(s.Tolerated, b.limits.ToleratedBurst)
-	b.spend(b.spent)
+	b.spend(b.spent + b.owed)
+	b.owed = 0
+}
+
+// chargeOwed charges what another limiter charged while the state of the bucket moved here. l.mu must be held.
+func (l *Limiter) chargeOwed(now time.Time, s *State) {
+	b, ok := l.buckets[s.Account]
+	if !ok {
+		b = l.bucketFor(now, s.Account, s.Limits)
+	}
+	b.refill(now)
+	b.spend(s.Owed)
+	b.spent += s.Owed
 }
--- a/internal/limit/figlimiter/moveback_test.go
+++ b/internal/limit/figlimiter/moveback_test.go
@@ -14,7 +14,7 @@
 	l := New()
 	l.Take(now, "acme", limits, 10)
 	now = now.Add(time.Millisecond)
-	l.MoveOut(now, "acme")
+	l.MoveOut(now, &l.States(now)[0])
 	now = now.Add(500 * time.Millisecond)
 	l.MoveIn(now, &State{Account: "acme", Limits: limits, Level: -200})
 	require.Len(t, l.States(now), 1, "moves on to the next owner")
--- a/internal/limit/figquota/move.go
+++ b/internal/limit/figquota/move.go
@@ -66,7 +66,7 @@
 	}
 	now := q.Clock.Now()
 	for i := range m.Buckets {
-		q.buckets.MoveOut(now, m.Buckets[i].Account)
+		q.buckets.MoveOut(now, &m.Buckets[i])
 	}
 	klog.InfoS("buckets of accounts passed to their owner", "owner", owner.Name, "count", len(m.Buckets))
 }
