End placements at their coordinators before an instance stops

Coordinators took servers for full with requests that no longer ran: the placements of requests that a stopping instance cut at the end of its grace period, and those whose ends were on their way, stayed until they could have lasted longest, the caller's deadline and a second.

Cause: the context that ends the services ended the messages about ends as well, and those that waited for their batch were dropped. Others take the end of a run of a member for the end of its placements, but a member that leaves isn't probed any more, so that its end isn't noticed unless it starts again. The class: a service is stopped by the same context as the last work that it is for.

TestPlacementsEndWithTheirInstance, in virtual time: 3 of 3 held before (one end on its way, one in the batch, one request cut), none now.

Change: what RunEnds had not sent is put back, and the service's Stop, before the client of the peers is closed, ends the placements that are left and sends all of it, within 200 ms.

Not covered: a killed instance whose leaving was known and which doesn't start again; its placements last as before.

--- a/internal/app/figrouter/run.go
+++ b/internal/app/figrouter/run.go
@@ -36,7 +36,7 @@
 		{Name: "quarantine", Value: r.quarantine, Run: r.quarantine.Run},
 		{Name: "coordinator", Value: r.coordinator, Start: r.coordinator.Start, Run: func(ctx context.Context) error { return r.coordinator.Run(ctx, r.timer) }},
 		{Name: "placer", Value: r.placer, Run: func(ctx context.Context) error { return r.placer.Run(ctx, r.timer) }},
-		{Name: "ends", Run: func(ctx context.Context) error { return r.placer.RunEnds(ctx, r.timer) }},
+		{Name: "ends", Run: func(ctx context.Context) error { return r.placer.RunEnds(ctx, r.timer) }, Stop: r.placer.FlushEnds},
 		{Name: "stages", Value: r.roles, Run: func(ctx context.Context) error { return r.roles.Run(ctx, r.timer) }},
 		{Name: "gauges", Run: r.updateGauges},
 		{Name: "watch", Value: r.callerWatch, Run: r.watchCallers},
--- a/internal/place/figcoordinator/coordinator_test.go
+++ b/internal/place/figcoordinator/coordinator_test.go
@@ -158,6 +158,9 @@
 			return nil, errSilent
 		}
 		<-time.After(time.Millisecond)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
 		return handler(c.Coordinator)(ctx, q)
 	}
 }
@@ -379,6 +382,32 @@
 	})
 }
 
+// An instance that stops must end its placements at their coordinators: those whose ends wait to be sent or are on their
+// way, and those whose requests were cut.
+func TestPlacementsEndWithTheirInstance(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T) {
+		f := newFleet(ctx, 9, 4, 0)
+		<-time.After(adoptionTime + 2*adoptInterval)
+		name := f.others()[0]
+		stopping, stop := context.WithCancel(ctx)
+		f.all[name] = f.start(stopping, figtimer.New(figtimer.System()), name)
+		placements := make([]*Placement, 0, 3)
+		for range cap(placements) {
+			p, err := f.all[name].Placer.Place(ctx, &Request{Pool: pool, PromptTokens: promptTokens, Tokens: promptTokens, Wait: time.Second, Lasts: 14 * time.Second})
+			require.NoError(t, err)
+			placements = append(placements, p)
+		}
+		require.Equal(t, 3, f.held())
+		placements[0].End(figbalancer.Result{}, false, 0)
+		<-time.After(batchDelay + time.Millisecond/2)
+		placements[1].End(figbalancer.Result{}, false, 0)
+		stop()
+		<-time.After(10 * time.Millisecond)
+		require.NoError(t, f.all[name].FlushEnds(ctx))
+		require.Zero(t, f.held())
+	})
+}
+
 // A long prompt goes to a prefill server unless the decode server is idle, and prompts are spread over
 // the prefill servers by the tokens queued there.
 func TestPrefillServers(t *testing.T) {
--- a/internal/place/figcoordinator/outbox.go
+++ b/internal/place/figcoordinator/outbox.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"figtrail.dev/figtrail/internal/core/figtimer"
 	"figtrail.dev/figtrail/internal/fleet/figdiscovery"
+	"figtrail.dev/figtrail/internal/place/figbalancer"
 )
 
 const (
@@ -19,6 +22,8 @@
 	sendTimeout  = 500 * time.Millisecond
 	sendAttempts = 3
 	resendDelay  = 300 * time.Millisecond
+	// flushTimeout limits the messages that an instance sends as it stops.
+	flushTimeout = 200 * time.Millisecond
 	// maxBatch bounds the ends that wait for one coordinator; the oldest are dropped beyond it, and the
 	// coordinator forgets these placements when they have lasted too long.
 	maxBatch = 4096
@@ -77,8 +82,17 @@
 	return all
 }
 
-// RunEnds sends the ends of placements to coordinators until ctx ends. It returns nil.
+// putBack adds the ends of a batch that wasn't sent.
+func (o *outbox) putBack(b *batch) {
+	for _, e := range b.ends {
+		o.add(b.to, e)
+	}
+}
+
+// RunEnds sends the ends of placements to coordinators until ctx ends; FlushEnds sends what is left then. It returns nil.
 func (p *Placer) RunEnds(ctx context.Context, t *figtimer.Timer) error {
+	var sends sync.WaitGroup
+	defer sends.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -89,11 +103,34 @@
 			return nil
 		}
 		for _, b := range p.outbox.take() {
-			go p.sendEnds(ctx, t, b)
+			sends.Go(func() { p.sendEnds(ctx, t, b) })
 		}
 	}
 }
 
+// FlushEnds ends the placements that are left and sends the ends that are, once RunEnds has returned. The requests of an
+// instance that stops have ended. It returns nil.
+func (p *Placer) FlushEnds(ctx context.Context) error {
+	p.mu.Lock()
+	active := slices.Collect(maps.Values(p.active))
+	p.mu.Unlock()
+	for _, t := range active {
+		t.End(figbalancer.Result{}, true, 0)
+	}
+	limited, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	var sends sync.WaitGroup
+	for _, b := range p.outbox.take() {
+		sends.Go(func() {
+			if _, err := p.SendEnds(limited, b.to, &Ends{Instance: p.Instance, Incarnation: p.Incarnation, All: b.ends}); err != nil {
+				klog.InfoS("failed to report the last ends of placements", "coordinator", b.to.Name, "count", len(b.ends), "err", err)
+			}
+		})
+	}
+	sends.Wait()
+	return nil
+}
+
 // sendEnds sends a batch, several times if it is not answered.
 func (p *Placer) sendEnds(ctx context.Context, t *figtimer.Timer, b *batch) {
 	q := &Ends{Instance: p.Instance, Incarnation: p.Incarnation, All: b.ends}
@@ -106,6 +143,7 @@
 			return
 		}
 		if t.Sleep(ctx, resendDelay) != nil {
+			p.outbox.putBack(b)
 			return
 		}
 	}
