--- a/internal/edge/figingress/connection.go
+++ b/internal/edge/figingress/connection.go
@@ -54,7 +54,7 @@
 	listener *listener
 	// lingering is the number of connections without a request that linger.
 	lingering int
-	open     map[*connection]struct{}
+	open      map[*connection]struct{}
 	// answersDue is until when the answers to aborted requests are waited for; zero before the abortion.
 	answersDue time.Time
 	// serving ends when the shutdown begins.
