Wait for the answers to requests that are aborted at the drain limit of figtrail serve

What callers saw: a call that still ran at the drain limit ended without an answer, because the process ended before it was written.

Cause: Shutdown cancels the requests and returned at once; the end of Drain ends the process, and nothing waited for the handlers. A request that had begun before the drain kept its connection open besides.

Change: after the abortion Shutdown waits until the connections are closed, at most 350 ms. A request that ends while the instance drains closes its connection, also if it began before.

--- a/internal/app/figserve/serve_test.go
+++ b/internal/app/figserve/serve_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -234,6 +235,34 @@
 	require.Error(t, err)
 }
 
+// Requests that are aborted at the drain limit must be answered before the drain ends, since the process then ends.
+func TestAbortedRequestsAreAnsweredBeforeDrainReturns(t *testing.T) {
+	t.Parallel()
+	const calls = 20
+	f := startFixture(t, 1)
+	i := f.Instances[0]
+	i.DrainLimit = 500 * time.Millisecond
+	f.Plains[0].Faults.Set(figemulator.Fault{Kind: figemulator.Silent})
+	connections := make([]net.Conn, 0, calls)
+	for range calls {
+		c, err := net.Dial("tcp", i.CallerAddress())
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+		_, err = fmt.Fprintf(c, "POST /ledger/refund HTTP/1.1\r\nHost: h\r\nX-Api-Key: %s\r\nContent-Length: 2\r\n\r\nhi", f.key.Text)
+		require.NoError(t, err)
+		connections = append(connections, c)
+	}
+	f.eventually(func() bool { return f.PlainRuns("hi") == calls })
+	i.Drain(t.Context())
+	for _, c := range connections {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Millisecond)))
+		a, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.Equal(t, "outcomeUnknown", a.Header.Get("X-Figtrail-Outcome"), a.StatusCode)
+		require.NoError(t, a.Body.Close())
+	}
+}
+
 func BenchmarkOverhead(b *testing.B) {
 	f := startFixture(b, 1)
 	for _, c := range []struct{ name, address string }{
--- a/internal/edge/figfront/server.go
+++ b/internal/edge/figfront/server.go
@@ -103,9 +103,11 @@
 	opts Options
 	// requests counts requests; the count is the last part of a request id.
 	requests atomic.Uint64
-	server   *fasthttp.Server
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// open counts the open connections.
+	open   atomic.Int64
+	server *fasthttp.Server
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // New returns a server that accepts connections once Serve is called.
@@ -136,6 +138,7 @@
 		MaxRequestBodySize:            o.BodyLimit,
 		DisablePreParseMultipartForm:  true,
 		CloseOnShutdown:               true,
+		ConnState:                     s.countConnection,
 		ReduceMemoryUsage:             true,
 		TCPKeepalive:                  true,
 	}
@@ -147,11 +150,40 @@
 	return figerror.Wrap(s.server.Serve(l), "serve callers", l.Addr().String())
 }
 
+// countConnection counts connections as they are opened and closed.
+func (s *Server) countConnection(_ net.Conn, state fasthttp.ConnState) {
+	switch state {
+	case fasthttp.StateNew:
+		s.open.Add(1)
+	case fasthttp.StateClosed:
+		s.open.Add(-1)
+	case fasthttp.StateActive, fasthttp.StateIdle, fasthttp.StateHijacked:
+	}
+}
+
+const (
+	// AnswerTimeout is how long Shutdown waits for the answers to requests that it has aborted.
+	AnswerTimeout = 350 * time.Millisecond
+	// answerInterval is the interval between checks whether they have been written.
+	answerInterval = 5 * time.Millisecond
+)
+
 // Shutdown stops accepting connections and waits for running requests until ctx ends.
-// Then it cancels the contexts of requests that still run.
+// Then it cancels the contexts of requests that still run, and returns when their
+// answers have been written, or after AnswerTimeout.
 func (s *Server) Shutdown(ctx context.Context) error {
 	err := s.server.ShutdownWithContext(ctx)
 	s.cancel()
+	if err == nil {
+		return nil
+	}
+	limited, cancel := context.WithTimeout(context.Background(), AnswerTimeout)
+	defer cancel()
+	for s.open.Load() > 0 {
+		if figtimer.New(s.opts.Clock).Sleep(limited, answerInterval) != nil {
+			break
+		}
+	}
 	return figerror.Wrap(err, "shut down", "")
 }
 
@@ -159,9 +191,12 @@
 func (s *Server) handle(c *fasthttp.RequestCtx) {
 	id := s.newID()
 	c.Response.Header.Set(headerRequestID, id)
-	if s.opts.Draining() {
-		c.SetConnectionClose()
-	}
+	// The drain may begin while the request runs.
+	defer func() {
+		if s.opts.Draining() {
+			c.SetConnectionClose()
+		}
+	}()
 	q := &figpipeline.Call{ID: id, Arrived: s.opts.Clock.Now()}
 	answered, r := s.read(c, q)
 	switch {
