--- a/internal/edge/figingress/connection.go
+++ b/internal/edge/figingress/connection.go
@@ -29,6 +29,8 @@
 	lingerTimeout = 200 * time.Millisecond
 	// exhaustedPause is the time until the next attempt to accept a connection when descriptors or memory lack.
 	exhaustedPause = 50 * time.Millisecond
+	// maxLingering is the number of connections without a request that linger at once.
+	maxLingering = 64
 	// lingerBytes is the size of the buffer for what is read and dropped meanwhile.
 	lingerBytes = 4 << 10
 )
@@ -50,7 +52,9 @@
 	mu       sync.Mutex
 	phase    phase
 	listener *listener
-	open     map[*connection]struct{}
+	// lingering is the number of connections without a request that linger.
+	lingering int
+	open      map[*connection]struct{}
 	// answersDue is until when the answers to aborted requests are waited for; zero before the abortion.
 	answersDue time.Time
 	// serving ends when the shutdown begins.
@@ -83,6 +87,10 @@
 	waiting bool
 	// incomplete says that a request wasn't read to its end.
 	incomplete bool
+	// received counts the bytes that have been read, taken those of the requests that were served. uncounted says that the
+	// bytes of one aren't known.
+	received, taken int
+	uncounted       bool
 	// deadline is the read deadline that the HTTP server has set, limit that of the shutdown; zero for none.
 	deadline, limit time.Time
 }
@@ -289,12 +297,12 @@
 // Read reads from the connection. If the shutdown ends the read, what has already arrived is still read. It returns
 // io.EOF if no byte of the next request comes in time, so that the connection is closed without an answer.
 func (c *connection) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.receive(p)
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return n, err
 	}
 	if c.isLimited() && c.Conn.SetReadDeadline(time.Now().Add(lastReadTimeout)) == nil {
-		if n, err = c.Conn.Read(p); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if n, err = c.receive(p); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
 	}
@@ -306,6 +314,35 @@
 	return 0, err
 }
 
+// receive reads from the connection and counts the bytes.
+func (c *connection) receive(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received += n
+	return n, err
+}
+
+// take counts the bytes of a request that is served; a negative number if they aren't known. An empty line before it
+// counts as well: callers may send one after a body.
+func (c *connection) take(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taken += size
+	c.uncounted = c.uncounted || size < 0
+	if c.received-c.taken <= len("\r\n") {
+		c.taken = c.received
+	}
+}
+
+// hasNext says whether a part of a further request has come.
+func (c *connection) hasNext() bool {
+	c.mu.Lock()
+	more := !c.uncounted && c.received > c.taken
+	c.mu.Unlock()
+	return more || figsend.HasUnread(c.Conn)
+}
+
 // isLimited says whether the shutdown has ended the reads of the connection.
 func (c *connection) isLimited() bool {
 	c.mu.Lock()
@@ -320,19 +357,50 @@
 	c.incomplete = true
 }
 
-// Close closes the connection.
+// Close closes the connection. It doesn't wait for a connection whose request wasn't read at all, as the goroutine that
+// accepts connections closes those that are too many.
 func (c *connection) Close() error {
 	c.mu.Lock()
-	incomplete := c.incomplete
+	incomplete, unserved := c.incomplete, !c.firstRequest.IsZero()
 	c.mu.Unlock()
-	if incomplete || figsend.HasUnread(c.Conn) {
+	switch {
+	case !incomplete && !figsend.HasUnread(c.Conn):
+	case !unserved:
 		c.linger()
+	case c.connections.beginLinger():
+		go func() {
+			defer c.connections.endLinger()
+			c.linger()
+			_ = c.closeNow()
+		}()
+		return nil
 	}
+	return c.closeNow()
+}
+
+func (c *connection) closeNow() error {
 	err := c.Conn.Close()
 	c.connections.remove(c)
 	return err
 }
 
+// beginLinger counts one more connection without a request that lingers. It returns false if there are too many.
+func (s *connections) beginLinger() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lingering >= maxLingering {
+		return false
+	}
+	s.lingering++
+	return true
+}
+
+func (s *connections) endLinger() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lingering--
+}
+
 // linger closes the sending side and drops what the caller sends until it closes the connection, for at most
 // lingerTimeout.
 func (c *connection) linger() {
--- a/internal/edge/figingress/server.go
+++ b/internal/edge/figingress/server.go
@@ -44,6 +44,9 @@
 	idleTimeout = 2 * time.Minute
 	// readTimeout limits the time to read one request.
 	readTimeout = 30 * time.Second
+	// incompleteRetryAfter is the Retry-After for requests that are refused because the instance stops before
+	// they have come to their ends.
+	incompleteRetryAfter = 150 * time.Millisecond
 )
 
 // AnswerTimeout is how long Shutdown waits for the answers to requests that it has aborted.
@@ -144,6 +147,9 @@
 
 // handle serves one request.
 func (s *Server) handle(c *fasthttp.RequestCtx) {
+	if n, ok := c.Conn().(*connection); ok {
+		n.take(size(&c.Request))
+	}
 	q, err := s.read(c)
 	if err != nil {
 		s.refuse(c, q.ID, figlifecycle.CauseOf(figlifecycle.BadRequest, err))
@@ -236,7 +242,7 @@
 	if r.RetryAfter > 0 {
 		c.Response.Header.Set(fasthttp.HeaderRetryAfter, seconds(r.RetryAfter))
 	}
-	if s.closes() {
+	if s.closes() && !hasNext(c) {
 		c.SetConnectionClose()
 	}
 	if r.Stream == nil {
@@ -244,6 +250,22 @@
 	}
 }
 
+// size returns the number of bytes of a request as it came, -1 for a body in chunks.
+func size(r *fasthttp.Request) int {
+	const lineBytes = len("  HTTP/1.1\r\n")
+	if r.Header.ContentLength() == -1 {
+		return -1
+	}
+	return len(r.Header.Method()) + len(r.Header.RequestURI()) + lineBytes + len(r.Header.RawHeaders()) + len(r.Body())
+}
+
+// hasNext reports whether a further request, or a part of one, has come on the connection. That one would be lost if the
+// connection was closed after the answer to this one.
+func hasNext(c *fasthttp.RequestCtx) bool {
+	n, ok := c.Conn().(*connection)
+	return ok && n.hasNext()
+}
+
 // seconds formats d in seconds with two decimals. The result is at least 0.01, so that
 // a Retry-After is never zero.
 func seconds(d time.Duration) string {
@@ -257,7 +279,7 @@
 	s.write(c, id, &figproxy.Reply{
 		Status: figproxy.StatusOf(r),
 		Header: []figsend.Header{{Name: fasthttp.HeaderContentType, Value: "application/json"}},
-		Body:   r.JSON(),
+		Body:   r.JSON(), RetryAfter: cause.RetryAfter,
 	})
 }
 
@@ -277,6 +299,7 @@
 		cause = figlifecycle.CauseOf(figlifecycle.TooLarge, errTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded) && s.connections.now() == aborting:
 		cause = figlifecycle.CauseOf(figlifecycle.Draining, errIncomplete)
+		cause.RetryAfter = incompleteRetryAfter
 	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
 		cause.Err = errIncomplete
 	}
