Decide for instances of older builds that ask no other owner

Found by the review: an owner that starts or shuts down answers that it owns no account, in a field that older builds don't know. They take the answer for a refusal without a wait, so that accounts below their rate were answered 429 throughout a rolling upgrade.

Change: instances say that they ask the next owner; others get a decision as before.

--- a/internal/limit/figquota/quota.go
+++ b/internal/limit/figquota/quota.go
@@ -47,6 +47,8 @@
 	Refund bool `cbor:"5,keyasint,omitempty"`
 	// Last says that no member owns the account, so that the charge must be decided.
 	Last bool `cbor:"6,keyasint,omitempty"`
+	// AskOn says that the sender asks the next owner if this one answers NotOwner. Older builds don't.
+	AskOn bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Verdict is the answer to a Charge.
@@ -130,7 +132,7 @@
 		return Grant{Verdict: Verdict{Decision: figlimiter.WithinLimits}}
 	}
 	q.waitSettled(ctx)
-	charge := Charge{Account: account, Cost: cost, Limits: limits}
+	charge := Charge{Account: account, Cost: cost, Limits: limits, AskOn: true}
 	silent := 0
 	var notOwner *figdiscovery.Member
 	for _, owner := range q.owners(account) {
@@ -237,7 +239,7 @@
 	case c.Refund:
 		buckets.Refund(now, c.Account, c.Cost)
 		return &Verdict{}
-	case !c.Last && !q.MayOwn(now):
+	case c.AskOn && !c.Last && !q.MayOwn(now):
 		return &Verdict{NotOwner: true}
 	}
 	limits := scale(c.Limits, q.PresentFraction(now), 1)
