Pass on what is owed by an account whose bucket has moved on

Found by the review: a charge that was owed to an owner whose bucket had just moved to the next one was dropped with that bucket.

TestOwedChargeOfMovedBucketIsKept failed before.

--- a/internal/limit/figlimiter/move.go
+++ b/internal/limit/figlimiter/move.go
@@ -100,6 +100,10 @@
 	if !ok {
 		b = l.bucketFor(now, s.Account, s.Limits)
 	}
+	if !b.movedAt.IsZero() && !b.usedAt.After(b.movedAt) {
+		b.owed += s.Owed // the bucket has moved on
+		return
+	}
 	b.refill(now)
 	b.spend(s.Owed)
 	b.spent += s.Owed
