Send the ends of placements in a tenth of a second as an instance stops

Found by the review: cut half a second before the end of the grace, the answers (350 ms) and then the ends (200 ms) could take 50 ms longer than the grace.

--- a/internal/place/figcoordinator/outbox.go
+++ b/internal/place/figcoordinator/outbox.go
@@ -23,7 +23,7 @@
 	sendAttempts = 3
 	resendDelay  = 300 * time.Millisecond
 	// flushTimeout limits the messages that an instance sends as it stops.
-	flushTimeout = 200 * time.Millisecond
+	flushTimeout = 100 * time.Millisecond
 	// maxBatch bounds the ends that wait for one coordinator; the oldest are dropped beyond it, and the
 	// coordinator forgets these placements when they have lasted too long.
 	maxBatch = 4096
