--- a/review/platform/stand/store.go
+++ b/review/platform/stand/store.go
@@ -20,7 +20,6 @@
 	Key      string `json:"key"`
 	Value    string `json:"value,omitempty"`
 	Revision uint64 `json:"revision"`
-	Deleted  bool   `json:"deleted,omitempty"`
 }
 
 // Store is a stand-in for the platform's store. It keeps its whole history.
@@ -33,8 +32,6 @@
 	history  []item
 	revision uint64
 	changed  chan struct{}
-	// status is the answer to all calls; 0 for the usual one.
-	status int
 }
 
 // NewStore starts a store at an address.
@@ -58,15 +55,6 @@
 // Close ends the store.
 func (s *Store) Close() { _ = s.server.Close() }
 
-// Refuse makes the store answer all calls with a status; 0 ends that.
-func (s *Store) Refuse(status int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.status = status
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 // Put writes a key.
 func (s *Store) Put(key string, value any) {
 	text, err := json.Marshal(value)
@@ -76,20 +64,13 @@
 	s.write(item{Key: key, Value: base64.StdEncoding.EncodeToString(text)})
 }
 
-// Remove deletes a key.
-func (s *Store) Remove(key string) { s.write(item{Key: key, Deleted: true}) }
-
 func (s *Store) write(i item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
 	i.Revision = s.revision
 	s.history = append(s.history, i)
-	if i.Deleted {
-		delete(s.items, i.Key)
-	} else {
-		s.items[i.Key] = i
-	}
+	s.items[i.Key] = i
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -104,10 +85,6 @@
 	time.Sleep(4 * time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.status != 0 {
-		w.WriteHeader(s.status)
-		return
-	}
 	q := r.URL.Query()
 	page := []item{}
 	more := false
@@ -132,7 +109,7 @@
 	defer limit.Stop()
 	for {
 		s.mu.Lock()
-		status, changed, asOf := s.status, s.changed, s.revision
+		changed, asOf := s.changed, s.revision
 		events := []item{}
 		for _, i := range s.history {
 			if i.Revision > after && strings.HasPrefix(i.Key, q.Get("prefix")) {
@@ -140,10 +117,6 @@
 			}
 		}
 		s.mu.Unlock()
-		if status != 0 {
-			w.WriteHeader(status)
-			return
-		}
 		if len(events) > 0 {
 			reply(w, map[string]any{"events": events, "asOf": asOf})
 			return
