--- a/review/7/platform/case/main.go
+++ b/review/7/platform/main.go
@@ -1,4 +1,4 @@
-// Command case plays case 7: a prompt part on which backend servers crash while they write the answer.
+// Command platform plays case 7: a prompt part on which backend servers crash while they write the answer.
 package main
 
 import (
--- a/review/9/platform/case/main.go
+++ b/review/9/platform/main.go
@@ -1,4 +1,4 @@
-// Command case plays case 9: an operator takes away the only tenant. The program stands for the platform's store, a plain
+// Command platform plays case 9: an operator takes away the only tenant. The program stands for the platform's store, a plain
 // service and the clients, and starts two instances of figtrail route.
 package main
 
