--- a/review/7/platform/main.go
+++ b/review/7/platform/main.go
@@ -159,7 +159,7 @@
 	if err != nil {
 		return 2
 	}
-	defer os.RemoveAll(directory)
+	defer func() { _ = os.RemoveAll(directory) }()
 	store, err := stand.NewStore()
 	if err != nil {
 		return 2
@@ -167,7 +167,7 @@
 	store.Put("op/config", declarations())
 	p := &pool{store: store, rec: rec, arrivals: map[string]time.Time{}}
 	for i := range decodeServers + prefillServers {
-		if !p.start("127.0.0.1:0", map[bool]string{true: "prefill", false: "decode"}[i < prefillServers], false) {
+		if !p.start(stand.FreePort, map[bool]string{true: "prefill", false: "decode"}[i < prefillServers], false) {
 			return 2
 		}
 	}
@@ -197,8 +197,10 @@
 				part = harmful
 			}
 			r.Host = host
-			for k, v := range map[string]string{"Attempt-Id": id, "Authorization": "Bearer " + key, "Deadline-Ms": "14000", "Model": "m",
-				"Token-Counts": "1460,80", "Prompt-Prefix": fmt.Sprintf("5c1e07a2:800,%s:410,%08x:250", part, n)} {
+			for k, v := range map[string]string{
+				"Attempt-Id": id, "Authorization": "Bearer " + key, "Deadline-Ms": "14000", "Model": "m",
+				"Token-Counts": "1460,80", "Prompt-Prefix": fmt.Sprintf("5c1e07a2:800,%s:410,%08x:250", part, n),
+			} {
 				r.Header.Set(k, v)
 			}
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 16 * time.Second}
