figanswer: refuse heads whose fields are in doubt

What callers saw: a field whose name held a blank was passed on with that name; "Content-Length : 20" counted as a length; a line with a blank before its name was joined to the line before it, so that the caller got a stamp or a type that the server hadn't sent, or waited for a body without a length. An answer with both a length and chunks was read by its chunks.

Cause: fasthttp trims and joins such lines, and lets chunks win.

Change: figanswer takes no name but a token of RFC 9110, which excludes folded lines too, and no head with both lengths, or with chunks in HTTP/1.0. RFC 9112 lets a recipient refuse all of them (5.1, 5.2, 6.1, 6.3).

TestContradictoryFraming had accepted the whole body of such answers as well as their failure; now they have to fail.

--- a/internal/request/figanswer/doc.go
+++ b/internal/request/figanswer/doc.go
@@ -1,10 +1,13 @@
 // Package figanswer reads HTTP/1 answers and accepts only those whose meaning is beyond doubt. A lenient reader guesses:
-// it takes status 000 for 200. Two readers that guess differently see different answers in the same bytes.
+// it takes status 000 for 200, or a field whose name ends in a blank for the field without it. Two readers that guess
+// differently see different answers in the same bytes.
 //
 // An answer is malformed if
 //
 //   - its version isn't HTTP/1.0 or HTTP/1.1, or its status isn't from 100 to 599,
-//   - a line of its head doesn't end with CRLF,
+//   - a line of its head doesn't end with CRLF, or continues the line before it,
+//   - the name of a field isn't a token, such as one with a blank, or its value has a control byte,
+//   - its length is stated twice, or both as a length and by chunks,
 //   - it switches protocols, which no request asks for,
 //   - its head, with those of the interim (1xx) answers before it, exceeds MaxHeadBytes or 100 fields.
 //
--- a/internal/request/figanswer/head.go
+++ b/internal/request/figanswer/head.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -33,7 +34,9 @@
 	errInterimBody = malformed(errors.New("an interim (1xx) answer with a length"))
 	errUpgrade     = malformed(errors.New("another protocol"))
 	errLineEnd     = malformed(errors.New("a line without CRLF at its end"))
+	errFieldName   = malformed(errors.New("the name of a field is not a token"))
 	errTooLarge    = malformed(errors.New("the head is too large"))
+	errTwoLengths  = malformed(errors.New("both a length and chunks, or chunks in HTTP/1.0"))
 )
 
 func malformed(cause error) error { return fmt.Errorf("%w: %w", ErrMalformed, cause) }
@@ -73,7 +76,15 @@
 	if !isStatusLine(line) {
 		return 0, errStatusLine
 	}
-	return checkFields(r, len(line)+len("\r\n"), limit)
+	isHTTP10 := bytes.HasPrefix(line, []byte("HTTP/1.0"))
+	f, err := checkFields(r, len(line)+len("\r\n"), limit)
+	if err != nil {
+		return 0, err
+	}
+	if f.isChunked && (f.hasLength || isHTTP10) {
+		return 0, errTwoLengths
+	}
+	return f.end, nil
 }
 
 // isStatusLine reports whether line is a version, a status and an optional reason.
@@ -95,21 +106,46 @@
 
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
 
-// checkFields waits until r has buffered the fields from the byte begin up to the empty line after them, whose end it
-// returns. The fields themselves are left to fasthttp.
-func checkFields(r *bufio.Reader, begin, limit int) (end int, err error) {
-	end = begin
+// fields says what checkFields found.
+type fields struct {
+	// end is the number of buffered bytes up to the end of the empty line after the fields.
+	end int
+	// hasLength and isChunked say that there is a Content-Length and a Transfer-Encoding.
+	hasLength, isChunked bool
+}
+
+// checkFields checks the names of the fields of a head, from the byte begin of the buffer up to the empty
+// line after them. The values are left to fasthttp.
+func checkFields(r *bufio.Reader, begin, limit int) (fields, error) {
+	f := fields{end: begin}
 	for range maxFields + 1 {
-		line, err := peekLine(r, end, limit)
+		line, err := peekLine(r, f.end, limit)
 		if err != nil {
-			return 0, err
+			return f, err
 		}
-		end += len(line) + len("\r\n")
+		f.end += len(line) + len("\r\n")
 		if len(line) == 0 {
-			return end, nil
+			return f, nil
+		}
+		name, _, ok := bytes.Cut(line, []byte(":"))
+		if !ok || !isToken(name) {
+			return f, errFieldName
+		}
+		f.hasLength = f.hasLength || bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength))
+		f.isChunked = f.isChunked || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
+	}
+	return f, errTooLarge
+}
+
+// isToken reports whether name is a token of RFC 9110, which has no blanks.
+func isToken(name []byte) bool {
+	for _, b := range name {
+		isAlphanumeric := '0' <= b && b <= '9' || 'A' <= b && b <= 'Z' || 'a' <= b && b <= 'z'
+		if !isAlphanumeric && strings.IndexByte("!#$%&'*+-.^_`|~", b) < 0 {
+			return false
 		}
 	}
-	return 0, errTooLarge
+	return len(name) > 0
 }
 
 // peekLine returns the line that begins at the byte begin of r's buffer, without its CRLF, and reads more if r has
--- a/internal/request/figanswer/head_test.go
+++ b/internal/request/figanswer/head_test.go
@@ -155,3 +155,51 @@
 		require.Equal(t, iotest.ErrTimeout, ReadHead(broken, &fasthttp.ResponseHeader{}), "broken after %q", text[:n])
 	}
 }
+
+func TestFields(t *testing.T) {
+	for field, ok := range map[string]bool{
+		"A: b":                       true,
+		"!#$%&'*+-.^_`|~09aZ: b":     true,
+		"A:":                         true,
+		"A:\tb \t":                   true,
+		"A: b\tc \xff":               true,
+		"X Broken: y":                false,
+		"X-Broken : y":               false,
+		"X-Broken\t: y":              false,
+		" X-Broken: y":               false,
+		"\tX-Broken: y":              false,
+		" ":                          false,
+		": y":                        false,
+		"no colon":                   false,
+		"X-\x01: y":                  false,
+		"X-\x00: y":                  false,
+		"X-\x7f: y":                  false,
+		"X-\xe9: y":                  false,
+		"X(Y): y":                    false,
+		"X: a\x01b":                  false,
+		"X: a\x00b":                  false,
+		"X: a\rb":                    false,
+		"X: a\x7fb":                  false,
+		"\r":                         false,
+		"Content-Length: 3":          false,
+		"Content-Length : 4":         false,
+		"Transfer-Encoding: chunked": false,
+		"transfer-encoding: chunked": false,
+	} {
+		for _, text := range []string{"Content-Length: 3\r\n" + field + "\r\nZ: z\r\n", "Z: z\r\n" + field + "\r\nContent-Length: 3\r\n"} {
+			for _, slowly := range []bool{false, true} {
+				h, rest, err := readHead("HTTP/1.1 200 OK\r\n"+text+"\r\nyes", slowly)
+				if !ok {
+					require.ErrorIs(t, err, ErrMalformed, "%q", text)
+					continue
+				}
+				require.NoError(t, err, "%q", text)
+				require.Equal(t, 3, h.ContentLength())
+				require.Equal(t, "z", string(h.Peek("Z")))
+				require.Equal(t, "yes", rest)
+			}
+		}
+	}
+	_, _, err := readHead("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false)
+	require.ErrorIs(t, err, ErrMalformed)
+}
--- a/internal/request/figsend/cut_test.go
+++ b/internal/request/figsend/cut_test.go
@@ -127,19 +127,19 @@
 		"list of lengths":                {head + "Content-Length: 5, 3\r\n\r\nwhole", KindMalformed},
 		"negative length":                {head + "Content-Length: -1\r\n\r\nwhole", KindMalformed},
 		"empty length":                   {head + "Content-Length:\r\n\r\nwhole", KindMalformed},
-		"length and chunks":              {head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, 0},
-		"chunks and length":              {head + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n" + chunks, 0},
+		"length and chunks":              {head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, KindMalformed},
+		"chunks and length":              {head + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n" + chunks, KindMalformed},
 		"unknown encoding":               {head + "Transfer-Encoding: gzip\r\n\r\nwhole", KindMalformed},
 		"encoding before chunks":         {head + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks, KindMalformed},
-		"chunks of HTTP/1.0":             {strings.Replace(head, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n" + chunks, KindIncomplete},
+		"chunks of HTTP/1.0":             {strings.Replace(head, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n" + chunks, KindMalformed},
 		"length of HTTP/1.0":             {strings.Replace(head, "1.1", "1.0", 1) + "Content-Length: 5\r\n\r\nwhole", 0},
 		"header without the empty line":  {head + "Content-Length: 5\r\nwhole", KindIncomplete},
 		"length line without an end":     {head + "Content-Length: 5", KindIncomplete},
 		"another header in the header":   {head + head + "Content-Length: 5\r\n\r\nwhole", KindMalformed},
 		"line that isn't a field":        {head + "Content-Length 5\r\n\r\nwhole", KindMalformed},
-		"folded length":                  {head + "Content-Length:\r\n 5\r\n\r\nwhole", 0},
-		"length folded into other field": {head + "A: b\r\n Content-Length: 3\r\n\r\nwhole", 0},
-		"space before the colon":         {head + "Content-Length : 5\r\n\r\nwhole", 0},
+		"folded length":                  {head + "Content-Length:\r\n 5\r\n\r\nwhole", KindMalformed},
+		"length folded into other field": {head + "A: b\r\n Content-Length: 3\r\n\r\nwhole", KindMalformed},
+		"space before the colon":         {head + "Content-Length : 5\r\n\r\nwhole", KindMalformed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSender(t, Options{AllowCloseDelimited: true})
@@ -155,5 +155,5 @@
 	old := strings.Replace(streamHead, "1.1", "1.0", 1)
 	s := newSender(t, Options{AllowCloseDelimited: true})
 	_, err := s.Stream(t.Context(), callTo(oneAnswerServer(t, old+chunked(true, "data: a\n\n"), true), http.MethodPost, false))
-	requireKind(t, err, KindIncomplete, OutcomeUnknown)
+	requireKind(t, err, KindMalformed, OutcomeUnknown)
 }
