figsend: no complete answer without a length after a failed write

What callers saw: a server answered a long upload with a 200 without a length, sent a part of its body and reset the connection; the caller got that part as a complete answer or a complete stream.

Cause: the kernel reports a reset once. The write that was in progress took the error, so that the read after it found the bytes that had come before and then the plain end of the connection, which ends such an answer.

Change: after a failed write the end of the connection no longer ends an answer, plain or stream. Answers with a length or chunks, which state their end themselves, are still read, such as a refusal before the body.

--- a/internal/request/figsend/do.go
+++ b/internal/request/figsend/do.go
@@ -104,10 +104,10 @@
 	return answer, nil
 }
 
-// allowsCloseDelimited reports whether the end of the connection may end the answer. It may not for HTTP/1.0, where
-// fasthttp takes chunks for the body.
+// allowsCloseDelimited reports whether the end of the connection may end the answer. It may not for HTTP/1.0, and not
+// after a failed write, to which the kernel has reported a reset of the connection: a read then finds only its end.
 func (x *exchange) allowsCloseDelimited() bool {
-	return x.sender.opts.AllowCloseDelimited && x.response.Header.IsHTTP11()
+	return x.sender.opts.AllowCloseDelimited && x.response.Header.IsHTTP11() && x.writeFailure == nil
 }
 
 // maxBody returns the limit on the answer's body, in bytes.
