figanswer: read bodies by their framing, and check trailers

What callers saw: an answer or a stream in chunks whose trailer had a field with a blank in or after its name came as complete; a trailer with a bare line feed held its caller until the time limit.

Cause: the chunks and the trailer were left to fasthttp, which trims such names. It also allocated what a chunk announces before a byte of it had come, without asking the memory budget: 16.8 MB for a chunk of 8 MB.

Change: figanswer.Body reads bodies of a length or in chunks, the latter with the reader of net/http/httputil, and checks trailers like heads. Do and Stream use it. Buffers for bodies grow as bytes come, and reserve each size before they take it; what they grew from counts until the answer is released.

--- a/internal/request/figanswer/doc.go
+++ b/internal/request/figanswer/doc.go
@@ -5,11 +5,12 @@
 // An answer is malformed if
 //
 //   - its version isn't HTTP/1.0 or HTTP/1.1, or its status isn't from 100 to 599,
-//   - a line of its head doesn't end with CRLF, or continues the line before it,
+//   - a line doesn't end with CRLF, or continues the line before it,
 //   - the name of a field isn't a token, such as one with a blank, or its value has a control byte,
 //   - its length is stated twice, or both as a length and by chunks,
 //   - it switches protocols, which no request asks for,
-//   - its head, with those of the interim (1xx) answers before it, exceeds MaxHeadBytes or 100 fields.
+//   - its head, with those of the interim (1xx) answers before it, exceeds MaxHeadBytes or 100 fields,
+//   - its chunks or their trailer break these rules or those of net/http/httputil.
 //
 // # Usage
 //
@@ -17,6 +18,8 @@
 //	if err := figanswer.ReadHead(r, &h); err != nil {
 //		return err // errors.Is(err, figanswer.ErrMalformed), or the error of reading from r
 //	}
+//	body, err := io.ReadAll(figanswer.Body(r, &h))
 //
-// After an error, the connection must be closed, as nobody knows where the next answer begins.
+// The caller decides whether the answer has a body at all, which depends on the request's method. After an error, the
+// connection must be closed, as nobody knows where the next answer begins.
 package figanswer
--- a/internal/request/figanswer/head.go
+++ b/internal/request/figanswer/head.go
@@ -12,15 +12,13 @@
 )
 
 const (
-	// MaxHeadBytes bounds the head of an answer with those of the interim answers before it. The buffer of the reader
-	// bounds each of them too.
+	// MaxHeadBytes bounds the head of an answer with those of the interim answers before it, and its trailer. The
+	// buffer of the reader bounds each of them too.
 	MaxHeadBytes = 16 << 10
-	// maxFields bounds the fields of a head, as a parsed field takes far more memory than a short line.
+	// maxFields bounds the fields of a head or a trailer, as a parsed field takes far more memory than a short line.
 	maxFields = 100
 	// maxHeads bounds the interim answers and the final one.
 	maxHeads = 5
-	// lengthUnknown is the content length that fasthttp reports for a body without one, -1 for one in chunks.
-	lengthUnknown = -2
 	// minStatus and maxStatus are the lowest and the highest status of HTTP.
 	minStatus, maxStatus = 100, 599
 )
@@ -35,7 +33,7 @@
 	errUpgrade     = malformed(errors.New("another protocol"))
 	errLineEnd     = malformed(errors.New("a line without CRLF at its end"))
 	errFieldName   = malformed(errors.New("the name of a field is not a token"))
-	errTooLarge    = malformed(errors.New("the head is too large"))
+	errTooLarge    = malformed(errors.New("the head or the trailer is too large"))
 	errTwoLengths  = malformed(errors.New("both a length and chunks, or chunks in HTTP/1.0"))
 )
 
@@ -114,14 +112,14 @@
 	hasLength, isChunked bool
 }
 
-// checkFields checks the names of the fields of a head, from the byte begin of the buffer up to the empty
+// checkFields checks the names of the fields of a head or a trailer, from the byte begin of the buffer up to the empty
 // line after them. The values are left to fasthttp.
 func checkFields(r *bufio.Reader, begin, limit int) (fields, error) {
 	f := fields{end: begin}
 	for range maxFields + 1 {
 		line, err := peekLine(r, f.end, limit)
 		if err != nil {
-			return f, err
+			return f, noEOF(err)
 		}
 		f.end += len(line) + len("\r\n")
 		if len(line) == 0 {
--- a/internal/request/figsend/connection.go
+++ b/internal/request/figsend/connection.go
@@ -33,8 +33,6 @@
 	readTimeout time.Duration
 	// readTimedOut says that the last read timed out. The errors that fasthttp returns don't always wrap the timeout.
 	readTimedOut bool
-	// onRead is called with the number of bytes of each read; its error fails the read. Nil stands for none.
-	onRead func(n int) error
 }
 
 // maxRefusals is the number of refusals after which a connection is closed.
@@ -72,9 +70,6 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.readTimedOut = errors.Is(err, os.ErrDeadlineExceeded)
-	if c.onRead != nil && err == nil {
-		err = c.onRead(n)
-	}
 	return n, err
 }
 
--- a/internal/request/figsend/do.go
+++ b/internal/request/figsend/do.go
@@ -2,18 +2,21 @@
 
 import (
 	"context"
+	"io"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
-)
 
-// lengthUnknown is the content length that fasthttp reports for a body that ends when the connection closes.
-const lengthUnknown = -2
+	"figtrail.dev/figtrail/internal/request/figanswer"
+)
 
-// lengthChunked is the content length that fasthttp reports for a chunked body.
-const lengthChunked = -1
+// minReadBytes is the room for each read of a body of unknown length.
+const minReadBytes = 512
 
-var errUnframed = errors.New("the answer has neither a content length nor chunks, so truncation can't be detected")
+var (
+	errUnframed     = errors.New("the answer has neither a content length nor chunks, so truncation can't be detected")
+	errBodyTooLarge = errors.New("the body of the answer is too large")
+)
 
 // Do sends c once and reads the complete answer. An answer of any status is returned without an error, unless
 // Options.IsRefusal reports that the server refused the request (by default, status 429): Do then returns a Failure
@@ -43,8 +46,7 @@
 // hasFraming reports whether the end of the answer can be told without closing the connection: it has a content length
 // or chunked encoding, or it has no body.
 func (x *exchange) hasFraming() bool {
-	return x.response.Header.ContentLength() > lengthUnknown ||
-		hasNoBody(x.call.Method, x.response.StatusCode())
+	return figanswer.IsFramed(&x.response.Header) || hasNoBody(x.call.Method, x.response.StatusCode())
 }
 
 // checkRefusal returns answer, or a Failure if answer is the server's refusal of the request.
@@ -78,30 +80,50 @@
 	if hasNoBody(x.call.Method, answer.Status) {
 		return answer, nil
 	}
-	length := r.Header.ContentLength()
-	if length <= lengthUnknown && !x.allowsCloseDelimited() {
+	if !figanswer.IsFramed(&r.Header) && !x.allowsCloseDelimited() {
 		return nil, fail(x.call, "answer", KindIncomplete, OutcomeUnknown, errUnframed)
 	}
-	h := holder{exchange: x}
-	if err := h.holdLength(int64(length)); err != nil {
-		return nil, h.failure(err)
+	held := &reservation{exchange: x, ctx: x.ctx}
+	body := heldBuffer{reserve: held.reserve, free: unheldBytes, limit: int(x.maxBody())}
+	if err := body.readAll(figanswer.Body(x.reader, &r.Header), r.Header.ContentLength()); err != nil {
+		held.release()
+		return nil, x.failure("answer", err)
 	}
-	if length < 0 {
-		x.conn.onRead = h.grow
-		defer func() { x.conn.onRead = nil }()
+	if len(body.bytes) > 0 {
+		answer.Body = body.bytes
 	}
-	if err := r.ReadBody(x.reader, int(x.maxBody())); err != nil {
-		return nil, h.failure(err)
+	return answer, nil
+}
+
+// readAll reads a body of length bytes, or of an unknown length if that is negative. It fails if the limit of the buffer
+// is exceeded.
+func (b *heldBuffer) readAll(body io.Reader, length int) error {
+	if length > b.limit {
+		return errBodyTooLarge
 	}
-	if length == lengthChunked {
-		if err := r.Header.ReadTrailer(x.reader); err != nil {
-			return nil, h.failure(err)
+	if length >= 0 {
+		if err := b.grow(length); err != nil {
+			return err
 		}
+		b.bytes = b.bytes[:length]
+		_, err := io.ReadFull(body, b.bytes)
+		return err
 	}
-	if b := r.SwapBody(nil); len(b) > 0 {
-		answer.Body = b
+	for len(b.bytes) <= b.limit {
+		if err := b.grow(min(minReadBytes, b.limit+1-len(b.bytes))); err != nil {
+			return err
+		}
+		n, err := body.Read(b.bytes[len(b.bytes):cap(b.bytes)])
+		b.bytes = b.bytes[:len(b.bytes)+n]
+		switch {
+		case err == nil || len(b.bytes) > b.limit:
+		case errors.Is(err, io.EOF):
+			return nil
+		default:
+			return err
+		}
 	}
-	return answer, nil
+	return errBodyTooLarge
 }
 
 // allowsCloseDelimited reports whether the end of the connection may end the answer. It may not for HTTP/1.0, and not
--- a/internal/request/figsend/exchange.go
+++ b/internal/request/figsend/exchange.go
@@ -193,7 +193,9 @@
 	switch {
 	case x.ctx.Err() != nil:
 		return contextKind(x.ctx)
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, errNoMemory):
+		return KindDeadline
+	case errors.Is(err, errBodyTooLarge):
 		return KindTooLarge
 	case errors.Is(err, figanswer.ErrMalformed):
 		return KindMalformed
--- a/internal/request/figsend/hold.go
+++ b/internal/request/figsend/hold.go
@@ -2,72 +2,78 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
 	"figtrail.dev/figtrail/internal/request/figanswer"
 )
 
-const (
-	// unheldBytes is the size up to which an answer needs no reservation, as the reader's buffer holds it.
-	unheldBytes = figanswer.MaxHeadBytes
-	// growthFactor is how much more than the bytes read a buffer of unknown final size may take.
-	growthFactor = 2
-)
+// unheldBytes is the size up to which an answer needs no reservation, as the reader's buffer holds it.
+const unheldBytes = figanswer.MaxHeadBytes
 
 var errNoMemory = errors.New("the memory for answers is used up")
 
-// holder reserves memory for the body of one answer.
-type holder struct {
+// reservation is the memory that is reserved for one answer.
+type reservation struct {
 	exchange *exchange
-	// read is the number of bytes read of a body of unknown length, held the number of reserved ones.
-	read, held int64
-	err        error
+	// ctx ends the wait for room.
+	ctx context.Context
+
+	mu   sync.Mutex
+	held int64
 }
 
-// hold reserves n bytes. It waits for room until the deadline of the call.
-func (h *holder) hold(n int64) error {
-	x := h.exchange
-	deadline := earlier(x.deadline, x.sender.opts.Clock.Now().Add(x.sender.opts.FirstByteTimeout))
-	ctx, cancel := context.WithDeadline(x.ctx, deadline)
+// reserve reserves n more bytes. It waits for room until ctx or the read deadline of the connection ends.
+func (r *reservation) reserve(n int64) error {
+	x := r.exchange
+	deadline := earlier(x.conn.readDeadline, x.sender.opts.Clock.Now().Add(x.sender.opts.FirstByteTimeout))
+	ctx, cancel := context.WithDeadline(r.ctx, deadline)
 	defer cancel()
 	if err := x.sender.opts.Hold(ctx, n); err != nil {
-		h.err = errors.CombineErrors(errNoMemory, err)
-		return h.err
+		return errors.CombineErrors(errNoMemory, err)
 	}
-	h.held += n
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held += n
 	return nil
 }
 
-// holdLength reserves memory for a body of a known length.
-func (h *holder) holdLength(length int64) error {
-	if length <= unheldBytes {
-		return nil
+// release releases what is reserved.
+func (r *reservation) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.held > 0 {
+		_ = r.exchange.sender.opts.Hold(r.ctx, -r.held)
+		r.held = 0
 	}
-	return h.hold(min(length, h.exchange.maxBody()))
 }
 
-// grow reserves memory for n more bytes of a body of unknown length, in steps that double.
-func (h *holder) grow(n int) error {
-	h.read += int64(n)
-	if h.read <= unheldBytes || growthFactor*h.read <= h.held {
-		return nil
-	}
-	return h.hold(growthFactor*growthFactor*h.read - h.held)
+// heldBuffer is a buffer whose memory is reserved before it grows. What it grew from counts until the reservation is
+// released, as it is freed some time later.
+type heldBuffer struct {
+	// reserve reserves n bytes.
+	reserve func(n int64) error
+	// free is the size up to which nothing is reserved, limit the size that the contents must not exceed.
+	free, limit int
+	bytes       []byte
 }
 
-// release releases what was reserved for an answer that failed.
-func (h *holder) release() {
-	if h.held > 0 {
-		_ = h.exchange.sender.opts.Hold(h.exchange.ctx, -h.held)
+// grow makes room for n more bytes. A buffer without that room is doubled, up to one byte beyond its limit, by which
+// contents that exceed it are seen.
+func (b *heldBuffer) grow(n int) error {
+	length := len(b.bytes)
+	if cap(b.bytes)-length >= n {
+		return nil
 	}
-}
-
-// failure returns the Failure for an error of reading the body.
-func (h *holder) failure(err error) *Failure {
-	h.release()
-	if h.err != nil && h.exchange.ctx.Err() == nil {
-		return fail(h.exchange.call, "answer", KindDeadline, OutcomeUnknown, h.err)
+	size := max(length+n, min(2*cap(b.bytes), b.limit+1))
+	if size > b.free {
+		if err := b.reserve(int64(size)); err != nil {
+			return err
+		}
 	}
-	return h.exchange.failure("answer", err)
+	grown := make([]byte, length, size)
+	copy(grown, b.bytes)
+	b.bytes = grown
+	return nil
 }
--- a/internal/request/figsend/hold_test.go
+++ b/internal/request/figsend/hold_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -84,3 +85,41 @@
 		require.Zero(t, h.held)
 	}
 }
+
+// A body of unknown length may take its limit and no more.
+func TestBodiesAtTheLimit(t *testing.T) {
+	const limit = 100_000
+	for _, size := range []int{1, limit - 1, limit, limit + 1, 2 * limit} {
+		for name, text := range map[string]string{
+			"chunks":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(true, strings.Repeat("x", size)),
+			"no length": "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", size),
+		} {
+			h := &heldBytes{max: 1 << 20}
+			s := newSender(t, Options{AllowCloseDelimited: true, MaxBodyBytes: limit, Hold: h.hold})
+			a, err := s.Do(t.Context(), callTo(oneAnswerServer(t, text, true), http.MethodPost, false))
+			if size > limit {
+				requireKind(t, err, KindTooLarge, OutcomeUnknown)
+				require.Zero(t, h.held)
+				continue
+			}
+			require.NoError(t, err, name)
+			require.Len(t, a.Body, size)
+			require.LessOrEqual(t, cap(a.Body), limit+1)
+			require.LessOrEqual(t, h.most, int64(3*limit))
+		}
+	}
+}
+
+// A chunk that is announced and doesn't come must not take memory.
+func TestAnnouncedChunksAreNotHeld(t *testing.T) {
+	h := &heldBytes{max: 1 << 20}
+	s := newSender(t, Options{Hold: h.hold, ReadTimeout: shortTimeout})
+	text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffff\r\nx"
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := s.Do(t.Context(), callTo(oneAnswerServer(t, text, false), http.MethodPost, false))
+	runtime.ReadMemStats(&after)
+	requireKind(t, err, KindTimeout, OutcomeUnknown)
+	require.Zero(t, h.most)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(1<<20))
+}
--- a/internal/request/figsend/stream.go
+++ b/internal/request/figsend/stream.go
@@ -11,6 +11,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tidwall/gjson"
+	"github.com/valyala/fasthttp"
+
+	"figtrail.dev/figtrail/internal/request/figanswer"
 )
 
 const (
@@ -71,7 +74,7 @@
 	if !bytes.HasPrefix(r.Header.ContentType(), []byte("text/event-stream")) {
 		return x.readWhole()
 	}
-	hasFraming := r.Header.ContentLength() > lengthUnknown
+	hasFraming := figanswer.IsFramed(&r.Header)
 	if !hasFraming && x.sender.opts.AllowCloseDelimited && !x.allowsCloseDelimited() {
 		x.finish(false)
 		return nil, fail(c, "stream", KindIncomplete, OutcomeUnknown, errUnframed)
@@ -88,14 +91,10 @@
 		reusable:     reusable,
 	}
 	t.source, t.rest = x.shrinkReader()
-	r.StreamBody = true
-	if err := r.ReadBody(t.source, 0); err != nil {
-		f := x.failure("stream", err)
-		x.finish(false)
-		return nil, f
-	}
 	t.events.fields = s.opts.EventFields
-	t.events.lines = bufio.NewReaderSize(r.BodyStream(), lineBufferBytes)
+	t.events.lines = bufio.NewReaderSize(figanswer.Body(t.source, &r.Header), lineBufferBytes)
+	x.response = nil
+	fasthttp.ReleaseResponse(r)
 	return t, nil
 }
 
@@ -272,7 +271,7 @@
 			return
 		}
 		t.exchange.stop()
-		// Next may still use the reader and the response, so they are not returned to their pools.
+		// Next may still use the reader.
 		t.exchange.release(false)
 	})
 }
