figsend: reserve memory for large events

Cause: the budget counted whole answers, but not what the reader of events holds of an event that hasn't ended: up to 1 MiB in each of four buffers, with the room that append leaves, and a copy of the first event, for each stream.

Change: an event is read into one buffer, of which its name and id are parts, and its data into a second. From 4 KiB on both reserve each size in the budget before they take it, wait for room until the request's deadline, and give it back with the next event. Closing the stream ends the wait. The first event is passed on without a copy.

--- a/internal/request/figproxy/stream.go
+++ b/internal/request/figproxy/stream.go
@@ -40,7 +40,7 @@
 	*figsend.Stream
 
 	metadata AnswerMetadata
-	// first holds the bytes of the first event, id its id.
+	// first holds the bytes of the first event, which are valid until the next one is read, id its id.
 	first []byte
 	id    []byte
 }
@@ -263,7 +263,7 @@
 	return firstEventTimeoutTargets * x.route.LatencyTarget
 }
 
-// readFirstEvent waits for the first event and copies it into opened. It fails if a stream that resumes after the
+// readFirstEvent waits for the first event, which becomes that of opened. It fails if a stream that resumes after the
 // event with the id after begins with another event than one of a higher id.
 func (x *exchange) readFirstEvent(ctx context.Context, opened *openedStream, after string) error {
 	event, err := opened.Next(ctx, x.answerDeadline.Sub(x.Clock.Now()))
@@ -280,7 +280,7 @@
 	if resumes && (len(event.ID) == 0 || !follows([]byte(after), event.ID)) {
 		return &figsend.Failure{Kind: figsend.KindOther, Err: figerror.Wrap(errEventOrder, "resume", opened.server.Name)}
 	}
-	opened.first = bytes.Clone(event.Raw)
+	opened.first = event.Raw
 	opened.id = bytes.Clone(event.ID)
 	return nil
 }
--- a/internal/request/figsend/do.go
+++ b/internal/request/figsend/do.go
@@ -83,10 +83,9 @@
 	if !figanswer.IsFramed(&r.Header) && !x.allowsCloseDelimited() {
 		return nil, fail(x.call, "answer", KindIncomplete, OutcomeUnknown, errUnframed)
 	}
-	held := &reservation{exchange: x, ctx: x.ctx}
-	body := heldBuffer{reserve: held.reserve, free: unheldBytes, limit: int(x.maxBody())}
+	body := heldBuffer{held: &x.held, free: unheldBytes, limit: int(x.maxBody())}
 	if err := body.readAll(figanswer.Body(x.reader, &r.Header), r.Header.ContentLength()); err != nil {
-		held.release()
+		x.held.release()
 		return nil, x.failure("answer", err)
 	}
 	if len(body.bytes) > 0 {
--- a/internal/request/figsend/exchange.go
+++ b/internal/request/figsend/exchange.go
@@ -32,6 +32,8 @@
 	deadline time.Time
 	reader   *bufio.Reader
 	response *fasthttp.Response
+	// held is the memory that is reserved for the answer.
+	held reservation
 	// writeFailure is set if the request wasn't sent completely.
 	writeFailure *Failure
 	// stop keeps the end of ctx from closing the connection. It returns false if ctx has already ended.
@@ -76,6 +78,7 @@
 		return nil, f
 	}
 	x := &exchange{acquired: h, sender: s, ctx: ctx, call: c, deadline: deadline}
+	x.held.exchange, x.held.ctx = x, ctx
 	conn := h.conn
 	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if x.writeFailure = x.write(q); x.writeFailure != nil && !x.mayHaveAnswer() {
--- a/internal/request/figsend/hold.go
+++ b/internal/request/figsend/hold.go
@@ -14,18 +14,23 @@
 
 var errNoMemory = errors.New("the memory for answers is used up")
 
-// reservation is the memory that is reserved for one answer.
+// reservation is the memory that is reserved for one answer. A nil one reserves nothing.
 type reservation struct {
 	exchange *exchange
-	// ctx ends the wait for room.
-	ctx context.Context
+	// ctx ends the wait for room. cancel ends ctx; only a stream has one, which may be closed during the wait.
+	ctx    context.Context
+	cancel context.CancelFunc
 
-	mu   sync.Mutex
-	held int64
+	mu    sync.Mutex
+	held  int64
+	ended bool
 }
 
 // reserve reserves n more bytes. It waits for room until ctx or the read deadline of the connection ends.
 func (r *reservation) reserve(n int64) error {
+	if r == nil {
+		return nil
+	}
 	x := r.exchange
 	deadline := earlier(x.conn.readDeadline, x.sender.opts.Clock.Now().Add(x.sender.opts.FirstByteTimeout))
 	ctx, cancel := context.WithDeadline(r.ctx, deadline)
@@ -36,13 +41,33 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.held += n
+	if r.ended {
+		r.releaseLocked()
+		return errNoMemory
+	}
 	return nil
 }
 
 // release releases what is reserved.
 func (r *reservation) release() {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.releaseLocked()
+}
+
+// end releases what is reserved and ends a wait for room. Later reservations fail.
+func (r *reservation) end() {
+	r.cancel()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.ended = true
+	r.releaseLocked()
+}
+
+func (r *reservation) releaseLocked() {
 	if r.held > 0 {
 		_ = r.exchange.sender.opts.Hold(r.ctx, -r.held)
 		r.held = 0
@@ -52,8 +77,7 @@
 // heldBuffer is a buffer whose memory is reserved before it grows. What it grew from counts until the reservation is
 // released, as it is freed some time later.
 type heldBuffer struct {
-	// reserve reserves n bytes.
-	reserve func(n int64) error
+	held *reservation
 	// free is the size up to which nothing is reserved, limit the size that the contents must not exceed.
 	free, limit int
 	bytes       []byte
@@ -68,7 +92,7 @@
 	}
 	size := max(length+n, min(2*cap(b.bytes), b.limit+1))
 	if size > b.free {
-		if err := b.reserve(int64(size)); err != nil {
+		if err := b.held.reserve(int64(size)); err != nil {
 			return err
 		}
 	}
@@ -77,3 +101,12 @@
 	b.bytes = grown
 	return nil
 }
+
+// append appends p.
+func (b *heldBuffer) append(p ...byte) error {
+	if err := b.grow(len(p)); err != nil {
+		return err
+	}
+	b.bytes = append(b.bytes, p...)
+	return nil
+}
--- a/internal/request/figsend/hold_test.go
+++ b/internal/request/figsend/hold_test.go
@@ -123,3 +123,69 @@
 	require.Zero(t, h.most)
 	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(1<<20))
 }
+
+// streamOf returns a stream whose server writes the parts of texts and then keeps the connection open.
+func streamOf(t *testing.T, s *Sender, deadline time.Time, texts ...string) *Stream {
+	call := callTo(oneAnswerServer(t, streamHead+chunked(false, texts...), false), http.MethodPost, false)
+	call.Deadline = deadline
+	stream, err := s.Stream(t.Context(), call)
+	require.NoError(t, err)
+	t.Cleanup(stream.Close)
+	return stream
+}
+
+// Memory must be reserved for a large event before it is read, and released with the next event or the stream.
+func TestEventsAreHeld(t *testing.T) {
+	const small = "id: 1\ndata: a\n\n"
+	line := "data: " + strings.Repeat("x", 100<<10) + "\n"
+	large := "event: n\n: comment\n" + line + "id: 2\n" + line + "\n"
+	for _, ends := range []bool{false, true} {
+		h := &heldBytes{max: 4 << 20}
+		texts := []string{small, large}
+		if !ends {
+			texts = append(texts, small)
+		}
+		stream := streamOf(t, newSender(t, Options{Hold: h.hold}), time.Time{}, texts...)
+		_, err := stream.Next(t.Context(), waitTimeout)
+		require.NoError(t, err)
+		require.Zero(t, h.held)
+		e, err := stream.Next(t.Context(), waitTimeout)
+		require.NoError(t, err)
+		require.Equal(t, large, string(e.Raw))
+		require.Equal(t, "n", string(e.Name))
+		require.Equal(t, "2", string(e.ID))
+		require.Len(t, e.Data, 200<<10+1)
+		require.GreaterOrEqual(t, h.held, int64(len(e.Raw)+len(e.Data)))
+		require.LessOrEqual(t, h.held, int64(10*len(e.Raw)))
+		if ends {
+			stream.Close()
+		} else {
+			_, err = stream.Next(t.Context(), waitTimeout)
+			require.NoError(t, err)
+		}
+		require.Zero(t, h.held)
+	}
+}
+
+// An event that finds no room must fail at the deadline of its call, or as soon as its stream is closed.
+func TestEventsWaitForRoom(t *testing.T) {
+	endless := "data: " + strings.Repeat("x", 500<<10)
+	h := &heldBytes{max: 100 << 10}
+	s := newSender(t, Options{Hold: h.hold})
+	_, err := streamOf(t, s, time.Now().Add(2*shortTimeout), endless).Next(t.Context(), waitTimeout)
+	requireKind(t, err, KindDeadline, OutcomeUnknown)
+	require.Zero(t, h.held)
+	require.Positive(t, h.most)
+	stream := streamOf(t, s, time.Time{}, endless)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := stream.Next(t.Context(), waitTimeout)
+		ended <- err
+	}()
+	time.Sleep(shortTimeout)
+	stream.Close()
+	requireKind(t, <-ended, KindCancelled, OutcomeUnknown)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	require.Zero(t, h.held)
+}
--- a/internal/request/figsend/sender.go
+++ b/internal/request/figsend/sender.go
@@ -78,8 +78,9 @@
 	// server closes the connection without an error. Otherwise such an answer is a failure.
 	AllowCloseDelimited bool
 	// Hold reserves memory for a part of an answer before it is read, and waits for room until ctx ends. A negative number
-	// of bytes releases what was reserved for an answer that failed; what was reserved for one that is returned belongs to
-	// the caller. It isn't called for answers below 16 KiB. Nil stands for no limit.
+	// of bytes releases what was reserved for an answer that failed, or for an event that is no longer used; what was
+	// reserved for an answer that is returned belongs to the caller. It isn't called for answers up to 16 KiB and events
+	// up to 4 KiB. Nil stands for no limit.
 	Hold func(ctx context.Context, bytes int64) error
 }
 
--- a/internal/request/figsend/stream.go
+++ b/internal/request/figsend/stream.go
@@ -91,8 +91,8 @@
 		reusable:     reusable,
 	}
 	t.source, t.rest = x.shrinkReader()
-	t.events.fields = s.opts.EventFields
-	t.events.lines = bufio.NewReaderSize(figanswer.Body(t.source, &r.Header), lineBufferBytes)
+	x.held.ctx, x.held.cancel = context.WithCancel(ctx)
+	t.events = newEventReader(figanswer.Body(t.source, &r.Header), s.opts.EventFields, &x.held)
 	x.response = nil
 	fasthttp.ReleaseResponse(r)
 	return t, nil
@@ -169,6 +169,7 @@
 	}
 	t.once.Do(func() {
 		close(t.closed)
+		x.held.end()
 		reuse = x.stop() && reuse
 		x.release(reuse)
 	})
@@ -233,7 +234,7 @@
 // checkEnd returns io.EOF if a stream whose body has ended is complete, otherwise a Failure with KindIncomplete.
 func (t *Stream) checkEnd() error {
 	x := t.exchange
-	if x.call.MatchEvents && string(t.events.data) == endMarker {
+	if x.call.MatchEvents && string(t.events.data.bytes) == endMarker {
 		return io.EOF
 	}
 	if (t.hasFraming || x.sender.opts.AllowCloseDelimited) && !x.call.MatchEvents {
@@ -270,6 +271,7 @@
 		if t.exchange == nil {
 			return
 		}
+		t.exchange.held.end()
 		t.exchange.stop()
 		// Next may still use the reader.
 		t.exchange.release(false)
--- a/internal/request/figsend/stream_test.go
+++ b/internal/request/figsend/stream_test.go
@@ -234,6 +234,13 @@
 	}
 }
 
+// eventsOf returns a reader of events with a read buffer of size bytes.
+func eventsOf(wire []byte, size int) eventReader {
+	r := newEventReader(bytes.NewReader(nil), nil, nil)
+	r.lines = bufio.NewReaderSize(bytes.NewReader(wire), size)
+	return r
+}
+
 func TestEventRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		data := rapid.SliceOf(rapid.StringMatching(`[a-z: ]{1,9}(\n[a-z: ]{0,9}){0,3}`)).Draw(t, "data")
@@ -242,7 +249,7 @@
 			wire = AppendEvent(wire, Event{Name: []byte("n"), Data: []byte(d)})
 		}
 		size := rapid.IntRange(16, 64).Draw(t, "buffer")
-		r := eventReader{lines: bufio.NewReaderSize(bytes.NewReader(wire), size)}
+		r := eventsOf(wire, size)
 		for _, d := range data {
 			e, err := r.next()
 			require.NoError(t, err)
@@ -259,8 +266,8 @@
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte("event: a\ndata: b\r\n\r\n: c\n\ndata:d\ndata\n\ndata: [DONE]\n"))
 	f.Fuzz(func(t *testing.T, wire []byte) {
-		small := eventReader{lines: bufio.NewReaderSize(bytes.NewReader(wire), 16)}
-		large := eventReader{lines: bufio.NewReaderSize(bytes.NewReader(wire), 1<<16)}
+		small := eventsOf(wire, 16)
+		large := eventsOf(wire, 1<<16)
 		for {
 			a, failed := small.next()
 			b, err := large.next()
@@ -270,6 +277,8 @@
 			}
 			require.Equal(t, string(b.Data), string(a.Data))
 			require.Equal(t, string(b.Name), string(a.Name))
+			require.Equal(t, string(b.ID), string(a.ID))
+			require.Equal(t, string(b.Raw), string(a.Raw))
 		}
 	})
 }
