figfetch: read answers with figsend

What readers saw: an answer of the store with status 000, with a blank in or after a field's name or with a malformed trailer counted as its contents, so that a configuration could come from it. Bytes that followed an answer were taken for the answer to a later call. `figtrail status` read the same way.

Cause: figfetch, which reads the store of `figtrail route` and the lists of `figtrail serve`, had a client of its own, fasthttp's, which parses leniently and returns connections with unread bytes to its pool.

Change: figfetch and the command status send with figsend, which checks answers, closes connections after those in doubt and looks for unread bytes before it uses a connection again.

--- a/internal/app/figcommand/status.go
+++ b/internal/app/figcommand/status.go
@@ -2,15 +2,21 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
-	"github.com/valyala/fasthttp"
+
+	"figtrail.dev/figtrail/internal/config/figfetch"
 )
 
-// statusTimeout is the timeout of the call to the instance.
-const statusTimeout = 5 * time.Second
+const (
+	// statusTimeout is the timeout of the call to the instance.
+	statusTimeout = 5 * time.Second
+	// maxStatusBytes bounds the status, which with --all is that of hundreds of instances.
+	maxStatusBytes = 64 << 20
+)
 
 func statusPath(all bool) string {
 	if all {
@@ -29,15 +35,16 @@
 			stringFlag("admin", "admin address of the instance, host:port", &address),
 			&cli.BoolFlag{Name: "all", Usage: "also ask all instances that this one knows", Destination: &all},
 		},
-		Action: func(_ context.Context, c *cli.Command) error {
-			code, body, err := fasthttp.GetTimeout(nil, "http://"+address+statusPath(all), statusTimeout)
+		Action: func(ctx context.Context, c *cli.Command) error {
+			f := figfetch.New(figfetch.Options{Address: address, Timeout: statusTimeout, BodyLimit: maxStatusBytes})
+			answer, err := f.Get(ctx, statusPath(all), 0)
 			if err != nil {
 				return withCode(errors.Wrapf(err, "status at %s", address), exitCheckFailed)
 			}
-			if code != fasthttp.StatusOK {
-				return withCode(errors.Newf("status at %s: HTTP %d: %s", address, code, body), exitCheckFailed)
+			if answer.Status != http.StatusOK {
+				return withCode(errors.Newf("status at %s: HTTP %d: %s", address, answer.Status, answer.Body), exitCheckFailed)
 			}
-			_, err = c.Root().Writer.Write(body)
+			_, err = c.Root().Writer.Write(answer.Body)
 			return err
 		},
 	}
--- a/internal/config/figfetch/fetch.go
+++ b/internal/config/figfetch/fetch.go
@@ -1,5 +1,6 @@
 // Package figfetch sends HTTP GET requests to the platform. Each request has a
-// deadline and is never retried. Paths and formats are left to the caller.
+// deadline and is never retried. Paths and formats are left to the caller; answers
+// are read by figsend, which refuses malformed ones.
 //
 // # Usage
 //
@@ -13,13 +14,13 @@
 
 import (
 	"context"
-	"net"
+	"net/http"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"figtrail.dev/figtrail/internal/core/figerror"
 	"figtrail.dev/figtrail/internal/core/fignet"
+	"figtrail.dev/figtrail/internal/fleet/figview"
+	"figtrail.dev/figtrail/internal/request/figsend"
 )
 
 const (
@@ -32,6 +33,8 @@
 	// unackedTimeout closes a connection whose peer acknowledges nothing, so that a waiting long poll fails and is
 	// sent again: a change must be active within 2 s of the end of an outage of 3 s.
 	unackedTimeout = 3 * time.Second
+	// noTimeout is longer than any call.
+	noTimeout = 24 * time.Hour
 )
 
 // Options holds the settings of a Client.
@@ -48,8 +51,8 @@
 
 // Client sends requests to one service. It is safe for concurrent use.
 type Client struct {
-	opts Options
-	http *fasthttp.Client
+	opts   Options
+	sender *figsend.Sender
 }
 
 // New returns a client. It connects with the first call.
@@ -57,18 +60,20 @@
 	if o.Timeout == 0 {
 		o.Timeout = defaultTimeout
 	}
-	dialer := fignet.Dialer{Unacked: unackedTimeout}
-	return &Client{opts: o, http: &fasthttp.Client{
-		NoDefaultUserAgentHeader:  true,
-		MaxConnsPerHost:           maxConnections,
-		MaxIdleConnDuration:       idleTimeout,
-		MaxResponseBodySize:       o.BodyLimit,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial: func(address string) (net.Conn, error) {
-			return dialer.Dial(context.Background(), address, o.Timeout)
-		},
-	}}
+	return &Client{opts: o, sender: figsend.New(figsend.Options{
+		Dial:        fignet.Dialer{Unacked: unackedTimeout}.Dial,
+		DialTimeout: o.Timeout,
+		// The deadline of each call is shorter than these.
+		FirstByteTimeout:       noTimeout,
+		PooledFirstByteTimeout: noTimeout,
+		ReadTimeout:            noTimeout,
+		MaxConnectionAge:       noTimeout,
+		IdleTimeout:            idleTimeout,
+		MaxPooledConnections:   maxConnections,
+		MaxBodyBytes:           int64(o.BodyLimit),
+		IsRefusal:              func(*figsend.Answer) bool { return false },
+		AllowCloseDelimited:    true,
+	})}
 }
 
 // Address returns the host and port of the service.
@@ -97,7 +102,7 @@
 		deadline = d
 	}
 	done := make(chan result, 1)
-	go func() { done <- c.send("http://"+c.opts.Address+path, deadline) }()
+	go func() { done <- c.send(ctx, path, deadline) }()
 	select {
 	case <-ctx.Done():
 		return nil, figerror.Wrap(ctx.Err(), "read "+path, c.opts.Address)
@@ -106,20 +111,20 @@
 	}
 }
 
-func (c *Client) send(uri string, deadline time.Time) result {
-	q, r := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(q)
-	defer fasthttp.ReleaseResponse(r)
-	q.SetRequestURI(uri)
-	if err := c.http.DoDeadline(q, r, deadline); err != nil {
+func (c *Client) send(ctx context.Context, path string, deadline time.Time) result {
+	answer, err := c.sender.Do(ctx, &figsend.Call{
+		Server: figview.Server{Name: c.opts.Address, Address: c.opts.Address},
+		Method: http.MethodGet, Path: path, Idempotent: true, Deadline: deadline,
+	})
+	if err != nil {
 		// What made this connection silent may have done so to the idle ones, and the next call must not wait
 		// for its timeout on one of them.
-		c.http.CloseIdleConnections()
+		c.sender.Close()
 		return result{err: err}
 	}
-	answer := &Response{Status: r.StatusCode(), Body: append([]byte(nil), r.Body()...)}
+	response := &Response{Status: answer.Status, Body: answer.Body}
 	if c.opts.Header != "" {
-		answer.Header = string(r.Header.Peek(c.opts.Header))
+		response.Header = answer.Get(c.opts.Header)
 	}
-	return result{response: answer}
+	return result{response: response}
 }
