figserve: bound answers that are collected, and reserve memory for answers

What callers saw: nothing yet; read in the code. An engine that writes events without end for a caller who wants no stream makes `figtrail serve` keep them until the caller's deadline, and no answer of a server counted in its budget, plain ones up to 16 MiB each.

Cause: the collector had no limit, and the sender of figserve no function that reserves memory.

Change: a collected answer fails beyond 16 MiB of events and reserves memory as it grows. figserve gives each call a holding, from which its sender reserves memory while answers and events are read; HoldAnswer moves from figrouter to figmemory for both.

Result: TestCollectorIsBounded and TestHoldAnswer pass; without a limit the first doesn't end. No process of `figtrail serve` was measured.

--- a/internal/app/figrouter/memory.go
+++ b/internal/app/figrouter/memory.go
@@ -1,7 +1,6 @@
 package figrouter
 
 import (
-	"context"
 	"net"
 	"time"
 
@@ -54,19 +53,6 @@
 	return func() { r.metrics.Count("connections_closed", "port", port, 1) }
 }
 
-// holdAnswer reserves memory for a part of an answer in the holding of the caller that it is for.
-func holdAnswer(ctx context.Context, n int64) error {
-	h := figmemory.FromContext(ctx)
-	switch {
-	case h == nil:
-		return nil
-	case n < 0:
-		h.Shrink(figmemory.Answers, -n)
-		return nil
-	}
-	return h.Grow(ctx, figmemory.Answers, n)
-}
-
 // heldBytes returns the memory for what callers and servers make the process hold.
 func (r *Router) heldBytes() int64 { return int64(r.MemoryMB) << 20 * int64(r.HeldPercent) / 100 }
 
--- a/internal/app/figrouter/router.go
+++ b/internal/app/figrouter/router.go
@@ -217,7 +217,7 @@
 		MaySend:                r.maySend,
 		OnAnswer:               r.recordNotices,
 		AllowCloseDelimited:    true,
-		Hold:                   holdAnswer,
+		Hold:                   figmemory.HoldAnswer,
 	})
 	r.proxy = &figproxy.Proxy{
 		DataCentre:   r.DataCentre,
--- a/internal/app/figserve/connect.go
+++ b/internal/app/figserve/connect.go
@@ -20,6 +20,7 @@
 	"figtrail.dev/figtrail/internal/fleet/figview"
 	"figtrail.dev/figtrail/internal/limit/figbudget"
 	"figtrail.dev/figtrail/internal/limit/figkey"
+	"figtrail.dev/figtrail/internal/limit/figmemory"
 	"figtrail.dev/figtrail/internal/limit/figqueue"
 	"figtrail.dev/figtrail/internal/place/figowner"
 	"figtrail.dev/figtrail/internal/place/figplace"
@@ -64,7 +65,7 @@
 	i.metrics = figmetric.New(figmetric.Options{MaxOwnScopes: i.MetricAccounts})
 	i.handlers = figpeer.NewHandlers()
 	i.client = figpeer.NewClient(figpeer.ClientOptions{})
-	i.sender = figsend.New(figsend.Options{Clock: i.clock, MaxBodyBytes: i.AnswerLimit})
+	i.sender = figsend.New(figsend.Options{Clock: i.clock, MaxBodyBytes: i.AnswerLimit, Hold: figmemory.HoldAnswer})
 	i.engine = figengine.OpenAI(i.sender)
 	i.running = figkey.NewRunningRequests()
 	i.connectFleet()
@@ -229,6 +230,7 @@
 		Retries:         &figsend.RetryBudget{Fraction: retryFraction, MinRetries: minRetries},
 		Backoff:         figtimer.Backoff{Base: backoffBase, Limit: backoffLimit},
 		MaxBodyBytes:    i.AnswerLimit,
+		Hold:            figmemory.HoldAnswer,
 		OnRequestEnd:    i.onRequestEnd,
 	}
 	i.callerWatch = figsend.NewCallerWatch()
@@ -237,7 +239,7 @@
 		Incarnation:       i.incarnation,
 		Clock:             i.clock,
 		Tree:              i.store.Tree,
-		Run:               i.pipeline.Run,
+		Run:               i.runCall,
 		OnRefused:         i.onRefused,
 		OnKeyRefused:      func(r figkey.Reason) { i.metrics.Count("keys_refused", "reason", r.String(), 1) },
 		Draining:          i.draining.Load,
--- a/internal/app/figserve/memory.go
+++ b/internal/app/figserve/memory.go
@@ -1,11 +1,13 @@
 package figserve
 
 import (
+	"context"
 	"net"
 	"time"
 
 	"figtrail.dev/figtrail/internal/core/fignet"
 	"figtrail.dev/figtrail/internal/limit/figmemory"
+	"figtrail.dev/figtrail/internal/request/figpipeline"
 )
 
 const (
@@ -56,6 +58,13 @@
 	return h.Close, true
 }
 
+// runCall runs a call of a caller. What the answers of servers hold while they are read is released when it has ended.
+func (i *Instance) runCall(ctx context.Context, q *figpipeline.Call, r *figpipeline.ResponseWriter) {
+	h := i.memory.Open(nil)
+	defer h.Close()
+	i.pipeline.Run(h.WithContext(ctx), q, r)
+}
+
 // limitCallers limits what the connections of callers hold.
 func (i *Instance) limitCallers(l net.Listener) net.Listener {
 	return fignet.WithLimit(l, fignet.Limit{
--- a/internal/engine/figengine/control.go
+++ b/internal/engine/figengine/control.go
@@ -87,7 +87,7 @@
 func (o *openAI) callJSON(ctx context.Context, server figview.Server, step string, c *figsend.Call, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	c.Server = server
+	c.Server, c.MaxBodyBytes = server, maxControlBytes
 	answer, err := o.sender.Do(ctx, c)
 	if err != nil {
 		return err
--- a/internal/engine/figengine/openai.go
+++ b/internal/engine/figengine/openai.go
@@ -21,6 +21,8 @@
 	// codeResultGone is the error code of an engine whose prefill result has expired or was fetched
 	// before.
 	codeResultGone = "resultGone"
+	// maxControlBytes bounds the answers to all calls except prefill and decode. No request reserves memory for them.
+	maxControlBytes = 4 << 20
 	// controlTimeout is the timeout of all calls except prefill and decode.
 	controlTimeout = 5 * time.Second
 )
--- a/internal/limit/figmemory/budget_test.go
+++ b/internal/limit/figmemory/budget_test.go
@@ -132,3 +132,17 @@
 	require.Zero(t, b.total())
 	require.Empty(t, b.open)
 }
+
+// Memory for an answer must be taken from the holding of the context, and wait for room until the context ends.
+func TestHoldAnswer(t *testing.T) {
+	b := New(Options{TotalBytes: 800 << 10, Now: time.Now})
+	h := b.Open(nil)
+	ctx, cancel := context.WithCancel(h.WithContext(t.Context()))
+	require.NoError(t, HoldAnswer(ctx, 600<<10))
+	require.NoError(t, HoldAnswer(ctx, -200<<10))
+	require.EqualValues(t, 400<<10, h.Held(Answers))
+	cancel()
+	require.ErrorIs(t, HoldAnswer(ctx, 700<<10), ErrFull)
+	require.EqualValues(t, 400<<10, h.Held(Answers))
+	require.NoError(t, HoldAnswer(t.Context(), 1<<40), "without a holding")
+}
--- a/internal/limit/figmemory/holding.go
+++ b/internal/limit/figmemory/holding.go
@@ -41,6 +41,20 @@
 	return h
 }
 
+// HoldAnswer reserves n bytes for a part of an answer in the holding that ctx carries, and waits for room until ctx ends.
+// A negative n releases bytes. Without a holding it does nothing.
+func HoldAnswer(ctx context.Context, n int64) error {
+	h := FromContext(ctx)
+	switch {
+	case h == nil:
+		return nil
+	case n < 0:
+		h.Shrink(Answers, -n)
+		return nil
+	}
+	return h.Grow(ctx, Answers, n)
+}
+
 // size returns the number of held bytes. budget.mu must be held.
 func (h *Holding) size() int64 {
 	sum := int64(0)
--- a/internal/request/figpipeline/collect.go
+++ b/internal/request/figpipeline/collect.go
@@ -20,21 +20,58 @@
 	"reasoning_content": true,
 }
 
+const (
+	// maxCollectedBytes bounds the events that make up one answer.
+	maxCollectedBytes = 16 << 20
+	// unheldCollectedBytes is the size of the events up to which no memory is reserved for the answer.
+	unheldCollectedBytes = 16 << 10
+	// collectedFactor is how much more memory the answer may take than its events.
+	collectedFactor = 4
+)
+
+var errCollectedTooLarge = errors.New("the events of the answer exceed 16 MiB")
+
 // collector builds the answer for a caller that wants no stream from the events of a stream.
 type collector struct {
+	// hold reserves memory for the answer.
+	hold   func(bytes int64) error
 	answer map[string]any
+	// size is the size of the events, held the memory reserved for the answer, in bytes.
+	size, held int64
 }
 
-// add merges one event into the answer. Data that isn't a JSON object is ignored.
-func (c *collector) add(data gjson.Result) {
+// add merges one event into the answer. Data that isn't a JSON object is ignored. It fails if the answer becomes too large,
+// or if there is no memory for it.
+func (c *collector) add(data gjson.Result) error {
+	if err := c.grow(int64(len(data.Raw))); err != nil {
+		return err
+	}
 	event, ok := data.Value().(map[string]any)
 	if !ok {
-		return
+		return nil
 	}
 	if c.answer == nil {
 		c.answer = map[string]any{}
 	}
 	merge(c.answer, event)
+	return nil
+}
+
+// grow counts n bytes of events and reserves memory for them, in steps that double.
+func (c *collector) grow(n int64) error {
+	c.size += n
+	if c.size > maxCollectedBytes {
+		return errCollectedTooLarge
+	}
+	if c.size <= unheldCollectedBytes || collectedFactor*c.size <= c.held {
+		return nil
+	}
+	more := 2*collectedFactor*c.size - c.held
+	if err := c.hold(more); err != nil {
+		return err
+	}
+	c.held += more
+	return nil
 }
 
 // body returns the answer as JSON, or an error if the stream had no choices.
--- a/internal/request/figpipeline/collect_test.go
+++ b/internal/request/figpipeline/collect_test.go
@@ -1,6 +1,9 @@
 package figpipeline
 
 import (
+	"errors"
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -53,7 +56,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			var k collector
 			for _, e := range c.events {
-				k.add(gjson.Parse(e))
+				require.NoError(t, k.add(gjson.Parse(e)))
 			}
 			body, err := k.body()
 			require.NoError(t, err)
@@ -65,7 +68,43 @@
 // A stream without choices must give an error, not an empty answer.
 func TestCollectorWithoutChoices(t *testing.T) {
 	var k collector
-	k.add(gjson.Parse(`{"choices":[],"usage":{}}`))
+	require.NoError(t, k.add(gjson.Parse(`{"choices":[],"usage":{}}`)))
 	_, err := k.body()
 	require.Error(t, err)
 }
+
+// Events without end must not make the answer larger than its limit, and memory must be reserved before it takes it.
+func TestCollectorIsBounded(t *testing.T) {
+	long := strings.Repeat("x", 64<<10)
+	events := map[string]func(n int) string{
+		"text":   func(int) string { return `{"choices":[{"index":0,"delta":{"content":"` + long + `"}}]}` },
+		"list":   func(int) string { return `{"choices":[{"a":"` + long + `"},{"a":"` + long + `"}]}` },
+		"fields": func(n int) string { return fmt.Sprintf(`{"a%d":1,"b%d":%q}`, n, n, long) },
+	}
+	for name, event := range events {
+		t.Run(name, func(t *testing.T) {
+			held := int64(0)
+			c := collector{hold: func(n int64) error {
+				held += n
+				return nil
+			}}
+			read := 0
+			var err error
+			for n := 0; err == nil; n++ {
+				e := event(n)
+				read += len(e)
+				err = c.add(gjson.Parse(e))
+				require.True(t, c.size <= unheldCollectedBytes || held >= collectedFactor*c.size || err != nil)
+			}
+			require.ErrorIs(t, err, errCollectedTooLarge)
+			require.Less(t, read, maxCollectedBytes+256<<10)
+			full := errors.New("full")
+			c = collector{hold: func(int64) error { return full }}
+			for err = nil; err == nil; {
+				err = c.add(gjson.Parse(event(0)))
+			}
+			require.Equal(t, full, err)
+			require.Less(t, c.size, int64(256<<10))
+		})
+	}
+}
--- a/internal/request/figpipeline/pipeline.go
+++ b/internal/request/figpipeline/pipeline.go
@@ -70,6 +70,9 @@
 	Backoff figtimer.Backoff
 	// MaxBodyBytes is the maximum size of a plain service's answer, in bytes.
 	MaxBodyBytes int64
+	// Hold reserves memory for a part of an answer that is collected, and waits for room until ctx ends. It is released when
+	// the request has ended.
+	Hold func(ctx context.Context, bytes int64) error
 	// OnRequestEnd is called once for each request, after its end, with its metrics.
 	OnRequestEnd func(figmetric.Request)
 }
--- a/internal/request/figpipeline/relay.go
+++ b/internal/request/figpipeline/relay.go
@@ -8,6 +8,7 @@
 	"github.com/tidwall/gjson"
 	"github.com/valyala/fasthttp"
 
+	"figtrail.dev/figtrail/internal/core/figerror"
 	"figtrail.dev/figtrail/internal/place/figplace"
 	"figtrail.dev/figtrail/internal/request/figlifecycle"
 	"figtrail.dev/figtrail/internal/request/figsend"
@@ -35,7 +36,7 @@
 // want a stream, it sends one answer built from all events. It returns an error if the stream fails or
 // ends without the marker, if the engine sends an error event, or if the caller can't be written to.
 func (x *activeRequest) relay(ctx context.Context, p *figplace.Placement, s *figsend.Stream) error {
-	whole := &collector{}
+	whole := &collector{hold: func(n int64) error { return x.Hold(ctx, n) }}
 	tokens := int64(0)
 	for {
 		e, err := s.Next(ctx, x.Pool.StallTimeout)
@@ -55,7 +56,9 @@
 			p.SetGeneratedTokens(tokens)
 		}
 		if !x.Model.Stream {
-			whole.add(data)
+			if err := whole.add(data); err != nil {
+				return collectFailure(p.Decode.Name, err)
+			}
 			continue
 		}
 		if err := x.relayEvent(ctx, e, data); err != nil {
@@ -68,6 +71,15 @@
 	return x.answerCollected(whole)
 }
 
+// collectFailure returns the failure of an answer of server that can't be collected because of err.
+func collectFailure(server string, err error) error {
+	kind := figsend.KindDeadline
+	if errors.Is(err, errCollectedTooLarge) {
+		kind = figsend.KindTooLarge
+	}
+	return &figsend.Failure{Kind: kind, Err: figerror.Wrap(err, "collect", server)}
+}
+
 // recordProgress updates the token counts and times, and returns whether the event counts as a token,
 // which is so if it has choices. A usage object in the event replaces the counts.
 func (x *activeRequest) recordProgress(data gjson.Result) bool {
