--- a/internal/request/figanswer/body.go
+++ b/internal/request/figanswer/body.go
@@ -51,22 +51,22 @@
 type chunkedBody struct {
 	source *bufio.Reader
 	chunks io.Reader
-	// isRead says that the last chunk has been read, err the result of reading the trailer after it.
-	isRead bool
-	err    error
+	// atTrailer says that the last chunk has been read, err the result of reading the trailer after it.
+	atTrailer bool
+	err       error
 }
 
 func (b *chunkedBody) Read(p []byte) (int, error) {
 	switch {
 	case b.err != nil:
 		return 0, b.err
-	case b.isRead:
+	case b.atTrailer:
 		b.err = b.readTrailer()
 		return 0, b.err
 	}
 	n, err := b.chunks.Read(p)
 	if errors.Is(err, io.EOF) {
-		b.isRead, err = true, nil
+		b.atTrailer, err = true, nil
 		if n == 0 && len(p) > 0 {
 			return b.Read(p)
 		}
--- a/internal/request/figanswer/head.go
+++ b/internal/request/figanswer/head.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"regexp"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -19,10 +20,11 @@
 	maxFields = 100
 	// maxHeads bounds the interim answers and the final one.
 	maxHeads = 5
-	// minStatus and maxStatus are the lowest and the highest status of HTTP.
-	minStatus, maxStatus = 100, 599
 )
 
+// statusLine matches a version, a status from 100 to 599 and an optional reason without control bytes.
+var statusLine = regexp.MustCompile(`^HTTP/1\.[01] [1-5][0-9][0-9]( [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
+
 // ErrMalformed is wrapped by the errors of answers that break the rules of the package.
 var ErrMalformed = errors.New("malformed answer")
 
@@ -71,7 +73,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if !isStatusLine(line) {
+	if !statusLine.Match(line) {
 		return 0, errStatusLine
 	}
 	isHTTP10 := bytes.HasPrefix(line, []byte("HTTP/1.0"))
@@ -85,25 +87,6 @@
 	return f.end, nil
 }
 
-// isStatusLine reports whether line is a version, a status and an optional reason.
-func isStatusLine(line []byte) bool {
-	const version = "HTTP/1.x "
-	if len(line) < len(version+"200") || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[7] != '0' && line[7] != '1' || line[8] != ' ' {
-		return false
-	}
-	status := 0
-	for _, b := range line[len(version):len(version+"200")] {
-		if b < '0' || b > '9' {
-			return false
-		}
-		status = 10*status + int(b-'0')
-	}
-	reason := line[len(version+"200"):]
-	return status >= minStatus && status <= maxStatus && (len(reason) == 0 || reason[0] == ' ') && !bytes.ContainsFunc(reason, isControl)
-}
-
-func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
-
 // fields says what checkFields found.
 type fields struct {
 	// end is the number of buffered bytes up to the end of the empty line after the fields.
@@ -152,7 +135,7 @@
 	for searched := begin; ; {
 		b, _ := r.Peek(r.Buffered())
 		b = b[:min(len(b), limit)]
-		if i := bytes.IndexByte(b[min(searched, len(b)):], '\n'); i >= 0 {
+		if i := bytes.IndexByte(b[searched:], '\n'); i >= 0 {
 			line, ok := bytes.CutSuffix(b[begin:searched+i], []byte("\r"))
 			if !ok {
 				return nil, errLineEnd
