--- a/internal/request/figsend/doc.go
+++ b/internal/request/figsend/doc.go
@@ -32,5 +32,7 @@
 // before each use and closed after a short idle time. When an answer times out, its connection and all idle
 // connections to the same server are closed. Other calls and streams use a new connection, which is closed afterwards.
 //
+// Answers are read by figanswer. One that is malformed, or whose end isn't known, fails and its connection is closed.
+//
 // Hop-by-hop header fields and the caller's key are removed from requests.
 package figsend
