--- a/internal/request/figanswer/doc.go
+++ b/internal/request/figanswer/doc.go
@@ -1,4 +1,4 @@
-// Package figanswer reads HTTP/1 answers and accepts only those whose meaning is beyond doubt. A lenient reader guesses:
+// Package figanswer reads HTTP/1 answers and refuses those that are malformed or ambiguous. A lenient reader guesses:
 // it takes status 000 for 200, or a field whose name ends in a blank for the field without it. Two readers that guess
 // differently see different answers in the same bytes.
 //
--- a/internal/request/figsend/exchange.go
+++ b/internal/request/figsend/exchange.go
@@ -32,7 +32,7 @@
 	deadline time.Time
 	reader   *bufio.Reader
 	response *fasthttp.Response
-	// held is the memory that is reserved for the answer.
+	// held reserves memory for the answer.
 	held reservation
 	// writeFailure is set if the request wasn't sent completely.
 	writeFailure *Failure
--- a/internal/request/figsend/hold.go
+++ b/internal/request/figsend/hold.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// heldBuffer is a buffer whose memory is reserved before it grows. What it grew from counts until the reservation is
-// released, as it is freed some time later.
+// heldBuffer is a buffer whose memory is reserved before it grows. The smaller arrays that it has outgrown stay reserved
+// until the reservation is released, as the garbage collector frees them some time later.
 type heldBuffer struct {
 	held *reservation
 	// free is the size up to which nothing is reserved, limit the size that the contents must not exceed.
