figsend: count the allocations of a call without drops of sync.Pool

The race detector makes sync.Pool drop a random quarter of what is put back; the test bounded an average with these drops in it.

Change: the bound was 24 with some five allocations by drops, and is now 19 without them. The call with the fewest of 500 has lost no item of a pool and has to keep it in both modes; the average has to keep it without the detector.

--- a/internal/request/figsend/alloc_test.go
+++ b/internal/request/figsend/alloc_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"runtime"
@@ -14,9 +15,10 @@
 
 const (
 	// doAllocations bounds the allocations of a call on a pooled connection: the answer with its header fields and
-	// body, the exchange, and the function that closes the connection when the context ends. The race detector makes
-	// sync.Pool drop items, which adds some.
-	doAllocations = 24
+	// body, the exchange, and the function that closes the connection when the context ends.
+	doAllocations = 19
+	// doCalls is the number of calls over which the allocations are counted.
+	doCalls = 500
 	// eventAllocations bounds the allocations of an event: the id that is extracted from it.
 	eventAllocations = 1
 	// streamEvents is the number of events over which the allocations are averaged.
@@ -52,7 +54,17 @@
 }
 
 func TestDoAllocations(t *testing.T) {
-	require.LessOrEqual(t, testing.AllocsPerRun(500, callWithoutServerAllocs(t)), float64(doAllocations))
+	call := callWithoutServerAllocs(t)
+	fewest := math.Inf(1)
+	for range doCalls {
+		fewest = min(fewest, testing.AllocsPerRun(1, call))
+	}
+	require.LessOrEqual(t, fewest, float64(doAllocations))
+	if raceEnabled {
+		// The race detector makes sync.Pool drop items at random, so only a call that lost none has a fixed count.
+		return
+	}
+	require.LessOrEqual(t, testing.AllocsPerRun(doCalls, call), float64(doAllocations))
 }
 
 // nextEvent returns a function that reads one event of an endless stream.
--- /dev/null
+++ b/internal/request/figsend/norace_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package figsend
+
+// raceEnabled says whether the tests run with the race detector.
+const raceEnabled = false
