figserve: bound the memory of a process that collects endless answers

Cause: the limit on collected answers was shown by tests of its parts only. Before it, a process of `figtrail serve` collected events without end for callers who want the answer as a whole.

Change: the emulated engine streams large events without end under the fault "endless"; TestServeCrowdOfCollectedAnswers has 48 clients wait for such answers and bounds the resident memory of the process. It still has to answer a plain request.

--- a/internal/app/figserve/crowd_test.go
+++ b/internal/app/figserve/crowd_test.go
@@ -16,6 +16,7 @@
 
 	"figtrail.dev/figtrail/internal/app/figfleet"
 	"figtrail.dev/figtrail/internal/stand/figcrowd"
+	"figtrail.dev/figtrail/internal/stand/figemulator"
 	"figtrail.dev/figtrail/internal/stand/figknown"
 )
 
@@ -84,3 +85,29 @@
 		})
 	}
 }
+
+// Servers whose events don't end must not make an instance exceed its memory when callers want the answer as a whole.
+func TestServeCrowdOfCollectedAnswers(t *testing.T) {
+	if runtime.GOOS != "linux" {
+		t.Skip("reads /proc")
+	}
+	if figcrowd.RaceEnabled {
+		t.Skip("the race detector takes several times the memory")
+	}
+	f := newFixture(t, figfleet.Plan{Engines: []figfleet.EnginePlan{enginePair}})
+	i := startChild(t, f, crowdMemoryLimit)
+	f.eventually(func() bool { return f.answersModel(i.callers) })
+	f.decode().Faults.Set(figemulator.Fault{Kind: figemulator.Endless})
+	p := figcrowd.Watch(t, i.Pid)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	w := figcrowd.Crowd{Clients: crowdClients, Rounds: 2, Play: func(c net.Conn) {
+		_, _ = io.WriteString(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nX-Api-Key: "+f.key.Text+
+			fmt.Sprintf("\r\nContent-Length: %d\r\n\r\n%s", len(modelBody), modelBody))
+	}}
+	go w.Start(ctx, t, i.callers)
+	f.eventually(func() bool { return f.decode().Faults.Hits(figemulator.Endless) >= crowdClients })
+	<-time.After(5 * time.Second) // the crowd never settles; this only lets it grow
+	require.Eventually(t, func() bool { return get("http://"+i.callers+"/ledger/balance", f.key.Text) == http.StatusOK }, crowdHangLimit, pollInterval)
+	p.RequireWithin(crowdMemoryMB, 512)
+}
--- a/internal/app/figserve/fixture_test.go
+++ b/internal/app/figserve/fixture_test.go
@@ -22,6 +22,8 @@
 	// between checks.
 	waitTimeout  = 15 * time.Second
 	pollInterval = 10 * time.Millisecond
+	// modelBody is the body of a model request that wants its answer as a whole.
+	modelBody = `{"model":"small","max_tokens":1,"messages":[{"role":"user","content":"ready"}]}`
 )
 
 // fixture is a running fleet with one plain server and one client account.
@@ -70,15 +72,18 @@
         withdrawn: %t
 `
 
+// enginePair is one prefill and one decode server.
+var enginePair = figfleet.EnginePlan{Pool: "language", Prefill: 1, Decode: 1, Options: figemulator.EngineOptions{
+	Models: []string{"small"}, Pieces: 400, PieceTokens: 2048, Batch: 400,
+	PrefillRate: 1e6, TokenInterval: 2 * time.Millisecond, ResultTTL: 800 * time.Millisecond,
+	ReportLag: 50 * time.Millisecond,
+}}
+
 // startFixture starts a fleet with one prefill and one decode server, and waits until its
 // first instance answers plain and model requests.
 func startFixture(t testing.TB, instances int) *fixture {
 	f := newFixture(t, figfleet.Plan{
-		Engines: []figfleet.EnginePlan{{Pool: "language", Prefill: 1, Decode: 1, Options: figemulator.EngineOptions{
-			Models: []string{"small"}, Pieces: 400, PieceTokens: 2048, Batch: 400,
-			PrefillRate: 1e6, TokenInterval: 2 * time.Millisecond, ResultTTL: 800 * time.Millisecond,
-			ReportLag: 50 * time.Millisecond,
-		}}},
+		Engines:   []figfleet.EnginePlan{enginePair},
 		Instances: instances,
 		Settings: func(s *figserve.Settings) {
 			s.DrainNotice = 200 * time.Millisecond
@@ -86,7 +91,7 @@
 		},
 	})
 	f.eventually(func() bool { return f.ask("/ledger/balance") == http.StatusOK })
-	f.eventually(f.answersModel)
+	f.eventually(func() bool { return f.answersModel(f.Callers()[0]) })
 	return f
 }
 
@@ -126,9 +131,8 @@
 
 // answersModel reports whether a model request succeeds. It fails at first, because an
 // owner that has just started grants no reservations during a cold start.
-func (f *fixture) answersModel() bool {
-	body := `{"model":"small","max_tokens":1,"messages":[{"role":"user","content":"ready"}]}`
-	q, err := http.NewRequest(http.MethodPost, "http://"+f.Callers()[0]+"/v1/chat/completions", strings.NewReader(body))
+func (f *fixture) answersModel(instance string) bool {
+	q, err := http.NewRequest(http.MethodPost, "http://"+instance+"/v1/chat/completions", strings.NewReader(modelBody))
 	require.NoError(f.t, err)
 	return status(q, f.key.Text) == http.StatusOK
 }
--- a/internal/stand/figemulator/engine_decode.go
+++ b/internal/stand/figemulator/engine_decode.go
@@ -60,6 +60,9 @@
 	return false
 }
 
+// endlessTextBytes is the size of the text of each event under the Endless fault.
+const endlessTextBytes = 16 << 10
+
 // stream writes the tokens of one answer.
 type stream struct {
 	*Engine
@@ -74,6 +77,9 @@
 func (s *stream) run(ctx context.Context, w http.ResponseWriter) error {
 	_, cut := s.Faults.consume(Cut)
 	_, stall := s.Faults.consume(Stall)
+	if _, endless := s.Faults.consume(Endless); endless {
+		return s.runEndless(ctx, w)
+	}
 	total := s.output()
 	if s.Stream {
 		w.Header().Set("Content-Type", "text/event-stream")
@@ -107,6 +113,18 @@
 	return s.endStream(w, total)
 }
 
+// runEndless writes events until ctx ends or a write fails.
+func (s *stream) runEndless(ctx context.Context, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "text/event-stream")
+	event := newChunk(s.completion, s.answerID, strings.Repeat("x", endlessTextBytes), nil)
+	for ctx.Err() == nil {
+		if err := s.event(w, event); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
 // endStream writes the usage, if requested, and the end marker.
 func (s *stream) endStream(w http.ResponseWriter, total int) error {
 	if s.Options.IncludeUsage {
--- a/internal/stand/figemulator/fault.go
+++ b/internal/stand/figemulator/fault.go
@@ -15,6 +15,8 @@
 	Stall FaultKind = "stall"
 	// Cut closes the connection in the middle of an answer.
 	Cut FaultKind = "cut"
+	// Endless streams large events until its caller closes the connection.
+	Endless FaultKind = "endless"
 	// Late delays an answer by the fault's Delay.
 	Late FaultKind = "late"
 	// Crossed answers with the answer to another request.
