--- a/internal/place/figrole/played_test.go
+++ b/internal/place/figrole/played_test.go
@@ -43,7 +43,7 @@
 
 // play sends 100 prompts a second of 2,000 to 14,900 tokens times a factor, whose answers take a factor of the usual time, to 48
 // engines for 100 s. It returns the fraction of the requests of the last 40 s with a first token in 800 ms and no pause of
-// 300 ms later, and the number of prefill servers when the load ends.
+// 300 ms later, and the number of prefill servers.
 func play(t *testing.T, promptFactor, answerFactor float64, measure bool) (onTime float64, prefill int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -84,13 +84,12 @@
 			go p.request(i, tokens, answerFactor*(1+0.8*random.Float64()), time.Since(begun) > time.Minute)
 			<-time.After(time.Duration(random.ExpFloat64() * 0.01 * float64(time.Second)))
 		}
-		// The servers are counted under load, as a window of measured work without load may change roles once more.
+		<-time.After(20 * time.Second)
 		for _, s := range p.view.Load().Servers["m"] {
 			if s.Role == figview.Prefill {
 				prefill++
 			}
 		}
-		<-time.After(20 * time.Second)
 		onTime = float64(p.onTime) / float64(p.sent)
 		cancel()
 		<-time.After(time.Minute)
