figroute: require keys where the list of accounts is empty

Cause: an empty list was decoded like a missing one, and keys were only asked for if there were accounts.

--- a/internal/config/figcatalogue/catalogue.go
+++ b/internal/config/figcatalogue/catalogue.go
@@ -281,7 +281,7 @@
 	}
 	c.table, c.tableEpoch = figroute.NewTable(d), epoch
 	klog.InfoS("declarations activated", "version", d.Version, "before", before, "epoch", epoch,
-		"routes", len(d.Routes), "pools", len(d.Pools), "accounts", len(d.Accounts))
+		"routes", len(d.Routes), "pools", len(d.Pools), "accounts", len(d.Accounts), "keysRequired", c.table.KeysRequired)
 }
 
 // isOutdated says whether s is an entry of an earlier process than the one known.
--- a/internal/config/figcatalogue/restore_test.go
+++ b/internal/config/figcatalogue/restore_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"figtrail.dev/figtrail/internal/config/figroute"
 	"figtrail.dev/figtrail/internal/core/figtimer"
 	"figtrail.dev/figtrail/internal/fleet/figview"
 )
@@ -362,6 +363,22 @@
 	require.Equal(t, 5, f.View().Table.Limits.BodyBytes, "follower")
 }
 
+// A restored source may give out a version again whose list of accounts is there but empty. Followers must require keys
+// then too.
+func TestKeysAreRequiredAfterRestoration(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r, f := newCatalogueAt(&now), newCatalogueAt(&now)
+	r.Replace(&Contents{Declarations: version(13), Position: in(1, 50)})
+	f.applyAnswer(r.changesAfter(in(0, 0)))
+	require.False(t, f.View().Table.NeedsKey(&figroute.Route{}))
+	emptied := version(13)
+	emptied.KeysRequired = true
+	r.Replace(&Contents{Declarations: emptied, Position: in(2, 40)})
+	f.applyAnswer(r.changesAfter(f.Position()))
+	require.True(t, r.View().Table.NeedsKey(&figroute.Route{}), "reader")
+	require.True(t, f.View().Table.NeedsKey(&figroute.Route{}), "follower")
+}
+
 // An instance that starts must not use a server that the instance it asks keeps from work.
 func TestDoubtedServerIsPassedOn(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/config/figcatalogue/wire_test.go
+++ b/internal/config/figcatalogue/wire_test.go
@@ -31,7 +31,8 @@
 				Name: "tenant", Keys: []figroute.Digest{{0: 0xa1, 31: 0xb2}}, Priority: 3, HasPriority: true,
 				Rate: 100.5, Burst: 250.25, CountsTokens: true, DefaultTokens: 40,
 			}},
-			Limits: figroute.Limits{HeaderBytes: 16384, BodyBytes: 1048576},
+			KeysRequired: true,
+			Limits:       figroute.Limits{HeaderBytes: 16384, BodyBytes: 1048576},
 		},
 		Servers: []SnapshotServer{{
 			Server: figview.Server{
@@ -76,7 +77,8 @@
 				"Priority": uint64(3), "HasPriority": true,
 				"Rate": 100.5, "Burst": 250.25, "CountsTokens": true, "PlainTokens": uint64(40),
 			}},
-			"Limits": map[any]any{"HeaderBytes": uint64(16384), "BodyBytes": uint64(1048576)},
+			"KeysRequired": true,
+			"Limits":       map[any]any{"HeaderBytes": uint64(16384), "BodyBytes": uint64(1048576)},
 		},
 		// The fields of figview.Server stand beside those of SnapshotServer.
 		uint64(3): []any{map[any]any{
--- a/internal/config/figroute/table.go
+++ b/internal/config/figroute/table.go
@@ -19,10 +19,9 @@
 type Table struct {
 	Declarations
 
-	byHost      map[string][]*Route
-	pools       map[string]*Pool
-	byKey       map[Digest]*Account
-	hasAccounts bool
+	byHost map[string][]*Route
+	pools  map[string]*Pool
+	byKey  map[Digest]*Account
 	// mixed holds the pools whose requests have different priorities.
 	mixed map[string]bool
 }
@@ -34,8 +33,8 @@
 		byHost:       map[string][]*Route{},
 		pools:        map[string]*Pool{},
 		byKey:        map[Digest]*Account{},
-		hasAccounts:  len(d.Accounts) > 0,
 	}
+	t.KeysRequired = d.KeysRequired || len(d.Accounts) > 0
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -117,8 +116,8 @@
 	return a, ok
 }
 
-// NeedsKey says whether requests on r must carry a key: accounts are declared and r.NoKeyRequired isn't set.
-func (t *Table) NeedsKey(r *Route) bool { return t.hasAccounts && !r.NoKeyRequired }
+// NeedsKey says whether requests on r must carry a key.
+func (t *Table) NeedsKey(r *Route) bool { return t.KeysRequired && !r.NoKeyRequired }
 
 // Pool returns the pool called name, or a pool without limits if none is declared.
 func (t *Table) Pool(name string) *Pool {
--- a/internal/config/figroute/table_test.go
+++ b/internal/config/figroute/table_test.go
@@ -47,6 +47,9 @@
 	require.True(t, table.NeedsKey(&Route{}))
 	require.False(t, table.NeedsKey(&Route{NoKeyRequired: true}))
 	require.False(t, NewTable(&Declarations{}).NeedsKey(&Route{}), "without accounts there are no keys")
+	closed := NewTable(&Declarations{KeysRequired: true})
+	require.True(t, closed.NeedsKey(&Route{}), "the last account was removed")
+	require.False(t, closed.NeedsKey(&Route{NoKeyRequired: true}))
 }
 
 // Priorities are only sent to pools whose requests differ in them: otherwise requests of instances with and without them
--- a/internal/config/figroute/types.go
+++ b/internal/config/figroute/types.go
@@ -131,5 +131,8 @@
 	Routes   []Route   `cbor:"Routes"`
 	Pools    []Pool    `cbor:"Pools"`
 	Accounts []Account `cbor:"Accounts"`
-	Limits   Limits    `cbor:"Limits"`
+	// KeysRequired says that requests need keys even if Accounts is empty. They need keys without it too if there are
+	// accounts: instances of earlier releases don't pass it on.
+	KeysRequired bool   `cbor:"KeysRequired"`
+	Limits       Limits `cbor:"Limits"`
 }
