figtree: tell empty lists of what is allowed from missing ones

What callers saw: a route declared with methods: [] took every method. A list of pools, prefixes or methods with nothing after the colon, as when its last entry is commented out, allowed all or what is inherited.

Cause: routes kept no trace of an empty list, and the YAML decoder takes a field without a value for a missing one.

Change: Route.MethodsDeclared says that there is a list; a route that allows no method stays, so that no shorter prefix takes its calls, and is reported. Fields without a value that hold such a list become empty lists before the document is decoded.

--- a/internal/config/figtree/parse.go
+++ b/internal/config/figtree/parse.go
@@ -1,16 +1,17 @@
 package figtree
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
-	"io"
 	"path"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
 )
 
 const (
@@ -48,22 +49,35 @@
 			err = errors.Newf("YAML decoder panicked: %v", r)
 		}
 	}()
-	decoder := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict())
-	if err := decoder.Decode(d); err != nil {
-		return ignoreEOF(err)
+	file, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return err
 	}
-	var rest any
-	if err := decoder.Decode(&rest); err != nil {
-		return ignoreEOF(err)
+	docs := slices.DeleteFunc(file.Docs, func(n *ast.DocumentNode) bool { return n.Body == nil })
+	switch len(docs) {
+	case 0:
+		return nil
+	case 1:
+		ast.Walk(listFiller{}, docs[0].Body)
+		return yaml.NodeToValue(docs[0].Body, d, yaml.Strict())
+	default:
+		return errors.New("text has more than one document")
 	}
-	return errors.New("text has more than one document")
 }
 
-func ignoreEOF(err error) error {
-	if errors.Is(err, io.EOF) {
-		return nil
+// listFiller replaces fields without a value by empty lists if they hold a list that means something else where it is
+// missing. The decoder takes them for missing.
+type listFiller struct{}
+
+var restrictingLists = map[string]bool{"pools": true, "routePrefixes": true, "keyPrefixes": true, "methods": true}
+
+// Visit implements ast.Visitor.
+func (f listFiller) Visit(n ast.Node) ast.Visitor {
+	field, ok := n.(*ast.MappingValueNode)
+	if ok && field.Value.Type() == ast.NullType && restrictingLists[field.Key.GetToken().Value] {
+		field.Value = ast.Sequence(field.Key.GetToken(), true)
 	}
-	return err
+	return f
 }
 
 func dirOf(docPath string) string {
--- a/internal/config/figtree/parse_test.go
+++ b/internal/config/figtree/parse_test.go
@@ -1,6 +1,7 @@
 package figtree
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -53,6 +54,41 @@
 	}
 }
 
+// An empty list of what is allowed must not be taken for a missing one, which allows all or is inherited.
+func TestEmptyListsAllowNothing(t *testing.T) {
+	for _, list := range []string{" []", " null", " ~", "", " # none"} {
+		tree, faults := build(t,
+			"pools", "pools: [{name: p, models: [m]}]\nroutes:\n  - prefix: /all\n    pool: p\n  - prefix: /none\n    pool: p\n    methods:"+list+"\n",
+			"limits", "limits: {tokensPerSecond: 9, pools: [p]}\nsubtrees:\n  closed:\n    pools:"+list+"\n    routePrefixes:"+list+"\n    keyPrefixes:"+list+"\n",
+			"open/x", "accounts:\n  - name: inherits\n    keys: ["+goodKey+"]\n  - name: none\n    pools:"+list+"\n",
+			"closed/x", "accounts:\n  - name: a\n    keys: ["+strings.Replace(goodKey, "k1", "k2", 1)+"]\nroutes: [{prefix: /r, pool: p}]\n",
+		)
+		for id, want := range map[string][]string{"open/inherits": {"p"}, "open/none": nil, "closed/a": nil} {
+			a, ok := tree.Account(id)
+			require.True(t, ok, "%q %s", list, id)
+			require.Equal(t, want, a.Pools, "%q %s", list, id)
+		}
+		for path, want := range map[string]bool{"/all": true, "/none": false} {
+			r, ok := tree.Route(path)
+			require.True(t, ok, "%q %s", list, path)
+			require.Equal(t, want, r.Allows("POST"), "%q %s", list, path)
+		}
+		_, ok := tree.Route("/r")
+		require.False(t, ok, list)
+		_, ok = tree.Key("k2")
+		require.False(t, ok, list)
+		_, ok = tree.Key("k1")
+		require.True(t, ok, list)
+		for _, reason := range []string{"route /none allows no method", "account none may use no pool", "account a may use no pool", "key k2 is not granted to this directory"} {
+			require.True(t, slices.ContainsFunc(faults, func(f Fault) bool { return f.Reason == reason && f.Line > 0 }), "%q %s", list, reason)
+		}
+	}
+	for _, empty := range []string{"accounts:", "accounts: []", "routes: []", "pools:", "dataCentres: []", "accounts: [{name: a, keys: []}]"} {
+		tree, _ := build(t, "x", empty)
+		require.Zero(t, tree.KeyCount(), empty)
+	}
+}
+
 func TestFaultsAreBounded(t *testing.T) {
 	_, faults := Parse("a", []byte("accounts:\n"+strings.Repeat("  - {}\n", 3*maxFaults)))
 	require.Len(t, faults, maxFaults)
--- a/internal/config/figtree/resolve.go
+++ b/internal/config/figtree/resolve.go
@@ -165,9 +165,15 @@
 	t := Route{Prefix: s.Prefix.Value}
 	t.Pool = valueOrDefault(r, "pool", s.Pool, "", unchanged)
 	t.Methods = valueOrDefault(r, "methods", s.Methods, nil, formatList)
+	t.MethodsDeclared = s.Methods.Declared()
 	t.Idempotent = valueOrDefault(r, "idempotent", s.Idempotent, false, strconv.FormatBool)
 	t.Public = valueOrDefault(r, "open", s.Open, false, strconv.FormatBool)
-	return t, len(r.faults) == before
+	ok := len(r.faults) == before
+	if t.MethodsDeclared && len(t.Methods) == 0 {
+		// The route stays: without it, a route with a shorter prefix would take its calls.
+		r.fault(s.Methods.Line, "route "+s.Prefix.Value+" allows no method")
+	}
+	return t, ok
 }
 
 func (r *resolver) dataCentre(s DataCentreSpec) DataCentre {
--- a/internal/config/figtree/tree.go
+++ b/internal/config/figtree/tree.go
@@ -85,6 +85,11 @@
 	return nil, false
 }
 
+// Allows reports whether the route takes calls with an HTTP method.
+func (r *Route) Allows(method string) bool {
+	return !r.MethodsDeclared || slices.Contains(r.Methods, method)
+}
+
 // PoolForModel returns the first pool in the account's order that serves a model.
 func (t *Tree) PoolForModel(a *Account, model string) (*Pool, bool) {
 	for _, id := range a.Pools {
--- a/internal/config/figtree/types.go
+++ b/internal/config/figtree/types.go
@@ -112,8 +112,9 @@
 	Prefix string
 	// Pool is the ID of the pool that serves it.
 	Pool string
-	// Methods holds the allowed HTTP methods; empty means all.
-	Methods []string
+	// Methods holds the allowed HTTP methods if MethodsDeclared is set; otherwise all are allowed.
+	Methods         []string
+	MethodsDeclared bool
 	// Idempotent calls may be retried after a failure.
 	Idempotent bool
 	// Public routes need no key and charge no client account.
--- a/internal/edge/figfront/read.go
+++ b/internal/edge/figfront/read.go
@@ -1,6 +1,7 @@
 package figfront
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -112,8 +113,8 @@
 // readPlain checks that the route allows the method and that the client account may use
 // the route's pool, and sets the pool in q. Public routes have no account.
 func readPlain(t *figtree.Tree, q *figpipeline.Call, route *figtree.Route) *figlifecycle.Result {
-	if len(route.Methods) > 0 && !slices.Contains(route.Methods, q.Method) {
-		return refusal(q.ID, figlifecycle.BadRequest, "the route takes "+strings.Join(route.Methods, ", "))
+	if !route.Allows(q.Method) {
+		return refusal(q.ID, figlifecycle.BadRequest, "the route takes "+cmp.Or(strings.Join(route.Methods, ", "), "no method"))
 	}
 	p, ok := t.Pool(route.Pool)
 	if !ok || (q.Account != nil && !slices.Contains(q.Account.Pools, route.Pool)) {
