--- a/internal/place/figquarantine/blame.go
+++ b/internal/place/figquarantine/blame.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/bits"
 	"slices"
 	"time"
 )
@@ -94,15 +93,6 @@
 	return halves >= 2*crashThreshold
 }
 
-// isCrowd reports whether many runs were lost.
-func (l Loss) isCrowd() bool { return bits.OnesCount32(l.Runs) > crowdRuns }
-
-// lossIn returns what the record says of one of its crashes.
-func (r *record) lossIn(crash uint64) Loss {
-	i, _ := slices.BinarySearch(r.Crashes, crash)
-	return r.Losses[i]
-}
-
 // standsOut reports whether a crash that o explains may be due to the part of r all the same: it came where runs with the part
 // end at the latest, and later than o's. So two parts whose runs are lost together on a server are told apart.
 func (r *record) standsOut(crash uint64, o *record) bool {
--- a/internal/place/figquarantine/record.go
+++ b/internal/place/figquarantine/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math/bits"
 	"slices"
 	"strconv"
 	"time"
@@ -41,23 +40,6 @@
 	OutlastedAge time.Duration `cbor:"14,keyasint,omitempty"`
 }
 
-// Loss says which runs with a part the end of a server ended.
-type Loss struct {
-	_ struct{} `cbor:",toarray"`
-
-	// Reached is for how long the oldest of them had been answered.
-	Reached time.Duration
-	// Survived is how long a run with the part lasted that cleared the crash.
-	Survived time.Duration
-	// Runs has about as many bits set as there were runs: each sets one that is drawn.
-	Runs uint32
-}
-
-// with returns what both say of a loss.
-func (l Loss) with(o Loss) Loss {
-	return Loss{Reached: max(l.Reached, o.Reached), Survived: max(l.Survived, o.Survived), Runs: l.Runs | o.Runs}
-}
-
 // record is a Record with what this instance adds to it.
 type record struct {
 	Record
@@ -77,14 +59,6 @@
 	isHashed bool
 }
 
-// loss returns what a record says of one of its crashes. Instances of earlier releases send nothing.
-func (r *Record) loss(i int) Loss {
-	if i < len(r.Losses) {
-		return r.Losses[i]
-	}
-	return Loss{Runs: 1}
-}
-
 // insertCrash adds what is known of a crash. It returns whether the crash was not known, and whether anything has changed.
 func (r *record) insertCrash(crash uint64, l Loss) (isNew, changed bool) {
 	i, found := slices.BinarySearch(r.Crashes, crash)
@@ -100,15 +74,6 @@
 	return true, true
 }
 
-// lostRuns returns about how many runs with the part were lost in its crashes.
-func (r *record) lostRuns() int {
-	n := 0
-	for _, l := range r.Losses {
-		n += bits.OnesCount32(l.Runs)
-	}
-	return n
-}
-
 // clear clears the record of the crashes that came no later in their runs than a run with the part lasted that was answered
 // in full. It returns false if there are none.
 func (r *record) clear(lasted time.Duration) bool {
--- a/internal/place/figquarantine/table.go
+++ b/internal/place/figquarantine/table.go
@@ -23,8 +23,8 @@
 	trustTime = 10 * time.Second
 	// outlastStep is how much longer than another one a run must last to count as longer.
 	outlastStep = 500 * time.Millisecond
-	// maxUnexplained is the largest fraction of the crashes on a part that parts after it in the prompt
-	// may leave unexplained where these are blamed instead.
+	// maxUnexplained is the largest fraction of the crashes on a part that more suspect parts may leave unexplained
+	// where these are blamed instead.
 	maxUnexplained = 0.25
 	// trialDelay is the time until a prompt with a quarantined part is tried while the evidence isn't
 	// confirmed, and confirmedTrialDelay the time if it is. Both grow by trialFactor with each trial.
--- a/internal/place/figquarantine/table_test.go
+++ b/internal/place/figquarantine/table_test.go
@@ -128,6 +128,58 @@
 	require.Equal(t, []string{harmful}, table.Quarantined(now))
 }
 
+// A short answer must not clear crashes that come later in answers, and an answer that goes on none if it ends in a crash.
+func TestLateCrashesNeedLongAnswers(t *testing.T) {
+	table, now := NewTable(), time.Now()
+	crash := func(server string, reached time.Duration) {
+		table.RecordCrash(now, pool, server, []string{common, harmful}, reached)
+	}
+	table.RecordAnswer(now, pool, []string{common, harmful}, 2*time.Second)
+	crash("s1", 3*time.Second)
+	crash("s2", 3*time.Second)
+	crash("s3", 2*time.Second)
+	require.Empty(t, table.Quarantined(now.Add(settleTime)), "the answer clears the last crash")
+	crash("s4", 3*time.Second)
+	table.RecordAnswer(now, pool, []string{common, harmful}, 2*time.Second)
+	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(settleTime)))
+
+	table.RecordProgress(now, []string{harmful}, 3200*time.Millisecond)
+	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(settleTime)), "hardly longer")
+	table.RecordProgress(now, []string{common, harmful}, 4*time.Second)
+	require.Empty(t, table.Quarantined(now.Add(settleTime)), "an answer goes on")
+	crash("s5", 4100*time.Millisecond)
+	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(settleTime)), "and has ended in a crash")
+	table.RecordAnswer(now, pool, []string{common, harmful}, 5*time.Second)
+	require.Empty(t, table.Quarantined(now.Add(settleTime)))
+}
+
+// A crash that was cleared by a short answer must count again when an older run turns out to have ended in it, as at another
+// instance.
+func TestOlderRunOfClearedCrash(t *testing.T) {
+	table, other, now := NewTable(), NewTable(), time.Now()
+	table.RecordAnswer(now, pool, []string{harmful}, 2*time.Second)
+	for i := range crashThreshold {
+		table.RecordCrash(now, pool, fmt.Sprint(i), []string{harmful}, time.Second)
+		other.RecordCrash(now, pool, fmt.Sprint(i), []string{harmful}, 3*time.Second)
+	}
+	require.Empty(t, table.Quarantined(now.Add(settleTime)))
+	table.Merge(now, other.Records(now))
+	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(settleTime)))
+	other.Merge(now, table.Records(now))
+	require.Equal(t, table.Digest(), other.Digest())
+}
+
+// Instances of earlier releases don't say which runs a crash ended.
+func TestEvidenceOfEarlierRelease(t *testing.T) {
+	table, now := NewTable(), time.Now()
+	record := Record{Part: hashOf(harmful), Name: harmful, Crashes: []uint64{1, 2, 3}}
+	table.Merge(now, []Record{record})
+	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(settleTime)))
+	record.Cleared = []uint64{2}
+	table.Merge(now, []Record{record})
+	require.Empty(t, table.Quarantined(now.Add(settleTime)))
+}
+
 // A part that all prompts share may be blamed where no prompt was answered. Its quarantine must end when
 // a trial is answered. A part without which prompts of the pool are answered must be tried much later.
 func TestTrials(t *testing.T) {
