figquarantine: let evidence of late crashes settle

What callers saw: with servers that crash by chance, a sound part could be refused soon after the start, before any answer on it was complete, though answers on it went on.

Cause: confirmed evidence led to a quarantine at once. Answers that go on clear it only when they have lasted longer than the lost ones.

Change: evidence must suffice for as long as the lost runs had been answered, at most 2 s; crashes before the first event act at once as before.

--- a/internal/place/figquarantine/doc.go
+++ b/internal/place/figquarantine/doc.go
@@ -9,7 +9,8 @@
 // Two things clear crashes, so that parts of harmless prompts that were beside the harmful one aren't blamed for long. An
 // answer that is complete clears those that came no later in an answer than it lasted: a short one says nothing of what
 // comes later. An answer that goes on, and has lasted longer than all that the open crashes ended, clears them for
-// trustTime; if it ends in a crash itself, that crash takes this back.
+// trustTime; if it ends in a crash itself, that crash takes this back. So that answers can outlast the lost ones, evidence
+// must suffice for a while before a part is quarantined.
 //
 // Of several parts that explain the same crashes the most suspect is blamed: the one of whose crashes fewest were cleared,
 // then the one that lost fewest runs in each, since a harmful run needs no company, then the one that comes last in
--- a/internal/place/figquarantine/table.go
+++ b/internal/place/figquarantine/table.go
@@ -18,6 +18,8 @@
 	// settleTime is how long unconfirmed evidence must suffice before a part is quarantined, so that answers
 	// seen by other instances can clear it.
 	settleTime = time.Second
+	// maxSettleTime is how long confirmed evidence must suffice at most.
+	maxSettleTime = 2 * time.Second
 	// trustTime is how long after an answer on a part a crash doesn't count against it, unless it comes later in the run
 	// than that answer lasted.
 	trustTime = 10 * time.Second
--- a/internal/place/figquarantine/table_test.go
+++ b/internal/place/figquarantine/table_test.go
@@ -138,19 +138,19 @@
 	crash("s1", 3*time.Second)
 	crash("s2", 3*time.Second)
 	crash("s3", 2*time.Second)
-	require.Empty(t, table.Quarantined(now.Add(settleTime)), "the answer clears the last crash")
+	require.Empty(t, table.Quarantined(now.Add(maxSettleTime)), "the answer clears the last crash")
 	crash("s4", 3*time.Second)
 	table.RecordAnswer(now, pool, []string{common, harmful}, 2*time.Second)
-	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(settleTime)))
+	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(maxSettleTime)))
 
 	table.RecordProgress(now, []string{harmful}, 3200*time.Millisecond)
-	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(settleTime)), "hardly longer")
+	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(maxSettleTime)), "hardly longer")
 	table.RecordProgress(now, []string{common, harmful}, 4*time.Second)
-	require.Empty(t, table.Quarantined(now.Add(settleTime)), "an answer goes on")
+	require.Empty(t, table.Quarantined(now.Add(maxSettleTime)), "an answer goes on")
 	crash("s5", 4100*time.Millisecond)
-	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(settleTime)), "and has ended in a crash")
+	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(maxSettleTime)), "and has ended in a crash")
 	table.RecordAnswer(now, pool, []string{common, harmful}, 5*time.Second)
-	require.Empty(t, table.Quarantined(now.Add(settleTime)))
+	require.Empty(t, table.Quarantined(now.Add(maxSettleTime)))
 }
 
 // A crash that was cleared by a short answer must count again when an older run turns out to have ended in it, as at another
@@ -162,9 +162,9 @@
 		table.RecordCrash(now, pool, fmt.Sprint(i), []string{harmful}, time.Second)
 		other.RecordCrash(now, pool, fmt.Sprint(i), []string{harmful}, 3*time.Second)
 	}
-	require.Empty(t, table.Quarantined(now.Add(settleTime)))
+	require.Empty(t, table.Quarantined(now.Add(maxSettleTime)))
 	table.Merge(now, other.Records(now))
-	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(settleTime)))
+	require.Equal(t, []string{harmful}, table.Quarantined(now.Add(maxSettleTime)))
 	other.Merge(now, table.Records(now))
 	require.Equal(t, table.Digest(), other.Digest())
 }
--- a/internal/place/figquarantine/trial.go
+++ b/internal/place/figquarantine/trial.go
@@ -8,12 +8,25 @@
 	if r.sufficientSince.IsZero() || !now.Before(until) {
 		return time.Time{}
 	}
-	if settled := r.Confirmed && !r.hasCleared() || now.Sub(r.sufficientSince) >= settleTime; !settled {
+	if now.Sub(r.sufficientSince) < r.settleTime() {
 		return time.Time{}
 	}
 	return until
 }
 
+// settleTime is how long the evidence must suffice: as long as the runs that were lost had been answered, so that those that
+// go on can outlast them, and longer if it isn't confirmed or answers have cleared a part of it.
+func (r *record) settleTime() time.Duration {
+	settle := time.Duration(0)
+	for _, l := range r.Losses {
+		settle = max(settle, min(l.Reached, maxSettleTime))
+	}
+	if !r.Confirmed || r.hasCleared() {
+		settle = max(settle, settleTime)
+	}
+	return settle
+}
+
 // Finding is a quarantined part of a prompt.
 type Finding struct {
 	// Part is the id of the part, shortened for operators.
