figquarantine: don't replace records in full tables of each other

Cause: lost runs fill the table with parts of their own. Instances whose full tables differ replaced the records in each other at every comparison and pushed them on.

Evidence: TestFullTablesSettle fails without the change.

Change: a record of another instance only takes a place if it has more crashes than the least one, or is over 2 s newer.

The package passes.

--- a/internal/place/figquarantine/table.go
+++ b/internal/place/figquarantine/table.go
@@ -46,6 +46,8 @@
 	maxRecords  = 128
 	maxCrashes  = 32
 	maxAnswered = 4096
+	// exchangeAge is the age that evidence may have when it has reached all instances.
+	exchangeAge = 2 * time.Second
 	// maxNameBytes bounds the part of an id that is kept for operators.
 	maxNameBytes = 32
 )
@@ -200,7 +202,10 @@
 	crashedAt := now.Add(-max(0, o.Age))
 	r, known := t.records[o.Part]
 	if !known {
-		if len(o.Crashes) == 0 || t.expired(now, crashedAt, len(o.Crashes)-len(o.Cleared)) || !t.makeRoom(now) {
+		if len(o.Crashes) == 0 || t.expired(now, crashedAt, len(o.Crashes)-len(o.Cleared)) {
+			return false
+		}
+		if !t.deserves(len(o.Crashes), crashedAt) || !t.makeRoom(now) {
 			return false
 		}
 		r = &record{
@@ -338,18 +343,35 @@
 	t.derive(now)
 }
 
-// makeRoom makes sure that a record can be added. It drops the one with the fewest crashes, the oldest one of several, unless
-// its part is quarantined; without one it returns false.
-func (t *Table) makeRoom(now time.Time) bool {
-	if len(t.records) < maxRecords {
-		return true
-	}
+// least returns the record that goes first where there is no room; nil if all parts are quarantined.
+func (t *Table) least() *record {
 	var least *record
 	for _, r := range t.records {
 		if r.sufficientSince.IsZero() && (least == nil || r.lessThan(least)) {
 			least = r
 		}
 	}
+	return least
+}
+
+// deserves reports whether a record of another instance may take the place of the least one where there is no room. Records
+// of about the same time may not: full tables with different ones would replace them in each other without end.
+func (t *Table) deserves(crashes int, crashedAt time.Time) bool {
+	if len(t.records) < maxRecords {
+		return true
+	}
+	least := t.least()
+	return least != nil && (crashes > len(least.Crashes) ||
+		crashes == len(least.Crashes) && crashedAt.Sub(least.crashedAt) > exchangeAge)
+}
+
+// makeRoom makes sure that a record can be added. It drops the one with the fewest crashes, the oldest one of several, unless
+// its part is quarantined; without one it returns false.
+func (t *Table) makeRoom(now time.Time) bool {
+	if len(t.records) < maxRecords {
+		return true
+	}
+	least := t.least()
 	if least == nil {
 		return false
 	}
--- a/internal/place/figquarantine/table_test.go
+++ b/internal/place/figquarantine/table_test.go
@@ -153,6 +153,29 @@
 	require.Empty(t, table.Quarantined(now.Add(maxSettleTime)))
 }
 
+// Instances whose tables are full of different records must not go on replacing them in each other: a server that ends takes
+// many runs along, each with a part of its own.
+func TestFullTablesSettle(t *testing.T) {
+	now := time.Now()
+	tables := []*Table{NewTable(), NewTable()}
+	for i := range 2 * maxRecords {
+		tables[i%2].RecordCrash(now, pool, "s1", []string{fmt.Sprint("own", i)}, time.Second)
+	}
+	for _, table := range tables {
+		table.TakeChanged(now)
+	}
+	now = now.Add(time.Second)
+	for i := range tables {
+		tables[i].Merge(now, tables[1-i].Records(now))
+		require.Empty(t, tables[i].TakeChanged(now))
+	}
+	for _, server := range []string{"s2", "s3", "s4"} {
+		tables[0].RecordCrash(now, pool, server, []string{harmful}, time.Second)
+	}
+	tables[1].Merge(now, tables[0].TakeChanged(now))
+	require.Equal(t, []string{harmful}, tables[1].Quarantined(now.Add(maxSettleTime)))
+}
+
 // A crash that was cleared by a short answer must count again when an older run turns out to have ended in it, as at another
 // instance.
 func TestOlderRunOfClearedCrash(t *testing.T) {
